Close an upstream connection that brings more than its answer

Answers are now taken when the read that brought them is over, and a connection with anything beyond goes.

--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/sidecar/Dialling.java
@@ -7,8 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.function.Supplier;
 
 /** How this program opens HTTP connections, to upstreams and to discovery alike. */
@@ -23,8 +23,8 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(maxBody),
-                                handler.get());
+                        channel.pipeline().addLast(new HttpRequestEncoder(), new AnswerDecoder(),
+                                new HttpObjectAggregator(maxBody), handler.get());
                     }
                 });
     }
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -17,6 +17,8 @@
 final class UpstreamConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
     long idleSinceUs;
     private Call call;
+    /** The call's whole answer, until all that came with it has been read. */
+    private FullHttpResponse answer;
     private BiConsumer<Call, Channel> release;
 
     void begin(Call next, BiConsumer<Call, Channel> whenFree) {
@@ -29,25 +31,43 @@
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL && response.decoderResult().isSuccess()) {
             return;
         }
-        Call current = call;
-        call = null;
-        if (current == null || !response.decoderResult().isSuccess()) {
-            // Nobody asked, or no HTTP: what else comes on this connection can't be told apart.
+        if (call == null || answer != null || !response.decoderResult().isSuccess()) {
+            // Nobody asked, asked no more than once, or no HTTP: what else comes here can't be told apart.
             ctx.close();
-            if (current != null) {
-                current.broke();
+        } else {
+            answer = response.retain();
+        }
+    }
+
+    /**
+     * Only now is it known whether more came than the answer. The next call may begin as soon as this one has ended,
+     * and would take what is left over for its own answer: a connection that brought more is closed first.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (answer == null) {
+            if (call == null) {
+                ctx.close();
             }
             return;
         }
-        if (HttpUtil.isKeepAlive(response)) {
-            release.accept(current, ctx.channel());
-        } else {
-            ctx.close();
+        FullHttpResponse response = answer;
+        Call current = call;
+        answer = null;
+        call = null;
+        try {
+            if (HttpUtil.isKeepAlive(response) && ctx.pipeline().get(AnswerDecoder.class).betweenAnswers()) {
+                release.accept(current, ctx.channel());
+            } else {
+                ctx.close();
+            }
+            Outcome outcome = outcome(response);
+            LoadReport report = LoadReports.read(current.reportInBody()
+                    ? response.content().toString(StandardCharsets.UTF_8) : response.headers().get(Headers.LOAD));
+            current.end(outcome, report, outcome == Outcome.OK ? response.content() : null);
+        } finally {
+            response.release();
         }
-        Outcome outcome = outcome(response);
-        LoadReport report = LoadReports.read(current.reportInBody()
-                ? response.content().toString(StandardCharsets.UTF_8) : response.headers().get(Headers.LOAD));
-        current.end(outcome, report, outcome == Outcome.OK ? response.content() : null);
     }
 
     private static Outcome outcome(FullHttpResponse response) {
@@ -61,6 +81,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (answer != null) {
+            // Closed within the read that brought it: by a second answer, after which the first still stands.
+            channelReadComplete(ctx);
+        }
         Call current = call;
         call = null;
         if (current != null) {
--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -172,4 +172,70 @@
             }
         }
     }
+
+    /**
+     * An upstream that sends more than one answer to a request: the surplus must not be taken for the answer to the
+     * request that goes out as soon as the first has ended.
+     */
+    @Test
+    void whatComesBeyondAnAnswerIsNeverTheAnswerToTheNextRequest() throws Exception {
+        nextRequestGetsItsOwnAnswer((m, line) -> {
+            String answer = answerTo(m);
+            line.raw(answer + answer);
+        });
+        for (int cut : new int[] {1, 12, 30, 39}) {
+            nextRequestGetsItsOwnAnswer(new Peer.Script() {
+                private String rest = "";
+
+                @Override
+                public synchronized void handle(Peer.Message m, Peer.Line line) throws java.io.IOException {
+                    String answer = answerTo(m);
+                    String late = rest;
+                    rest = answer.substring(cut);
+                    line.raw(late + answer + answer.substring(0, cut));
+                }
+            });
+        }
+    }
+
+    private static String answerTo(Peer.Message m) {
+        String id = m.header("X-Txn");
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id;
+    }
+
+    private static void nextRequestGetsItsOwnAnswer(Peer.Script script) throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream(new Peer.Script() {
+                private java.net.Socket first;
+
+                @Override
+                public synchronized void handle(Peer.Message m, Peer.Line line) throws java.io.IOException {
+                    if (first == null || first == line.socket()) {
+                        first = line.socket();
+                        script.handle(m, line);
+                    } else {
+                        line.raw(answerTo(m));
+                    }
+                }
+            });
+            rig.onRequest = (now, r, out) -> {
+                if (r.id().equals("a2")) {
+                    out.send("a1", "u0", 0);
+                }
+            };
+            rig.onOutcome = (id, outcome, done, out) -> {
+                if (id.equals("a1")) {
+                    out.send("a2", "u0", 0);
+                }
+            };
+            rig.start();
+            try (Peer.Client one = rig.client(); Peer.Client two = rig.client()) {
+                one.send(Rig.get("a1", 20_000));
+                rig.await("request a1");
+                two.send(Rig.get("a2", 20_000));
+                assertEquals("a1", one.answer().body());
+                assertEquals("a2", two.answer().body());
+            }
+        }
+    }
 }
