Fail answers whose head is no HTTP/1.1 instead of passing them on

Netty reads a header line without a colon, and a few status lines that are none, as if they were legal. Such an answer was passed on as served; it is a broken one, which may have run.

--- a/src/main/java/rushproxy/sidecar/AnswerDecoder.java
+++ b/src/main/java/rushproxy/sidecar/AnswerDecoder.java
@@ -5,18 +5,34 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import java.util.List;
 
-/** Decodes answers, and tells whether any byte has come beyond the end of the last one. */
+/**
+ * Decodes answers, and tells whether any byte has come beyond the end of the last one. Netty reads some heads that are
+ * no HTTP/1.1 as if they were; here they fail, as any other broken answer does.
+ */
 final class AnswerDecoder extends HttpResponseDecoder {
     private boolean midway;
 
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         midway = true;
+        if (!initialLine[0].startsWith("HTTP/1.") || !initialLine[1].matches("[1-9][0-9][0-9]")) {
+            throw new IllegalArgumentException("no status line of HTTP/1.1");
+        }
         return super.createMessage(initialLine);
     }
 
+    /** A name ends at its colon: a line with white space or nothing there is no header, and names no length. */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != ':') {
+            throw new IllegalArgumentException("no colon after a header's name");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         super.decode(ctx, in, out);
--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -173,6 +173,25 @@
         }
     }
 
+    /** An answer that can't be read as HTTP/1.1 may have run, and nothing of it is passed on as served. */
+    @Test
+    void answersThatAreNoHttpAreResets() throws Exception {
+        for (String head : new String[] {
+            "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 3",
+            "HTTP/1.1 200 OK\r\nContent-Length : 3",
+            "HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 3",
+            "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 3",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3",
+            "HTTP/1.1 +200 OK\r\nContent-Length: 3",
+            "HTTP/1.1 2x0 OK\r\nContent-Length: 3",
+            "HTTP/1.1 OK 200\r\nContent-Length: 3",
+            "HTTP/9.1 200 OK\r\nContent-Length: 3"}) {
+            outcome("RESET false -", 502, (m, line) -> line.raw(head + "\r\n\r\nabc"));
+        }
+        outcome("RESET false -", 502, (m, line) ->
+                line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\nabc\r\n0\r\n\r\n"));
+    }
+
     /**
      * An upstream that sends more than one answer to a request: the surplus must not be taken for the answer to the
      * request that goes out as soon as the first has ended.
