Treat a reset within an answer without a length as a reset

The decoder closes such an answer when the connection goes, whether it ended in order or broke off; a cut body was passed on as served. Found by reading, while looking for phantom answers; no recording shows it.

--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -92,9 +92,19 @@
         }
     }
 
-    /** Too long an answer, no HTTP, or a connection that broke: in each case the call is over. */
+    /** Too long an answer, no HTTP, or a connection that broke: in each case the call is over, and what has come of
+     * an answer without a length is not the whole of it. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        Call current = call;
+        call = null;
+        if (answer != null) {
+            answer.release();
+            answer = null;
+        }
         ctx.close();
+        if (current != null) {
+            current.broke();
+        }
     }
 }
--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -192,6 +192,19 @@
                 line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\nabc\r\n0\r\n\r\n"));
     }
 
+    /** Without a length only an orderly end tells that an answer is whole. */
+    @Test
+    void anAnswerWithoutALengthThatBreaksOffIsAReset() throws Exception {
+        outcome("OK true -", 200, (m, line) -> {
+            line.raw("HTTP/1.1 200 OK\r\n\r\nslot");
+            line.socket().close();
+        });
+        outcome("RESET false -", 502, (m, line) -> {
+            line.raw("HTTP/1.1 200 OK\r\n\r\nsl");
+            line.reset();
+        });
+    }
+
     /**
      * An upstream that sends more than one answer to a request: the surplus must not be taken for the answer to the
      * request that goes out as soon as the first has ended.
