Back off from a server that turns requests away instead of ejecting it

Where no load is told, a server that turned a request away while it held few of the own ones was taken for broken and left alone for 2 s and more. In a crowd others fill it: most of the fleet was left alone at once, its capacity unused, and the refused clients came back at once. It is now left for the time in which it frees a place, twice as long each time in a row.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -126,8 +126,8 @@
                 servers.put(u.id(), s);
             } else if (u.startedUs() != s.entry.startedUs()) {
                 s.apart = 1;
-                s.failures = s.ejections = 0;
-                s.ejectedUntil = s.usedAt = 0;
+                s.failures = s.ejections = s.refusals = 0;
+                s.ejectedUntil = s.fullUntil = s.usedAt = 0;
             }
             s.entry = u;
             s.ready = u.state() == UpstreamState.READY;
@@ -495,7 +495,8 @@
     }
 
     private boolean hasRoom(long now, Req r, Server s, boolean freeCore) {
-        if (now < s.ejectedUntil || (s.ejections > 0 && s.own > 0) || !maySend(now, r, s)) return false;
+        if (now < Math.max(s.ejectedUntil, s.fullUntil) || s.ejections > 0 && s.own > 0) return false;
+        if (!maySend(now, r, s)) return false;
         double cores = Math.max(1, s.kind.cores) * warmth(s, now);
         double load = load(s, now);
         if (freeCore) return load < Math.max(1, Math.round(cores)) - 0.5;
@@ -743,7 +744,7 @@
         if (idleDropped(now, a, outcome)) return;
         switch (outcome) {
             case OK -> {
-                s.failures = s.ejections = 0;
+                s.failures = s.ejections = s.refusals = 0;
                 learn(s, a, latencyUs, true, now);
             }
             case TIMEOUT, CANCELLED -> {
@@ -753,17 +754,29 @@
             case ERROR, RESET -> failed(now, s, 1);
             case CONNECT_FAILED -> failed(now, s, EJECT_AFTER);
             case REJECTED -> {
-                // Refused while it holds little: not full but on its way out, or its room is broken.
-                if (s.own < s.kind.cores) {
-                    s.ejections = Math.max(2, s.ejections);
-                    failed(now, s, EJECT_AFTER);
+                if (cfg.reports() == Reports.NONE) {
+                    backOff(s, now);
+                } else {
+                    // Refused while it holds little: not full but on its way out, or its room is broken.
+                    if (s.own < s.kind.cores) {
+                        s.ejections = Math.max(2, s.ejections);
+                        failed(now, s, EJECT_AFTER);
+                    }
+                    countAsFull(s, now);
                 }
-                countAsFull(s, now);
             }
             default -> { }
         }
     }
 
+    /** Where no load is told, a server that turns away is full of others' requests, however few it holds of the own:
+     * no failure, and it has room again once it has ended one. Each refusal in a row doubles the wait, since one on
+     * its way out never has. */
+    private void backOff(Server s, long now) {
+        double place = s.slow() * meanWork / Math.max(1, s.kind.cores);
+        s.fullUntil = now + (long) Math.min(EJECT_US, place * (1 << Math.min(s.refusals++, 10)));
+    }
+
     private void countAsFull(Server s, long now) {
         s.reported = Math.max(load(s, now), s.kind.cores + CROWD * Math.sqrt(s.kind.cores));
         s.reportedAt = now;
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -38,6 +38,9 @@
         long reportedAt = Long.MIN_VALUE / 2;
         int failures, ejections;
         long ejectedUntil;
+        /** Requests turned away in a row, and until when it is taken to be full after the last of them. */
+        int refusals;
+        long fullUntil;
         /** Place in the order of the servers that all sidecars share. */
         final int order;
         /** Its zone's number in the settings, 0 where they do not name it. */
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -538,6 +538,38 @@
         staysAwayAfter(Outcome.REJECTED, 30_000);
     }
 
+    /** Where no load is told the own requests say little: others fill a server, and it is soon free again. */
+    @Test
+    void aServerFullOfOthersRequestsIsUsedAgainOnceItMayHaveRoom() {
+        Rig rig = new Rig();
+        rig.reports = Balancer.Reports.NONE;
+        rig.start().list(A, B).request("r").after(1_000);
+        String full = rig.sentTo("r", 0);
+        rig.outcome("r", 0, full, Outcome.REJECTED, 1_000);
+        assertNotEquals(full, rig.sentTo("r", 1));
+        rig.after(100_000).request("n0").request("n1");
+        assertTrue(full.equals(rig.sentTo("n0", 0)) || full.equals(rig.sentTo("n1", 0)), "" + rig.actions);
+    }
+
+    /** One on its way out turns all away: it is tried ever more seldom, not once for each request. */
+    @Test
+    void aServerThatTurnsAllAwayIsTriedEverMoreSeldom() {
+        Rig rig = new Rig();
+        rig.reports = Balancer.Reports.NONE;
+        rig.start().list(A, B);
+        int tries = 0;
+        for (int i = 0; i < 200; i++) {
+            rig.after(5_000).request("r" + i);
+            int attempt = 0;
+            if (rig.sentTo("r" + i, 0).equals("a")) {
+                tries++;
+                rig.outcome("r" + i, attempt++, "a", Outcome.REJECTED, 1_000);
+            }
+            rig.outcome("r" + i, attempt, "b", Outcome.OK, 50_000);
+        }
+        assertTrue(tries >= 3 && tries <= 10, tries + " tries");
+    }
+
     private static void staysAwayAfter(Outcome outcome, long stepUs) {
         Rig rig = new Rig().start().list(A, B).request("r").after(1_000);
         String left = rig.sentTo("r", 0);
