--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -769,9 +769,9 @@
         }
     }
 
-    /** Where no load is told, a server that turns away is full of others' requests, however few it holds of the own:
-     * no failure, and it has room again once it has ended one. Each refusal in a row doubles the wait, since one on
-     * its way out never has. */
+    /** Where no load is told, a server that turns away is full of others' requests, however few own ones it
+     * holds: no failure, and it has room again once it has ended one. Each refusal in a row doubles the wait,
+     * since one on its way out never has. */
     private void backOff(Server s, long now) {
         double place = s.slow() * meanWork / Math.max(1, s.kind.cores);
         s.fullUntil = now + (long) Math.min(EJECT_US, place * (1 << Math.min(s.refusals++, 10)));
