Eject a server for time-outs only if it has been silent

Two time-outs in a row ejected a server, for longer each time, although it answered other requests meanwhile: in a crowd that takes out the slow servers one after the other and crowds the rest. A time-out now counts only if nothing sent as late was answered.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -745,11 +745,14 @@
         switch (outcome) {
             case OK -> {
                 s.failures = s.ejections = s.refusals = 0;
+                s.answeredAt = now;
                 learn(s, a, latencyUs, true, now);
             }
             case TIMEOUT, CANCELLED -> {
                 learn(s, a, latencyUs, false, now);
-                failed(now, s, outcome == Outcome.TIMEOUT ? 1 : 0);
+                // A server that has answered others meanwhile is slow; only silence is a fault.
+                boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt < a.sentAt;
+                failed(now, s, silent ? 1 : 0);
             }
             case ERROR, RESET -> failed(now, s, 1);
             case CONNECT_FAILED -> failed(now, s, EJECT_AFTER);
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -34,6 +34,8 @@
         /** How much slower than its kind. */
         double apart = 1;
         long heardAt;
+        /** Its last answer with success; what was sent after it has met silence so far. */
+        long answeredAt;
         double reported;
         long reportedAt = Long.MIN_VALUE / 2;
         int failures, ejections;
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -570,6 +570,20 @@
         assertTrue(tries >= 3 && tries <= 10, tries + " tries");
     }
 
+    /** In a crowd attempts time out one after the other; a server that answers others meanwhile is not hung. */
+    @Test
+    void timeOutsEjectAServerOnlyIfItIsSilent() {
+        for (boolean answers : new boolean[] {true, false}) {
+            Rig rig = new Rig().start().list(A).request("r1").request("r2").after(100_000);
+            if (answers) {
+                rig.request("r3").after(50_000).outcome("r3", 0, "a", Outcome.OK, 50_000);
+            }
+            rig.after(700_000).outcome("r1", 0, "a", Outcome.TIMEOUT, 800_000)
+                    .outcome("r2", 0, "a", Outcome.TIMEOUT, 800_000).after(20_000).request("n");
+            assertEquals(answers ? "a" : null, rig.sentTo("n", 0));
+        }
+    }
+
     private static void staysAwayAfter(Outcome outcome, long stepUs) {
         Rig rig = new Rig().start().list(A, B).request("r").after(1_000);
         String left = rig.sentTo("r", 0);
