Count a client's retry from its first try

A retry was given the whole aim again, although an answer after the aim of its first try is worth nothing: held for most of the aim, refused, asked again and held again. What a client asked for and did not get is now remembered by class and key until it gives up for good, and its next try gets what is left. Also sets the load of the test for silent servers right.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -41,6 +41,8 @@
     private static final long TELL_US = 500_000;
     /** As many answers tell a kind's speed well; more count no more. */
     private static final int EVIDENCE = 40;
+    /** Unserved requests remembered for their next try: some seconds of them in a crowd. */
+    private static final int UNSERVED_MOST = 2_000;
     /** The means of rates lean to the own rate by this at each message sent. */
     private static final double LEAN = 0.03;
     /** Where no load is told, requests are shed above this, and at half as much again nearly all. */
@@ -521,7 +523,8 @@
         meanWork += 0.01 * (Math.min(r.work, TAIL * meanWork) - meanWork);
         r.deadline = now + request.remainingUs();
         long aim = (long) (r.spec.aimUs() + r.spec.aimStretch() * r.work);
-        r.usefulUntil = Math.min(r.deadline, now + (r.spec.lateWorth() > 0 ? request.remainingUs() : aim));
+        r.firstAsked = firstAsked(now, r);
+        r.usefulUntil = Math.min(r.deadline, r.spec.lateWorth() > 0 ? r.deadline : r.firstAsked + aim);
         double rank = (1 - r.spec.worth() / topWorth) / 2 + (request.repeat() ? 1 : 0);
         r.order = now + aim + (long) (rank * aim);
         open.put(request.id(), r);
@@ -534,6 +537,26 @@
         else send(now, r, s);
     }
 
+    /** What a client asked for and did not get, and when it first asked: its next try is the same request. */
+    private final Map<List<Object>, Long> unserved = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<List<Object>, Long> eldest) {
+            return size() > UNSERVED_MOST;
+        }
+    };
+
+    private long firstAsked(long now, Req r) {
+        if (!r.request.repeat() || r.request.key() < 0) return now;
+        Long first = unserved.remove(List.of(r.spec.name(), r.request.key()));
+        return first != null && now - first < r.spec.deadlineUs() ? first : now;
+    }
+
+    private void endUnserved(Req r) {
+        if (r.request.key() >= 0) unserved.put(List.of(r.spec.name(), r.request.key()), r.firstAsked);
+    }
+
     private void hold(long now, Req r) {
         if (now >= lastStart(r)) {
             // Little time left, as on a client's last try: the sweep would come after its deadline.
@@ -661,12 +684,14 @@
     private void refuse(Req r, long retryAfterUs) {
         if (!mayRefuse(r)) throw new IllegalStateException("a refusal against the rules");
         over(r);
+        endUnserved(r);
         out.refuse(r.request.id(), Math.min(retryAfterUs, cfg.limits().maxRetryAfterUs()));
     }
 
     private void fail(Req r) {
         if (r.over) return;
         over(r);
+        endUnserved(r);
         out.fail(r.request.id());
     }
 
@@ -801,7 +826,10 @@
 
     @Override
     public void onExpired(long now, String id) {
-        if (open.containsKey(id)) over(open.get(id));
+        Req r = open.get(id);
+        if (r == null) return;
+        if (!r.over) endUnserved(r);
+        over(r);
     }
 
     @Override
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -73,6 +73,8 @@
         Request request;
         RequestClass spec;
         double work;
+        /** When its client asked for it first, in this try or an earlier one. */
+        long firstAsked;
         /** An answer after this is worth nothing more than a late one. */
         long usefulUntil;
         long deadline;
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -43,6 +43,21 @@
         assertEquals(1, rig.take("refuse r").size());
     }
 
+    /** The aim runs from a client's first try: a retry that can't be in time any more is refused at once. */
+    @Test
+    void aRetryIsHeldNoLongerThanItsFirstTryLeavesTime() {
+        Rig rig = new Rig().start();
+        rig.policy.onRequest(rig.now, new Request("first", 5, false, false, 0, 440_000, null, "c"));
+        for (int i = 0; i < 60; i++) {
+            rig.after(5_000).fire("hold");
+        }
+        assertEquals(1, rig.take("refuse first").size());
+        rig.policy.onRequest(rig.now, new Request("retry", 5, true, false, 0, 440_000, null, "c"));
+        rig.policy.onRequest(rig.now, new Request("other", 6, false, false, 0, 440_000, null, "c"));
+        assertEquals(1, rig.take("refuse retry").size());
+        assertTrue(rig.take("refuse other").isEmpty());
+    }
+
     @Test
     void aTimeoutAtTheDeadlineIsAnsweredWithAFailure() {
         Rig rig = new Rig();
@@ -574,7 +589,9 @@
     @Test
     void timeOutsEjectAServerOnlyIfItIsSilent() {
         for (boolean answers : new boolean[] {true, false}) {
-            Rig rig = new Rig().start().list(A).request("r1").request("r2").after(100_000);
+            Rig rig = new Rig();
+            rig.reports = Balancer.Reports.NONE;
+            rig.start().list(A).request("r1").request("r2").after(100_000);
             if (answers) {
                 rig.request("r3").after(50_000).outcome("r3", 0, "a", Outcome.OK, 50_000);
             }
