Serve waiting requests by the worth of their work

Waiting requests went by their aims, with little regard to worth: in a crowd the short reads of little worth went first and what earns most was refused. They now go by their aim as many times longer as a unit of their work is worth less than the best, whatever the deployment counts by.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -525,8 +525,7 @@
         long aim = (long) (r.spec.aimUs() + r.spec.aimStretch() * r.work);
         r.firstAsked = firstAsked(now, r);
         r.usefulUntil = Math.min(r.deadline, r.spec.lateWorth() > 0 ? r.deadline : r.firstAsked + aim);
-        double rank = (1 - r.spec.worth() / topWorth) / 2 + (request.repeat() ? 1 : 0);
-        r.order = now + aim + (long) (rank * aim);
+        r.order = now + (long) (aim * topWorth / density(r.spec));
         open.put(request.id(), r);
         if (blind && random.nextDouble() < Math.min(0.95, STEEP * (crowding / CALM - 1))) {
             giveUp(now, r);
@@ -537,6 +536,11 @@
         else send(now, r, s);
     }
 
+    /** The worth of a unit of work: where little can be done, that of most worth is done first. */
+    private double density(RequestClass c) {
+        return cfg.worthByWork() ? c.worth() : c.worth() * meanWork / classWork.get(c.name());
+    }
+
     /** What a client asked for and did not get, and when it first asked: its next try is the same request. */
     private final Map<List<Object>, Long> unserved = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -78,7 +78,7 @@
         /** An answer after this is worth nothing more than a late one. */
         long usefulUntil;
         long deadline;
-        /** Waiting requests go by this: the aim, later for those of little worth. */
+        /** Waiting requests go by this: the aim, as many times longer as the work is worth less. */
         long order;
         boolean waiting, over, streaming;
         /** The pair asked for its load, when, and how many pairs were. */
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -15,6 +15,7 @@
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Request;
+import rushproxy.Balancer.RequestClass;
 import rushproxy.Balancer.Semantics;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Balancer.UpstreamState;
@@ -43,6 +44,23 @@
         assertEquals(1, rig.take("refuse r").size());
     }
 
+    /** Where all wait, the place that frees goes to the work of most worth, also if that may wait longest. */
+    @Test
+    void whatIsOfMostWorthGoesFirst() {
+        Rig rig = new Rig();
+        rig.otherClasses = List.of(new RequestClass("rich", Semantics.SAFE, Group.ALL, 4_000_000, 900_000, 0, 2_000_000,
+                30, 0, false));
+        rig.start().list(A);
+        int busy = 0;
+        while (rig.take("send").size() == busy) {
+            rig.request("busy" + busy++);
+        }
+        rig.policy.onRequest(rig.now, new Request("rich", -1, false, false, 0, 2_000_000, null, "rich"));
+        rig.after(60_000).outcome("busy0", 0, "a", Outcome.OK, 60_000);
+        assertEquals("a", rig.sentTo("rich", 0));
+        assertNull(rig.sentTo("busy" + (busy - 1), 0));
+    }
+
     /** The aim runs from a client's first try: a retry that can't be in time any more is refused at once. */
     @Test
     void aRetryIsHeldNoLongerThanItsFirstTryLeavesTime() {
