Move to discovery's new address on SIGHUP instead of ending

The runtime's own answer to SIGHUP is an orderly exit, so a replaced configuration stopped the sidecar with code 0.

--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -44,7 +44,7 @@
     private final Decisions decisions;
     private final Upstreams upstreams;
     private final long waitMs;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private long generation;
     /** After an answer that made no sense the whole list is asked for. */
@@ -84,6 +84,26 @@
         goOn();
     }
 
+    /** Discovery has another address from now on; what was asked at the old one is asked there at once. */
+    void moveTo(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        boolean out = call != 0;
+        if (out) {
+            end();
+        }
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+        // Between calls the next one is due already, and goes there.
+        if (out || pushed) {
+            goOn();
+        }
+    }
+
     private void begin() {
         long number = ++calls;
         call = number;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -8,12 +8,14 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
+import sun.misc.Signal;
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
 public final class Sidecar {
@@ -78,6 +80,8 @@
             Log.line("can't start: " + e);
             return 1;
         }
+        // Without a handler of its own the Java runtime ends on this signal.
+        Signal.handle(new Signal("HUP"), signal -> sidecar.reload(environment));
         CountDownLatch empty = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             sidecar.stop(empty::countDown);
@@ -94,6 +98,20 @@
         return 0;
     }
 
+    /** The configuration was replaced: of all that it says only where discovery is may change while running. */
+    private void reload(Map<String, String> environment) {
+        // The file tells of the change; what the environment said at the start is old.
+        Map<String, String> now = new HashMap<>(environment);
+        now.remove("BALANCER_DISCOVERY");
+        try {
+            InetSocketAddress address = Config.read(now).discovery();
+            loop.execute(() -> discovery.moveTo(address));
+            Log.line("discovery is at " + address);
+        } catch (Config.Broken e) {
+            Log.line("nothing reloaded: " + e.getMessage());
+        }
+    }
+
     void start() throws InterruptedException {
         upstreams.update(config.known());
         loop.submit(() -> decisions.start(actions -> {
--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -3,6 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -42,18 +45,57 @@
         assertTrue(log().get(0).contains("'settings' is missing"), log().toString());
     }
 
+    private static final String CONFIG = """
+            {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","peer_listen":"127.0.0.1:0",
+             "known":{"generation":1,"reset":true,"instances":[]},
+             "settings":{"me":0,"balancers":1,"zone":"z","discovery":"on_request",
+              "profiles":[{"name":"c","semantics":"safe","objective_us":1,"give_up_us":1}],
+              "rules":{"drain_grace_us":1,"cold_share":0.2,"ramp_time_us":1,"fall_multiple":3,"fall_us":1}}}""";
+
+    private void awaitLog(Process p, String text) throws Exception {
+        while (log().stream().noneMatch(l -> l.contains(text))) {
+            assertTrue(p.isAlive(), () -> "it ended instead of logging '" + text + "'");
+            Thread.sleep(20);
+        }
+    }
+
+    private static void hangUp(Process p) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + p.pid()).start().waitFor());
+    }
+
+    /** A replaced configuration moves the watch to discovery's new address; a broken one changes nothing. */
+    @Test
+    void askedToReloadItWatchesTheNewAddressAndLivesOn() throws Exception {
+        try (ServerSocket before = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+             ServerSocket after = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            String config = CONFIG.replace("on_request", "pushed");
+            Process p = start(config.replace("127.0.0.1:9", "127.0.0.1:" + before.getLocalPort()));
+            try (Socket old = before.accept()) {
+                awaitLog(p, " serves on ");
+                Files.writeString(folder.resolve("config.json"), "{");
+                hangUp(p);
+                awaitLog(p, "nothing reloaded");
+                Files.writeString(folder.resolve("config.json"),
+                        config.replace("127.0.0.1:9", "127.0.0.1:" + after.getLocalPort()));
+                hangUp(p);
+                try (Socket fresh = after.accept()) {
+                    byte[] start = fresh.getInputStream().readNBytes(32);
+                    assertEquals("GET /registry/instances?index=1&", new String(start, StandardCharsets.US_ASCII));
+                    old.getInputStream().readAllBytes();
+                    assertTrue(p.isAlive(), log().toString());
+                }
+            } finally {
+                p.destroy();
+                p.waitFor();
+            }
+        }
+    }
+
     /** Asked to end it exits with 0 once it is empty, which a signal's own exit code would not tell. */
     @Test
     void askedToEndItExitsWithZero() throws Exception {
-        Process p = start("""
-                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","peer_listen":"127.0.0.1:0",
-                 "known":{"generation":1,"reset":true,"instances":[]},
-                 "settings":{"me":0,"balancers":1,"zone":"z","discovery":"on_request",
-                  "profiles":[{"name":"c","semantics":"safe","objective_us":1,"give_up_us":1}],
-                  "rules":{"drain_grace_us":1,"cold_share":0.2,"ramp_time_us":1,"fall_multiple":3,"fall_us":1}}}""");
-        while (log().stream().noneMatch(l -> l.contains(" serves on ")) && p.isAlive()) {
-            Thread.sleep(20);
-        }
+        Process p = start(CONFIG);
+        awaitLog(p, " serves on ");
         p.destroy();
         assertTrue(p.waitFor(60, TimeUnit.SECONDS));
         assertEquals(0, p.exitValue(), log().toString());
