Log what became of requests, bounded to a line in 5 s; a leaving client is no fault

Clients that leave within a request are now counted with the rest in one line each 5 s. The listener is taken from the accepted connection: the first one could come before the bind had been told, and was dropped with an exception.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -236,7 +237,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!(cause instanceof IOException)) {
+        // A client that leaves, also within a request, is no fault.
+        if (!(cause instanceof IOException) && !(cause instanceof PrematureChannelClosureException)) {
             Log.trouble("a client's connection failed", cause);
         }
         ctx.close();
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -76,15 +77,21 @@
                     .min(Comparator.comparingLong(ClientConnection::activeUs)).ifPresent(ClientConnection::close);
         }
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
-        listener.config().setAutoRead(connections.size() < maxConnections);
+        // The listener as the connection knows it: the first one may come before the bind has been told here.
+        ChannelConfig accepting = channel.parent().config();
+        accepting.setAutoRead(connections.size() < maxConnections);
         channel.closeFuture().addListener(f -> {
             connections.remove(connection);
-            listener.config().setAutoRead(connections.size() < maxConnections);
+            accepting.setAutoRead(connections.size() < maxConnections);
         });
         channel.pipeline().addLast(connection.arrivals(), new HttpServerCodec(),
                 new HttpObjectAggregator(Headers.MAX_BODY), connection);
     }
 
+    int open() {
+        return connections.size();
+    }
+
     boolean ready() {
         return !stopping() && canServe.getAsBoolean();
     }
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,14 @@
     private final Upstreams upstreams;
     private final int maxAttempts;
     private final Map<String, Exchange> open = new HashMap<>();
+    /** Since the last {@link #tally}. */
+    private int taken;
+    private int served;
+    private int refused;
+    private int failed;
+    private int overdue;
+    private int left;
+    private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
     Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, int maxAttempts) {
         this.loop = loop;
@@ -38,6 +47,7 @@
     }
 
     void take(Exchange x) {
+        taken++;
         open.put(x.request.id(), x);
         x.overdue = loop.schedule(() -> overdue(x), x.deadlineUs + OVERDUE_US - clock.now(), TimeUnit.MICROSECONDS);
         decisions.call(m -> m.onRequest(clock.now(), x.request), () -> fail(x));
@@ -46,6 +56,7 @@
     /** The client has left: nothing is owed any more, and what is out ends by itself. */
     void left(Exchange x) {
         if (!x.over) {
+            left++;
             finish(x);
             expired(x);
         }
@@ -53,6 +64,7 @@
 
     private void overdue(Exchange x) {
         if (!x.over) {
+            overdue++;
             fail(x);
             expired(x);
         }
@@ -100,7 +112,9 @@
     }
 
     private void ended(Exchange x, int number, Upstreams.Call call, Outcome outcome, LoadReport report, ByteBuf body) {
+        outcomes.merge(outcome, 1, Integer::sum);
         if (outcome == Outcome.OK && !x.over) {
+            served++;
             finish(x);
             x.answer.served(body.retain());
         }
@@ -119,6 +133,7 @@
     void refuse(String id, long retryAfterUs) {
         Exchange x = open.get(id);
         if (x != null && !x.over) {
+            refused++;
             finish(x);
             x.answer.refused(retryAfterUs);
         }
@@ -132,11 +147,25 @@
 
     private void fail(Exchange x) {
         if (!x.over) {
+            failed++;
             finish(x);
             x.answer.failed();
         }
     }
 
+    /** What became of requests and attempts since the last call; null where there was nothing. */
+    String tally() {
+        if (taken == 0 && outcomes.isEmpty()) {
+            return null;
+        }
+        String line = taken + " requests: " + served + " served, " + refused + " refused, " + failed + " failed ("
+                + overdue + " overdue), " + left + " left by their client; " + open.size() + " held; attempts "
+                + outcomes;
+        taken = served = refused = failed = overdue = left = 0;
+        outcomes.clear();
+        return line;
+    }
+
     void cancel(String id, int attempt) {
         Exchange x = open.get(id);
         if (x != null && attempt >= 0 && attempt < x.attempts.size()) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -25,7 +25,7 @@
     private static final long PROBE_US = 50_000;
 
     private static final long BEAT_MS = 50;
-    private static final int BEATS = 200;
+    private static final int BEATS = 100;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
     private static final long LAG_US = 15_000;
 
@@ -135,6 +135,11 @@
         worstLagUs = Math.max(worstLagUs, now - beatAtUs - BEAT_MS * 1000);
         beatAtUs = now;
         if (++beats % BEATS == 0) {
+            String tally = requests.tally();
+            if (tally != null) {
+                Log.line("in " + BEATS * BEAT_MS / 1000 + " s " + tally + "; " + clients.open() + " connections of clients, "
+                        + upstreams.open() + " to upstreams");
+            }
             if (worstLagUs >= LAG_US) {
                 Log.line("the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s");
             }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -161,6 +161,10 @@
         }
     }
 
+    int open() {
+        return connections;
+    }
+
     boolean anyReady() {
         return targets.values().stream().anyMatch(t -> t.state == UpstreamState.READY);
     }
