Count an answer as overdue only past the tail that costs have

A request out for more than twice its expected time counted as as many more in flight as the server has cores, for each time over. Costs have long tails, and the way to the other zone alone is twice a short request's work: fast servers with one request in flight were taken for full while up to a hundred waited here and were refused.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -241,8 +241,9 @@
         Attempt oldest = s.attempts.peekFirst();
         if (oldest != null) {
             // An answer that is overdue counts as more in flight: a stall shows in the own requests first.
-            double overdue = (now - oldest.sentAt) / oldest.expected - 2;
-            if (overdue > 0) known += overdue * s.kind.cores;
+            // Costs have long tails, and half of the servers are a way off: several times over is no stall.
+            double overdue = (now - oldest.sentAt) / oldest.expected - 2 * TAIL;
+            if (overdue > 0) known += overdue;
         }
         return known;
     }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -619,6 +619,18 @@
         }
     }
 
+    /** One costly request is no stall: the server's other cores are free. Long without an answer it is one. */
+    @Test
+    void oneLongRequestDoesNotMakeItsServerFull() {
+        for (int times : new int[] {4, 12}) {
+            Rig rig = new Rig();
+            rig.reports = Balancer.Reports.NONE;
+            rig.start().list(A).request("long", 800_000);
+            rig.after(times * rig.aimUs / 4).request("next");
+            assertEquals(times == 4 ? "a" : null, rig.sentTo("next", 0));
+        }
+    }
+
     private static void staysAwayAfter(Outcome outcome, long stepUs) {
         Rig rig = new Rig().start().list(A, B).request("r").after(1_000);
         String left = rig.sentTo("r", 0);
