Let a fresh sidecar call itself before it says that it is ready

A fresh node spent all of its part of a core on interpreting and compiling the code of the first requests; for about 4 s they were late, their clients came back at once, and that made it worse.

Ruled out by measuring: classes loaded past the archive, earlier compilation; neither showed a gain beyond the noise.

--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -41,6 +41,7 @@
     private Channel listener;
     private long stopAtUs;
     private long acceptedUs;
+    private boolean rehearsing;
 
     ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
                  int maxConnections) {
@@ -88,12 +89,16 @@
                 new HttpObjectAggregator(Headers.MAX_BODY), connection);
     }
 
+    void rehearsing(boolean on) {
+        rehearsing = on;
+    }
+
     int open() {
         return connections.size();
     }
 
     boolean ready() {
-        return !stopping() && canServe.getAsBoolean();
+        return !stopping() && !rehearsing && canServe.getAsBoolean();
     }
 
     boolean stopping() {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -93,6 +93,7 @@
             // A stop that was asked for and went well is no failure, whatever signal asked.
             Runtime.getRuntime().halt(0);
         }));
+        sidecar.rehearse();
         Log.line(config.name() + " serves on " + sidecar.listening());
         new CountDownLatch(1).await();
         return 0;
@@ -147,6 +148,19 @@
         }
     }
 
+    /** Readies the program's own code before {@link ClientServer} tells the application that it may come. */
+    void rehearse() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            clients.rehearsing(true);
+            new Rehearsal(loop, clock, listening, () -> {
+                clients.rehearsing(false);
+                done.countDown();
+            }).begin();
+        });
+        done.await();
+    }
+
     InetSocketAddress listening() {
         return listening;
     }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -121,6 +121,7 @@
     private final int maxConnections;
     private final Bootstrap bootstrap;
     private final Map<String, Target> targets = new HashMap<>();
+    private final Future<?> sweep;
     private int connections;
 
     Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, int maxConnections) {
@@ -130,7 +131,7 @@
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
         bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), Headers.MAX_BODY,
                 UpstreamConnection::new);
-        loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweep = loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Connections to what drained, went or is now another process are of no more use. */
@@ -161,6 +162,12 @@
         }
     }
 
+    /** No call is to be started any more. */
+    void end() {
+        sweep.cancel(false);
+        targets.values().forEach(this::forget);
+    }
+
     int open() {
         return connections;
     }
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -55,6 +55,34 @@
         }
     }
 
+    /** What has never run is slow: the application is told to come once the program has called itself for a while. */
+    @Test
+    void readyOnlyOnceTheRehearsalIsOver() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            Thread rehearsal = new Thread(() -> {
+                try {
+                    rig.sidecar.rehearse();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            rehearsal.start();
+            int status;
+            boolean refused = false;
+            try (Peer.Client client = rig.client()) {
+                do {
+                    client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+                    status = client.status();
+                    refused |= status == 503;
+                } while (status != 200 || !refused);
+            }
+            rehearsal.join();
+            assertTrue(rig.told.stream().noneMatch(t -> t.startsWith("request")), "a rehearsed call reached the module");
+        }
+    }
+
     private static void broken(String json, String... named) {
         Config.Broken e = assertThrows(Config.Broken.class, () -> Rig.config(json));
         for (String name : named) {
