--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -44,6 +44,9 @@
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
     private long activeUs;
+    private final long openedUs;
+    /** Whether a whole request has come: such a client may be quiet for as long as it likes. */
+    private boolean proven;
     private Exchange current;
     private boolean busy;
 
@@ -55,7 +58,7 @@
         this.requests = requests;
         this.classes = classes;
         this.server = server;
-        activeUs = clock.now();
+        activeUs = openedUs = clock.now();
     }
 
     /** Stands before the decoder: a request's time runs from its first byte, and half of one is no quiet. */
@@ -77,6 +80,7 @@
         // Where several came in one read, the first has used up its start: the others began with the read too.
         ahead.add(new Arrival((FullHttpRequest) message, readingSinceUs == 0 ? activeUs : readingSinceUs));
         readingSinceUs = 0;
+        proven = true;
         if (ahead.size() >= MOST_AHEAD) {
             channel.config().setAutoRead(false);
         }
@@ -219,6 +223,14 @@
         }
     }
 
+    /** From the first byte, not the last: a peer that sends byte by byte is no better than a silent one. */
+    void closeIfUnfinished(long sinceUs) {
+        long begunUs = readingSinceUs != 0 ? readingSinceUs : proven ? Long.MAX_VALUE : openedUs;
+        if (!busy && ahead.isEmpty() && begunUs < sinceUs) {
+            close();
+        }
+    }
+
     void close() {
         channel.close();
     }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -29,6 +29,10 @@
     /** An application that goes on coming for this long does not know of the stop. */
     private static final long LISTEN_ON_MS = 1_000;
 
+    /** A peer that has sent nothing, or not the rest of a request, for this long gets a close: due within 3 s. */
+    private static final long PATIENCE_US = 2_500_000;
+    private static final long SWEEP_MS = 200;
+
     private final EventLoop loop;
     private final Requests requests;
     private final Clock clock;
@@ -65,6 +69,7 @@
                         accepted(channel);
                     }
                 }).bind(address).sync().channel();
+        loop.scheduleWithFixedDelay(this::closeUnfinished, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -89,6 +94,13 @@
                 new HttpObjectAggregator(Headers.MAX_BODY), connection);
     }
 
+    private void closeUnfinished() {
+        long since = clock.now() - PATIENCE_US;
+        for (ClientConnection c : List.copyOf(connections)) {
+            c.closeIfUnfinished(since);
+        }
+    }
+
     void rehearsing(boolean on) {
         rehearsing = on;
     }
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -83,6 +84,41 @@
         }
     }
 
+    /** A silent peer, half a request and one byte after the other end in a close; a client between requests stays. */
+    @Test
+    void peersThatNeverFinishARequestAreClosed() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
+            rig.start();
+            try (Peer.Client good = rig.client(); Peer.Client silent = rig.client(); Peer.Client half = rig.client();
+                 Peer.Client slow = rig.client()) {
+                good.send(Rig.get("a1", 9_000));
+                assertEquals(200, good.status());
+                half.send("POST /api HTTP/1.1\r\nX-Txn: a2\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\n"
+                        + "Content-Length: 9\r\n\r\nhalf");
+                slow.socket.setSoTimeout(20);
+                slow.send("GET /api HTTP/1.1\r\nX-Slow: ");
+                boolean open = true;
+                for (int i = 0; open && i < 1_000; i++) {
+                    try {
+                        slow.send("x");
+                        open = slow.socket.getInputStream().read() >= 0;
+                    } catch (java.net.SocketTimeoutException e) {
+                        // still open
+                    } catch (java.io.IOException e) {
+                        open = false;
+                    }
+                }
+                assertFalse(open, "one that sends byte by byte is still open");
+                assertEquals(-1, silent.status());
+                assertEquals(-1, half.status());
+                good.send(Rig.get("a3", 9_000));
+                assertEquals(200, good.status());
+                assertTrue(rig.told.stream().noneMatch(t -> t.startsWith("request a2")));
+            }
+        }
+    }
+
     private static void broken(String json, String... named) {
         Config.Broken e = assertThrows(Config.Broken.class, () -> Rig.config(json));
         for (String name : named) {
