--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.." || exit 1
 archive=target/sidecar.jsa
 rm -f "$archive"
-BALANCER_CONFIG=deploy/rehearsal.json java -XX:+UseSerialGC -Xlog:disable -Xlog:all=off \
+BALANCER_CONFIG=deploy/rehearsal.json java -Djava.net.preferIPv4Stack=true -XX:+UseSerialGC -Xlog:disable -Xlog:all=off \
     -XX:ArchiveClassesAtExit="$archive" -jar target/rushproxy.jar serve 2>target/rehearsal.log &
 sidecar=$!
 for _ in $(seq 100); do
