--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/AdminServer.java
@@ -0,0 +1,147 @@
+package rushproxy.sidecar;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.string.StringDecoder;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** The operators' address: one line to a connection, answered with one that begins with ACK or NAK. */
+final class AdminServer {
+    private static final int MOST_BYTES = 256;
+    /** Callers at once: their descriptors are among those kept back, so no crowd of clients can take them. */
+    static final int MOST_CALLERS = 16;
+    /** A caller that has not said its line by then has none to say. */
+    private static final long PATIENCE_MS = 2_000;
+
+    /** What can be asked for. {@code done} is told once, on the event loop, null for yes or else why not. */
+    interface Calls {
+        /** Null once this process takes clients, else what it waits for. */
+        String health();
+
+        void quiesce();
+
+        void resume();
+
+        void cordon(String id, Consumer<String> done);
+
+        void uncordon(String id, Consumer<String> done);
+    }
+
+    private final EventLoop loop;
+    private final Calls calls;
+    /** In the order in which they came. */
+    private final ArrayDeque<Channel> callers = new ArrayDeque<>();
+
+    AdminServer(EventLoop loop, Calls calls) {
+        this.loop = loop;
+        this.calls = calls;
+    }
+
+    InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
+        Channel listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 128)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                // A caller may end its side with its line and still read the answer.
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted(channel);
+                    }
+                }).bind(address).sync().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    private void accepted(Channel channel) {
+        if (callers.size() >= MOST_CALLERS) {
+            callers.poll().close();
+        }
+        callers.add(channel);
+        channel.closeFuture().addListener(f -> callers.remove(channel));
+        channel.pipeline().addLast(new LineBasedFrameDecoder(MOST_BYTES, true, true),
+                new StringDecoder(StandardCharsets.UTF_8), new Caller());
+    }
+
+    private void call(String line, Consumer<String> done) {
+        String[] words = line.split(" ", -1);
+        boolean named = words.length == 2 && !words[1].isEmpty();
+        switch (words.length == 1 || named ? words[0] + "/" + words.length : "") {
+            case "health/1" -> done.accept(calls.health());
+            case "quiesce/1" -> {
+                calls.quiesce();
+                done.accept(null);
+            }
+            case "resume/1" -> {
+                calls.resume();
+                done.accept(null);
+            }
+            case "cordon/2" -> calls.cordon(words[1], done);
+            case "uncordon/2" -> calls.uncordon(words[1], done);
+            default -> done.accept("no such call");
+        }
+    }
+
+    /** One caller, until its answer. */
+    private final class Caller extends SimpleChannelInboundHandler<String> {
+        private Future<?> patience;
+        private boolean called;
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            patience = loop.schedule(() -> refuse(ctx, "no call came"), PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, String line) {
+            if (!called) {
+                called = true;
+                call(line, no -> answer(ctx, no));
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                refuse(ctx, "the call was not finished");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            refuse(ctx, "the line is too long");
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            patience.cancel(false);
+        }
+
+        private void refuse(ChannelHandlerContext ctx, String why) {
+            if (!called) {
+                called = true;
+                answer(ctx, why);
+            }
+        }
+
+        private void answer(ChannelHandlerContext ctx, String no) {
+            patience.cancel(false);
+            ctx.writeAndFlush(Unpooled.copiedBuffer(no == null ? "ACK\n" : "NAK " + no + "\n", StandardCharsets.UTF_8))
+                    .addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+}
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -136,7 +136,7 @@
             return;
         }
         long remainingUs = remainingMs * 1000;
-        long deadline = arrival.sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4);
+        long deadline = Math.min(server.dueUs(), arrival.sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4));
         Request request = new Request(id, key(h.get(HttpHeaderNames.COOKIE)), "1".equals(h.get(Headers.RESENT)),
                 false, Math.max(0, whole(h.get(Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
                 h.get(Headers.TENANT), lane);
@@ -186,7 +186,7 @@
     }
 
     private void write(boolean keepAlive, HttpResponseStatus status, ByteBuf body, long retryAfterUs) {
-        boolean stays = keepAlive && !server.stopping();
+        boolean stays = keepAlive && server.goesOn();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         if (!stays) {
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -19,7 +19,10 @@
 import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
 
-/** The application's side: listens, and says goodbye without losing what clients have sent. */
+/**
+ * The application's side: listens, and says goodbye without losing what clients have sent. It goodbyes in two ways: a
+ * drain, which can be taken back and leaves the process as it is, and the stop, after which the process ends.
+ */
 final class ClientServer {
     /** The application opens connections for this long after the stop has been asked for, and a little longer. */
     private static final long SERVE_ON_MS = 600;
@@ -29,6 +32,13 @@
     /** An application that goes on coming for this long does not know of the stop. */
     private static final long LISTEN_ON_MS = 1_000;
 
+    /** After the call to drain the front comes for some tenths of a second; then what has been quiet for long may go. */
+    private static final long DRAIN_ON_US = 600_000;
+    private static final long DRAIN_QUIET_US = 500_000;
+    /** At 4 s no connection may be idle or hold a request younger than 2 s: from here on none is left to bring one. */
+    private static final long DRAIN_ALL_US = 1_600_000;
+    private static final long DRAIN_DUE_US = 3_700_000;
+
     /** A peer that has sent nothing, or not the rest of a request, for this long gets a close: due within 3 s. */
     private static final long PATIENCE_US = 2_500_000;
     private static final long SWEEP_MS = 200;
@@ -46,6 +56,9 @@
     private long stopAtUs;
     private long acceptedUs;
     private boolean rehearsing;
+    /** When the drain was asked for; 0 while there is none. */
+    private long drainAtUs;
+    private boolean drainLooked;
 
     ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
                  int maxConnections) {
@@ -110,11 +123,53 @@
     }
 
     boolean ready() {
-        return !stopping() && !rehearsing && canServe.getAsBoolean();
+        return goesOn() && !rehearsing && canServe.getAsBoolean();
+    }
+
+    boolean takesClients() {
+        return stopAtUs == 0 && !rehearsing;
+    }
+
+    /** Whether connections outlive their answers. */
+    boolean goesOn() {
+        return stopAtUs == 0 && drainAtUs == 0;
+    }
+
+    /** When a request that is taken now has to be over at the latest, whatever its client allows. */
+    long dueUs() {
+        return drainAtUs > 0 && clock.now() >= drainAtUs + DRAIN_ALL_US ? drainAtUs + DRAIN_DUE_US : Long.MAX_VALUE;
+    }
+
+    /** Told again it changes nothing: the time runs from the first call. */
+    void drain() {
+        if (drainAtUs == 0) {
+            drainAtUs = clock.now();
+            // One that was taken back just now may still have its look to come.
+            if (!drainLooked) {
+                drainLooked = true;
+                loop.schedule(this::lookDrained, LOOK_MS, TimeUnit.MILLISECONDS);
+            }
+        }
     }
 
-    boolean stopping() {
-        return stopAtUs > 0;
+    void resume() {
+        drainAtUs = 0;
+    }
+
+    private void lookDrained() {
+        if (goesOn() || stopAtUs > 0) {
+            drainLooked = false;
+            return;
+        }
+        long now = clock.now();
+        long age = now - drainAtUs;
+        if (age >= DRAIN_ON_US) {
+            long quietUs = age < DRAIN_ALL_US ? DRAIN_QUIET_US : 0;
+            for (ClientConnection c : Set.copyOf(connections)) {
+                c.closeIfQuiet(now - quietUs, age >= DRAIN_DUE_US ? now : 0);
+            }
+        }
+        loop.schedule(this::lookDrained, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Serves on while the application still comes, answers what is held, closes what is quiet, then says so. */
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -12,8 +12,10 @@
 import rushproxy.wire.SettingsReader;
 import rushproxy.wire.WireException;
 
-/** What a sidecar is told at its start. {@code peerListen} and {@code peersAll} are null where there are none. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+/** What a sidecar is told at its start. {@code admin}, {@code peerListen} and {@code peersAll} are null where there are
+ * none. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin, long seed,
+              int sockets,
               InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
               UpstreamList known, Settings settings, long dialTimeoutUs) {
 
@@ -56,7 +58,7 @@
         }
         int sockets = (int) (json.has("limits") ? json.object("limits").numberOr("sockets", 1024) : 1024);
         return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
-                told(json, environment, "discovery", "BALANCER_DISCOVERY"), seed(json.text("seed")), sockets,
+                told(json, environment, "discovery", "BALANCER_DISCOVERY"), admin(json, environment), seed(json.text("seed")), sockets,
                 optional(json, "peer_listen"), peers, optional(json, "peers_all"),
                 known(json), settings, reader.dialTimeoutUs());
     }
@@ -74,6 +76,12 @@
         return text == null ? address(field, json.text(field)) : address(variable, text);
     }
 
+    /** Nothing listens where neither names an address; an empty variable names none. */
+    private static InetSocketAddress admin(Json json, Map<String, String> environment) {
+        String text = environment.getOrDefault("BALANCER_ADMIN_ADDR", "");
+        return text.isEmpty() ? optional(json, "admin_addr") : address("BALANCER_ADMIN_ADDR", text);
+    }
+
     private static InetSocketAddress optional(Json json, String field) {
         return json.has(field) ? address(field, json.text(field)) : null;
     }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
@@ -41,6 +42,8 @@
     private final Peers peers;
     private final ClientServer clients;
     private InetSocketAddress listening;
+    /** Null where no second address is named. */
+    private InetSocketAddress administered;
     private long beatAtUs;
     private long worstLagUs;
     private long beats;
@@ -126,6 +129,9 @@
             peers.listen(loop, config.peerListen());
         }
         listening = clients.listen(config.listen());
+        if (config.admin() != null) {
+            administered = new AdminServer(loop, new Operators()).listen(config.admin());
+        }
         beatAtUs = clock.now();
         loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
     }
@@ -165,6 +171,10 @@
         return listening;
     }
 
+    InetSocketAddress administered() {
+        return administered;
+    }
+
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
         loop.execute(() -> clients.stop(stopped));
@@ -175,6 +185,36 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
+    /** Carries out what the operators call for. */
+    private final class Operators implements AdminServer.Calls {
+        @Override
+        public String health() {
+            return clients.takesClients() ? null : "takes no clients";
+        }
+
+        @Override
+        public void quiesce() {
+            Log.line("drains, as the operators ask");
+            clients.drain();
+        }
+
+        @Override
+        public void resume() {
+            Log.line("goes on, as the operators ask");
+            clients.resume();
+        }
+
+        @Override
+        public void cordon(String id, Consumer<String> done) {
+            done.accept("no such call");
+        }
+
+        @Override
+        public void uncordon(String id, Consumer<String> done) {
+            done.accept("no such call");
+        }
+    }
+
     /** Carries out what the module decides. */
     private final class Hands implements Balancer.Actions {
         @Override
--- a/src/test/java/rushproxy/sidecar/Peer.java
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -154,6 +154,11 @@
             return m == null ? -1 : Integer.parseInt(m.head.split(" ")[1]);
         }
 
+        /** All that comes until the other side ends the connection. */
+        String rest() throws IOException {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -45,6 +45,7 @@
     };
     Sidecar sidecar;
     String peerFields = "";
+    String adminFields = "";
     String settings = SETTINGS;
     /** Whether the module asks for a watch. */
     boolean asks = true;
@@ -96,7 +97,7 @@
 
     Rig start() throws Exception {
         Config config = config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\"," + peerFields + "\"known\":" + known()
+                + "\",\"seed\":\"8c1f30d27a5be964\"," + adminFields + peerFields + "\"known\":" + known()
                 + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}");
         sidecar = new Sidecar(config, (c, now, out) -> {
             actions = out;
@@ -110,6 +111,22 @@
         return sidecar.listening();
     }
 
+    /** Opens a second address and says how the operators' call was answered. */
+    String call(String line) throws IOException {
+        try (Peer.Client c = operator()) {
+            return c.send(line + "\n").rest();
+        }
+    }
+
+    Peer.Client operator() throws IOException {
+        return new Peer.Client(sidecar.administered());
+    }
+
+    Rig withAdmin() {
+        adminFields = "\"admin_addr\":\"127.0.0.1:0\",";
+        return this;
+    }
+
     Peer.Client client() throws IOException {
         return new Peer.Client(address());
     }
