--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -91,6 +91,12 @@
 
     void onList(long now, ListKind kind, List<Upstream> entries);
 
+    /**
+     * The operators leave the upstream out from now on, or have it back. What is back was started anew meanwhile, at
+     * {@code atUs} at the latest.
+     */
+    void onCordon(long now, String upstream, boolean out, long atUs);
+
     void onRequest(long now, Request request);
 
     /** {@code done}: the request is over, by this outcome or already before it. */
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -127,19 +127,20 @@
                 s = new Server(u, kind, cfg.zones().indexOf(u.zone()), mix(u.id().hashCode(), 0));
                 servers.put(u.id(), s);
             } else if (u.startedUs() != s.entry.startedUs()) {
-                s.apart = 1;
-                s.failures = s.ejections = s.refusals = 0;
-                s.ejectedUntil = s.fullUntil = s.usedAt = 0;
+                restarted(s);
             }
             s.entry = u;
-            s.ready = u.state() == UpstreamState.READY;
-            closeIfLeaving(s);
+            place(s);
         }
         for (Server s : servers.values()) {
             if (listKind == ListKind.DELTA || named.contains(s.id)) continue;
             s.ready = false;
             closeIfLeaving(s);
         }
+        changed(now);
+    }
+
+    private void changed(long now) {
         ready.clear();
         servers.values().stream().filter(s -> s.ready).forEach(ready::add);
         if (subset) ready.sort(Comparator.comparingInt((Server s) -> s.order).thenComparing(s -> s.id));
@@ -148,6 +149,44 @@
         dispatch(now, false);
     }
 
+    private static void restarted(Server s) {
+        s.apart = 1;
+        s.failures = s.ejections = s.refusals = 0;
+        s.ejectedUntil = s.fullUntil = s.usedAt = 0;
+    }
+
+    /** What the operators leave out, and when they had the others back; ids need not be listed. */
+    private final Set<String> cordoned = new HashSet<>();
+    private final Map<String, Long> returned = new HashMap<>();
+    /** Back, and not yet heard of: a cold server may have no share for seconds, yet its users wait for it. */
+    private final Set<Server> owed = new LinkedHashSet<>();
+
+    @Override
+    public void onCordon(long now, String upstream, boolean leftOut, long atUs) {
+        Server s = servers.get(upstream);
+        if (leftOut) {
+            cordoned.add(upstream);
+            if (s != null) owed.remove(s);
+        } else {
+            cordoned.remove(upstream);
+            returned.put(upstream, Math.min(now, atUs));
+            if (s != null) {
+                restarted(s);
+                owed.add(s);
+            }
+        }
+        if (s == null) return;
+        place(s);
+        changed(now);
+    }
+
+    /** Whether the list and the operators let it be used, and since when it runs. */
+    private void place(Server s) {
+        s.startedAt = Math.max(s.entry.startedUs(), returned.getOrDefault(s.id, 0L));
+        s.ready = s.entry.state() == UpstreamState.READY && !cordoned.contains(s.id);
+        closeIfLeaving(s);
+    }
+
     /** Fifth rule: idle connections to a server that leaves are closed at the notice and after each later
      * outcome there. Also when it vanishes from the list, where a drain may have gone unseen. */
     private void closeIfLeaving(Server s) {
@@ -227,8 +266,8 @@
 
     /** The part of its full capacity that a server can surely do now: the slowest ramp the settings allow. */
     private double warmth(Server s, long now) {
-        long age = now - s.entry.startedUs();
-        if (s.entry.startedUs() <= 0 || age >= cfg.rules().rampUs()) return 1;
+        long age = now - s.startedAt;
+        if (s.startedAt <= 0 || age >= cfg.rules().rampUs()) return 1;
         double cold = cfg.rules().coldShare();
         return cold + (1 - cold) * Math.max(0, age) / cfg.rules().rampUs();
     }
@@ -413,6 +452,9 @@
     private Server pick(long now, Req r) {
         refresh(now);
         Server turn = null;
+        for (Server s : owed) {
+            if (turn == null && s.own == 0 && hasRoom(now, r, s, true)) turn = s;
+        }
         for (int i = 0; i < cold.size() && turn == null; i++) {
             turn = hasRoom(now, r, cold.get(i), true) ? cold.get(i) : null;
         }
@@ -640,7 +682,7 @@
     private boolean coldRoom(long now, Server s, double work) {
         if (warmth(s, now) >= 1) return true;
         long slot = coldSlot(s, now);
-        long slotStart = s.entry.startedUs() + slot * (cfg.rules().fallWindowUs() / 2);
+        long slotStart = s.startedAt + slot * (cfg.rules().fallWindowUs() / 2);
         double capacity = warmth(s, slotStart) * Math.max(1, s.kind.cores) / s.kind.slow;
         double budget = COLD_PART * cfg.rules().fallMultiple() * capacity * cfg.rules().fallWindowUs();
         long requests = (long) (budget / (sampling ? 1.5 : 3) / meanWork);
@@ -653,7 +695,7 @@
     }
 
     private long coldSlot(Server s, long now) {
-        return Math.max(0, now - s.entry.startedUs()) / (cfg.rules().fallWindowUs() / 2);
+        return Math.max(0, now - s.startedAt) / (cfg.rules().fallWindowUs() / 2);
     }
 
     /** A refusal says that nothing has run, whatever the class: what may have is failed. */
@@ -776,6 +818,7 @@
             case OK -> {
                 s.failures = s.ejections = s.refusals = 0;
                 s.answeredAt = now;
+                owed.remove(s);
                 learn(s, a, latencyUs, true, now);
             }
             case TIMEOUT, CANCELLED -> {
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -27,6 +27,8 @@
         final Kind kind;
         Upstream entry;
         boolean ready;
+        /** Start of the process as listed, or the operators' call back where that is later. */
+        long startedAt;
         double share;
         /** Own requests in flight, and their attempts in the order of their sends. */
         int own;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -41,6 +41,9 @@
     private final Discovery discovery;
     private final Peers peers;
     private final ClientServer clients;
+    /** Null where no second address is named: nobody could call anything out, or back. */
+    private final CordonStore cordons;
+    private Map<String, CordonStore.Mark> marks = Map.of();
     private InetSocketAddress listening;
     /** Null where no second address is named. */
     private InetSocketAddress administered;
@@ -63,6 +66,8 @@
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 settings.rules().askEveryUs(), !settings.discoveryOnRequest());
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
+        cordons = config.admin() == null ? null : new CordonStore(config.kept(), settings.rules().rampUs() / 1000,
+                now -> loop.execute(() -> mark(now)));
         clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, perSide);
     }
 
@@ -124,6 +129,9 @@
                     config.known().entries().stream().map(UpstreamList.Entry::upstream).toList());
             return made;
         }, new Hands())).sync();
+        if (cordons != null) {
+            cordons.start();
+        }
         loop.execute(discovery::start);
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
@@ -180,8 +188,25 @@
         loop.execute(() -> clients.stop(stopped));
     }
 
+    /** The operators have called upstreams out or back, here or at the other process of an upgrade. */
+    private void mark(Map<String, CordonStore.Mark> now) {
+        Map<String, CordonStore.Mark> before = marks;
+        marks = now;
+        for (Map.Entry<String, CordonStore.Mark> e : now.entrySet()) {
+            CordonStore.Mark mark = e.getValue();
+            if (!mark.equals(before.get(e.getKey()))) {
+                Log.line((mark.out() ? "leaves out " : "has back ") + e.getKey() + ", as the operators ask");
+                upstreams.cordon(e.getKey(), mark.out());
+                decisions.call(m -> m.onCordon(clock.now(), e.getKey(), mark.out(), mark.atMs() * 1000), () -> { });
+            }
+        }
+    }
+
     /** Ends at once, whatever is held. */
     void end() {
+        if (cordons != null) {
+            cordons.close();
+        }
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
@@ -206,12 +231,20 @@
 
         @Override
         public void cordon(String id, Consumer<String> done) {
-            done.accept("no such call");
+            put(id, true, done);
         }
 
         @Override
         public void uncordon(String id, Consumer<String> done) {
-            done.accept("no such call");
+            put(id, false, done);
+        }
+
+        private void put(String id, boolean out, Consumer<String> done) {
+            if (upstreams.knows(id) || marks.containsKey(id)) {
+                cordons.put(id, out, no -> loop.execute(() -> done.accept(no)));
+            } else {
+                done.accept("no such upstream");
+            }
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -121,6 +121,8 @@
     private final int maxConnections;
     private final Bootstrap bootstrap;
     private final Map<String, Target> targets = new HashMap<>();
+    /** Left out by the operators, whatever the list says. */
+    private final Set<String> cordoned = new HashSet<>();
     private final Future<?> sweep;
     private int connections;
 
@@ -173,7 +175,27 @@
     }
 
     boolean anyReady() {
-        return targets.values().stream().anyMatch(t -> t.state == UpstreamState.READY);
+        return targets.entrySet().stream()
+                .anyMatch(e -> e.getValue().state == UpstreamState.READY && !cordoned.contains(e.getKey()));
+    }
+
+    /** Whether the list names it, or has named it since the whole list came. */
+    boolean knows(String id) {
+        return targets.containsKey(id);
+    }
+
+    /** What runs there ends by itself; nothing new begins, and what has been idle would meet another process. */
+    void cordon(String id, boolean out) {
+        if (out) {
+            cordoned.add(id);
+        } else {
+            cordoned.remove(id);
+        }
+        close(id);
+    }
+
+    private boolean mayBegin(Call call) {
+        return call.target.state == UpstreamState.READY && !cordoned.contains(call.upstream);
     }
 
     private void forget(Target t) {
@@ -200,7 +222,7 @@
         long now = clock.now();
         call.sentUs = now;
         call.target = targets.get(call.upstream);
-        if (call.target == null || call.target.state != UpstreamState.READY) {
+        if (call.target == null || !mayBegin(call)) {
             call.end(Outcome.NOT_SENT, null, null);
             return;
         }
@@ -252,9 +274,9 @@
                 call.channel.close();
             } else if (!f.isSuccess()) {
                 call.broke();
-            } else if (call.target.state != UpstreamState.READY || clock.now() >= call.untilUs) {
+            } else if (!mayBegin(call) || clock.now() >= call.untilUs) {
                 // The list changed or time ran out while the connection came up: nothing may be sent any more.
-                call.abandon(call.target.state != UpstreamState.READY ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED);
+                call.abandon(!mayBegin(call) ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED);
             } else {
                 write(call);
             }
@@ -290,7 +312,7 @@
     }
 
     private void release(Call call, Channel channel) {
-        if (call.target.state == UpstreamState.READY && call.written) {
+        if (mayBegin(call) && call.written) {
             connection(channel).idleSinceUs = clock.now();
             call.target.idle.addFirst(channel);
         } else {
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -202,6 +202,75 @@
         }
     }
 
+    // ---- cordons --------------------------------------------------------------------------------
+
+    @Test
+    void aServerLeftOutGetsNothingWhateverTheListSays() {
+        Rig rig = new Rig().start().list(A, B);
+        rig.policy.onCordon(rig.now, "a", true, rig.now);
+        Upstream again = new Upstream("a", "za", "k", 1, rig.now, 1, UpstreamState.READY);
+        for (int i = 0; i < 20; i++) {
+            rig.request("r" + i).outcome("r" + i, 0, "b", Outcome.ERROR, 1_000);
+            rig.after(300_000).fire("hold");
+            if (i == 5) {
+                rig.list(B);
+            }
+            if (i == 10) {
+                rig.list(again, B);
+            }
+        }
+        assertTrue(rig.take("send").stream().noneMatch(a -> a.contains(" a ")), rig.actions.toString());
+        assertFalse(rig.take("send").isEmpty());
+    }
+
+    @Test
+    void whatIsCalledOutBeforeItIsListedIsLeftOutToo() {
+        Rig rig = new Rig().start();
+        rig.policy.onCordon(rig.now, "a", true, rig.now);
+        rig.list(A).request("r");
+        assertTrue(rig.take("send").isEmpty());
+        rig.policy.onCordon(rig.now, "a", false, rig.now);
+        // A cold server's budget goes by turns of the sidecars: ours comes within some slots.
+        for (int i = 0; i < 30; i++) {
+            rig.request("s" + i).after(100_000).fire("hold");
+        }
+        assertFalse(rig.take("send").isEmpty());
+    }
+
+    /** With its share held down by the cold start, its users would find it unused for seconds. */
+    @Test
+    void aServerThatIsBackGetsARequestSoon() {
+        for (long seed = 0; seed < 20; seed++) {
+            Rig rig = new Rig();
+            rig.seed = seed;
+            rig.start().list(A, B);
+            rig.policy.onCordon(rig.now, "a", true, rig.now);
+            rig.after(3_000_000);
+            rig.policy.onCordon(rig.now, "a", false, rig.now);
+            for (int i = 0; i < 40 && rig.take("send").stream().noneMatch(a -> a.contains(" a ")); i++) {
+                rig.request("r" + i).after(20_000).outcome("r" + i, 0, "b", Outcome.OK, 20_000).after(80_000);
+            }
+            assertTrue(rig.take("send").stream().anyMatch(a -> a.contains(" a ")), "seed " + seed);
+        }
+    }
+
+    /** It was started anew while it was left out, whatever the list knows of it. */
+    @Test
+    void aServerThatIsBackIsCold() {
+        Rig warm = new Rig().start().list(A);
+        Rig back = new Rig().start().list(A);
+        back.policy.onCordon(back.now, "a", true, back.now);
+        back.after(3_000_000);
+        back.policy.onCordon(back.now, "a", false, back.now);
+        for (Rig rig : List.of(warm, back)) {
+            for (int i = 0; i < 100; i++) {
+                rig.request("r" + i).outcome("r" + i, 0, "a", Outcome.OK, 5_000).after(5_000);
+            }
+        }
+        assertTrue(back.take("send").size() < warm.take("send").size(),
+                back.take("send").size() + " of " + warm.take("send").size());
+    }
+
     // ---- drains and cold servers ----------------------------------------------------------------
 
     @Test
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -50,6 +50,8 @@
     /** Whether the module asks for a watch. */
     boolean asks = true;
     int sockets = 1024;
+    /** The folder for what outlives the process. */
+    Path kept;
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
@@ -86,10 +88,14 @@
     }
 
     static Config config(String json) throws IOException, Config.Broken {
+        return config(json, null);
+    }
+
+    static Config config(String json, Path kept) throws IOException, Config.Broken {
         Path file = Files.createTempFile("config", ".json");
         try {
             Files.writeString(file, json);
-            return Config.read(Map.of("BALANCER_CONFIG", file.toString()));
+            return Config.read(Map.of("BALANCER_CONFIG", file.toString(), "TMPDIR", kept == null ? "" : kept.toString()));
         } finally {
             Files.delete(file);
         }
@@ -98,7 +104,7 @@
     Rig start() throws Exception {
         Config config = config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
                 + "\",\"seed\":\"8c1f30d27a5be964\"," + adminFields + peerFields + "\"known\":" + known()
-                + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}");
+                + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}", kept);
         sidecar = new Sidecar(config, (c, now, out) -> {
             actions = out;
             return new Recorder();
@@ -166,6 +172,11 @@
             }
         }
 
+        @Override
+        public void onCordon(long now, String upstream, boolean out, long atUs) {
+            told.add("cordon " + upstream + " " + out);
+        }
+
         @Override
         public void onRequest(long now, Request request) {
             told.add("request " + request.id() + " " + request.remainingUs());
