--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -53,6 +54,8 @@
     private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
     private Channel listener;
+    /** The listener is another's too: leaving it is not closing it. */
+    private boolean shared;
     private long stopAtUs;
     private long acceptedUs;
     private boolean rehearsing;
@@ -72,7 +75,32 @@
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listener = accepting().channel(NioServerSocketChannel.class).bind(address).sync().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Takes clients from a socket that listens already, and that others may take them from too. */
+    void take(ServerSocketChannel socket) throws InterruptedException {
+        loop.submit(() -> {
+            // A stop that came during the rehearsal has left them to the others.
+            if (stopAtUs == 0) {
+                shared = true;
+                listener = accepting().channelFactory(() -> new NioServerSocketChannel(socket)).register().channel();
+            }
+        }).sync();
+    }
+
+    /** No more clients from where they were taken until now. */
+    void closeListener() throws InterruptedException {
+        listener.close().sync();
+    }
+
+    void start() {
+        loop.scheduleWithFixedDelay(this::closeUnfinished, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private ServerBootstrap accepting() {
+        return new ServerBootstrap().group(loop)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -81,9 +109,7 @@
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(address).sync().channel();
-        loop.scheduleWithFixedDelay(this::closeUnfinished, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return (InetSocketAddress) listener.localAddress();
+                });
     }
 
     private void accepted(Channel channel) {
@@ -98,15 +124,19 @@
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
         // The listener as the connection knows it: the first one may come before the bind has been told here.
         ChannelConfig accepting = channel.parent().config();
-        accepting.setAutoRead(connections.size() < maxConnections);
+        accepting.setAutoRead(hasRoom());
         channel.closeFuture().addListener(f -> {
             connections.remove(connection);
-            accepting.setAutoRead(connections.size() < maxConnections);
+            accepting.setAutoRead(hasRoom());
         });
         channel.pipeline().addLast(connection.arrivals(), new HttpServerCodec(),
                 new HttpObjectAggregator(Headers.MAX_BODY), connection);
     }
 
+    private boolean hasRoom() {
+        return connections.size() < maxConnections && !(shared && stopAtUs > 0);
+    }
+
     private void closeUnfinished() {
         long since = clock.now() - PATIENCE_US;
         for (ClientConnection c : List.copyOf(connections)) {
@@ -175,6 +205,10 @@
     /** Serves on while the application still comes, answers what is held, closes what is quiet, then says so. */
     void stop(Runnable stopped) {
         stopAtUs = clock.now() + SERVE_ON_MS * 1000;
+        if (shared) {
+            // What waits in the backlog is the next process's. Closing an inherited socket would end the log with it.
+            listener.config().setAutoRead(false);
+        }
         look(stopped);
     }
 
@@ -182,13 +216,13 @@
         long now = clock.now();
         if (now >= stopAtUs) {
             // Closing the listener would reset what waits in its backlog: only once none has come for a while.
-            if (listener.isOpen() && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
+            if (listener.isOpen() && !shared && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
                 listener.close();
             }
             for (ClientConnection c : Set.copyOf(connections)) {
                 c.closeIfQuiet(now - QUIET_MS * 1000, now - longestUs);
             }
-            if (connections.isEmpty() && !listener.isOpen()) {
+            if (connections.isEmpty() && (shared || !listener.isOpen())) {
                 stopped.run();
                 return;
             }
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -12,10 +12,10 @@
 import rushproxy.wire.SettingsReader;
 import rushproxy.wire.WireException;
 
-/** What a sidecar is told at its start. {@code admin}, {@code kept} (the folder for what outlives the process),
+/** What a sidecar is told at its start. {@code inherits}: the clients' socket is descriptor 0. {@code admin}, {@code kept} (the folder for what outlives the process),
  * {@code peerListen} and {@code peersAll} are null where there are none. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin, Path kept,
-              long seed, int sockets,
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin, boolean inherits,
+              Path kept, long seed, int sockets,
               InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
               UpstreamList known, Settings settings, long dialTimeoutUs) {
 
@@ -58,7 +58,8 @@
         }
         int sockets = (int) (json.has("limits") ? json.object("limits").numberOr("sockets", 1024) : 1024);
         return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
-                told(json, environment, "discovery", "BALANCER_DISCOVERY"), admin(json, environment), kept(environment, name),
+                told(json, environment, "discovery", "BALANCER_DISCOVERY"), admin(json, environment), inherits(environment),
+                kept(environment, name),
                 seed(json.text("seed")), sockets,
                 optional(json, "peer_listen"), peers, optional(json, "peers_all"),
                 known(json), settings, reader.dialTimeoutUs());
@@ -83,6 +84,15 @@
         return text.isEmpty() ? optional(json, "admin_addr") : address("BALANCER_ADMIN_ADDR", text);
     }
 
+    private static boolean inherits(Map<String, String> environment) {
+        String number = environment.getOrDefault("BALANCER_ACCEPT_FD", "");
+        if (!number.isEmpty() && !number.equals("0")) {
+            // The Java runtime can take over no other.
+            throw new IllegalArgumentException("'BALANCER_ACCEPT_FD' is not 0: '" + number + "'");
+        }
+        return !number.isEmpty();
+    }
+
     /** Of this sidecar alone, also where several share the folder for passing files. */
     private static Path kept(Map<String, String> environment, String name) {
         String folder = environment.getOrDefault("TMPDIR", "");
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -4,7 +4,9 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -13,10 +15,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Short messages between sidecars. A peer's number is its place in the configuration. */
 final class Peers {
     private static final int MAX_BYTES = 256;
+    private static final long AGAIN_MS = 500;
 
     private final Clock clock;
     private final Decisions decisions;
@@ -24,6 +28,7 @@
     private final InetSocketAddress all;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Channel channel;
+    private boolean refused;
 
     Peers(Clock clock, Decisions decisions, List<InetSocketAddress> peers, InetSocketAddress all) {
         this.clock = clock;
@@ -35,9 +40,23 @@
         }
     }
 
-    void listen(EventLoop loop, InetSocketAddress address) throws InterruptedException {
-        channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Handler())
-                .bind(address).sync().channel();
+    /**
+     * The process before may still have the address while this one starts: both may, and the last to come is the one
+     * that hears. Word of peers is of use but no need, so a start does not fail without.
+     */
+    void listen(EventLoop loop, InetSocketAddress address) {
+        new Bootstrap().group(loop).channel(NioDatagramChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+                .handler(new Handler()).bind(address).addListener((ChannelFuture f) -> {
+                    if (f.isSuccess()) {
+                        channel = f.channel();
+                        return;
+                    }
+                    if (!refused) {
+                        refused = true;
+                        Log.line("can't hear peers yet: " + f.cause());
+                    }
+                    loop.schedule(() -> listen(loop, address), AGAIN_MS, TimeUnit.MILLISECONDS);
+                });
     }
 
     /** To one peer, or to all where the number is -1. What can't be sent is lost, as any datagram may be. */
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -7,7 +7,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -31,6 +33,7 @@
     private static final long LAG_US = 15_000;
 
     private final Config config;
+    private final ServerSocketChannel inherited;
     private final Module module;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -56,8 +59,10 @@
         Balancer create(Config config, long now, Balancer.Actions actions);
     }
 
-    Sidecar(Config config, Module module) {
+    /** {@code inherited} listens for clients already; null where the sidecar is to listen itself. */
+    Sidecar(Config config, ServerSocketChannel inherited, Module module) {
         this.config = config;
+        this.inherited = inherited;
         this.module = module;
         Balancer.Settings settings = config.settings();
         int perSide = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2);
@@ -80,9 +85,19 @@
             Log.line(e.getMessage());
             return 2;
         }
-        Sidecar sidecar = new Sidecar(config,
-                (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
+        Sidecar sidecar;
         try {
+            ServerSocketChannel inherited = null;
+            if (config.inherits()) {
+                inherited = System.inheritedChannel() instanceof ServerSocketChannel socket ? socket : null;
+                if (inherited == null) {
+                    throw new IOException("descriptor 0 is no listening socket");
+                }
+            }
+            sidecar = new Sidecar(config, inherited,
+                    (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
+            // Before anybody can ask: it is not ready until the rehearsal is over.
+            sidecar.clients.rehearsing(true);
             sidecar.start();
         } catch (Exception e) {
             Log.line("can't start: " + e);
@@ -136,7 +151,13 @@
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
         }
-        listening = clients.listen(config.listen());
+        if (inherited == null) {
+            listening = clients.listen(config.listen());
+        } else {
+            // Until the rehearsal is over: a call to the shared address could land in the other process.
+            listening = clients.listen(new InetSocketAddress(config.listen().getAddress(), 0));
+        }
+        clients.start();
         if (config.admin() != null) {
             administered = new AdminServer(loop, new Operators()).listen(config.admin());
         }
@@ -167,12 +188,15 @@
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
             clients.rehearsing(true);
-            new Rehearsal(loop, clock, listening, () -> {
-                clients.rehearsing(false);
-                done.countDown();
-            }).begin();
+            new Rehearsal(loop, clock, listening, done::countDown).begin();
         });
         done.await();
+        if (inherited != null) {
+            clients.closeListener();
+            clients.take(inherited);
+            listening = config.listen();
+        }
+        loop.execute(() -> clients.rehearsing(false));
     }
 
     InetSocketAddress listening() {
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -52,6 +52,8 @@
     int sockets = 1024;
     /** The folder for what outlives the process. */
     Path kept;
+    /** Listens for clients already; null where the sidecar is to. */
+    java.nio.channels.ServerSocketChannel inherited;
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
@@ -105,7 +107,7 @@
         Config config = config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
                 + "\",\"seed\":\"8c1f30d27a5be964\"," + adminFields + peerFields + "\"known\":" + known()
                 + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}", kept);
-        sidecar = new Sidecar(config, (c, now, out) -> {
+        sidecar = new Sidecar(config, inherited, (c, now, out) -> {
             actions = out;
             return new Recorder();
         });
