--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -745,7 +745,9 @@
     @Override
     public void onSent(long now, String id, int number) {
         Req r = open.get(id);
-        if (r != null && number < r.attempts.size() && !r.attempts.get(number).ended) run(now, r.attempts.get(number));
+        if (r == null || number >= r.attempts.size()) return;
+        Attempt a = r.attempts.get(number);
+        if (!a.ended && !a.running) run(now, a);
     }
 
     private void refuse(Req r, long retryAfterUs) {
