--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -177,8 +177,7 @@
         if (++beats % BEATS == 0) {
             String tally = requests.tally();
             if (tally != null) {
-                Log.line("in " + BEATS * BEAT_MS / 1000 + " s " + tally + "; " + clients.open() + " connections of clients, "
-                        + upstreams.open() + " to upstreams");
+                Log.line("in " + BEATS * BEAT_MS / 1000 + " s " + tally + "; " + held());
             }
             if (worstLagUs >= LAG_US) {
                 Log.line("the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s");
@@ -213,7 +212,18 @@
 
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
-        loop.execute(() -> clients.stop(stopped));
+        loop.execute(() -> {
+            long sinceUs = clock.now();
+            Log.line("is to leave; " + held());
+            clients.stop(() -> {
+                Log.line("leaves after " + (clock.now() - sinceUs) / 1000 + " ms");
+                stopped.run();
+            });
+        });
+    }
+
+    private String held() {
+        return clients.open() + " connections of clients, " + upstreams.open() + " to upstreams";
     }
 
     /** The operators have called upstreams out or back, here or at the other process of an upgrade. */
