--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -5,7 +5,10 @@
 cd "$(dirname "$0")/.." || exit 1
 archive=target/sidecar.jsa
 rm -f "$archive"
-BALANCER_CONFIG=deploy/rehearsal.json java -Djava.net.preferIPv4Stack=true -XX:+UseSerialGC -Xlog:disable -Xlog:all=off \
+# As `run` says it, but for the archive: other properties would have other classes loaded.
+options=$(sed -n 's/^run = "exec java \(.*\) -jar .*/\1/p' deploy/balancer.toml | sed 's/-XX:SharedArchiveFile=[^ ]* -Xshare:auto//')
+# shellcheck disable=SC2086
+BALANCER_CONFIG=deploy/rehearsal.json java $options \
     -XX:ArchiveClassesAtExit="$archive" -jar target/rushproxy.jar serve 2>target/rehearsal.log &
 sidecar=$!
 for _ in $(seq 100); do
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -25,12 +25,18 @@
  */
 final class ClientServer {
     /** The application opens connections for this long after the stop has been asked for, and a little longer. */
-    private static final long SERVE_ON_MS = 600;
+    private static final long SERVE_ON_US = 600_000;
+    /** The end that is not asked for comes this long after the stop, and the longest deadline or this, no earlier. */
+    private static final long KILLED_AFTER_US = 700_000;
+    private static final long KILLED_MOST_US = 3_000_000;
+    /** Before it: answers end their connections, nothing is left that could bring a request, all is answered, the end. */
+    private static final long GOODBYE_US = 700_000;
+    private static final long LAST_CALL_US = 350_000;
+    private static final long LEAVE_DUE_US = 150_000;
+    private static final long GONE_US = 80_000;
     /** A connection this young or this busy may have a request on its way. */
-    private static final long QUIET_MS = 150;
+    private static final long QUIET_US = 150_000;
     private static final long LOOK_MS = 20;
-    /** An application that goes on coming for this long does not know of the stop. */
-    private static final long LISTEN_ON_MS = 1_000;
 
     /** After the call to drain the front comes for some tenths of a second; then what has been quiet for long may go. */
     private static final long DRAIN_ON_US = 600_000;
@@ -58,7 +64,9 @@
     private Channel listener;
     /** The listener is another's too: leaving it is not closing it. */
     private boolean shared;
+    /** When the stop was asked for; 0 before. */
     private long stopAtUs;
+    private long killedAtUs;
     private long acceptedUs;
     private boolean rehearsing;
     /** When the drain was asked for; 0 while there is none. */
@@ -155,7 +163,7 @@
     }
 
     boolean ready() {
-        return goesOn() && !rehearsing && canServe.getAsBoolean();
+        return stopAtUs == 0 && drainAtUs == 0 && !rehearsing && canServe.getAsBoolean();
     }
 
     boolean takesClients() {
@@ -164,11 +172,14 @@
 
     /** Whether connections outlive their answers. */
     boolean goesOn() {
-        return stopAtUs == 0 && drainAtUs == 0;
+        return drainAtUs == 0 && (stopAtUs == 0 || !shared && clock.now() < killedAtUs - GOODBYE_US);
     }
 
     /** When a request that is taken now has to be over at the latest, whatever its client allows. */
     long dueUs() {
+        if (stopAtUs > 0) {
+            return killedAtUs - LEAVE_DUE_US;
+        }
         return drainAtUs > 0 && clock.now() >= drainAtUs + DRAIN_ALL_US ? drainAtUs + DRAIN_DUE_US : Long.MAX_VALUE;
     }
 
@@ -189,7 +200,7 @@
     }
 
     private void lookDrained() {
-        if (goesOn() || stopAtUs > 0) {
+        if (drainAtUs == 0 || stopAtUs > 0) {
             drainLooked = false;
             return;
         }
@@ -204,9 +215,13 @@
         loop.schedule(this::lookDrained, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Serves on while the application still comes, answers what is held, closes what is quiet, then says so. */
+    /**
+     * Serves on for as long as it may: clients that have no other sidecar use the connections they hold. Where another
+     * process takes them from the same socket they are sent there as soon as they have been answered.
+     */
     void stop(Runnable stopped) {
-        stopAtUs = clock.now() + SERVE_ON_MS * 1000;
+        stopAtUs = clock.now();
+        killedAtUs = stopAtUs + Math.min(longestUs, KILLED_MOST_US) + KILLED_AFTER_US;
         if (shared) {
             // What waits in the backlog is the next process's. Closing an inherited socket would end the log with it.
             listener.config().setAutoRead(false);
@@ -216,18 +231,19 @@
 
     private void look(Runnable stopped) {
         long now = clock.now();
-        if (now >= stopAtUs) {
-            // Closing the listener would reset what waits in its backlog: only once none has come for a while.
-            if (listener.isOpen() && !shared && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
-                listener.close();
-            }
+        long left = killedAtUs - now;
+        boolean nobody = connections.isEmpty() && now - Math.max(stopAtUs, acceptedUs) >= SERVE_ON_US;
+        if (shared ? now - stopAtUs >= SERVE_ON_US : left < GOODBYE_US) {
             for (ClientConnection c : Set.copyOf(connections)) {
-                c.closeIfQuiet(now - QUIET_MS * 1000, now - longestUs);
+                c.closeIfQuiet(left < LAST_CALL_US ? now : now - QUIET_US, left < LAST_CALL_US ? now : now - longestUs);
             }
-            if (connections.isEmpty() && (shared || !listener.isOpen())) {
-                stopped.run();
-                return;
+        }
+        if (nobody || left < GONE_US || shared && connections.isEmpty()) {
+            if (!shared) {
+                listener.close();
             }
+            stopped.run();
+            return;
         }
         loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -16,7 +16,7 @@
  */
 final class Rehearsal {
     /** As many calls, on as many connections at once, get the common paths compiled; no longer than this for them. */
-    private static final int CALLS = 3_000;
+    private static final int CALLS = 1_000;
     private static final int AT_ONCE = 4;
     private static final long MOST_US = 2_000_000;
     private static final String SELF = "self";
