--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -41,10 +41,10 @@
     private static final int MOST_AHEAD = 32;
     private static final int KEY_BITS = 53;
     /** A body has this long to get going, and then comes at half the pace at least of a client on a poor link. */
-    private static final long BODY_STARTS_US = 2_000_000;
+    private static final long BODY_STARTS_US = 2_200_000;
     private static final long BODY_BYTES_PER_S = 32_000;
-    /** A body that rests for so long while it is waited for does not go on. */
-    private static final long BODY_RESTS_US = 1_500_000;
+    /** A body that rests for so long while it is waited for does not go on; a request may be written in 2 s. */
+    private static final long BODY_RESTS_US = 2_200_000;
     /** An upstream that takes nothing of a body for so long does not go on either. */
     private static final long STUCK_US = 10_000_000;
     /** Room for a body is waited for so long; a refusal says that nothing was sent. */
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -22,8 +22,9 @@
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
 public final class Sidecar {
-    /** Descriptors for the program itself: its files, its listeners and its selector. */
-    private static final int OWN_DESCRIPTORS = 64;
+    /** Descriptors for the program itself: some 15 files, listeners and selectors, and all that operators may hold. */
+    private static final int OWN_DESCRIPTORS = 32 + AdminServer.MOST_CALLERS;
+    private static final int LEAST_PER_SIDE = 16;
     /** A sixteenth of the memory may hold bodies and answers: the runtime's own parts take a third and more. */
     private static final int KEPT_SHIFT = 4;
     /** An answer to a probe that takes longer tells nothing of now. */
@@ -68,8 +69,11 @@
         this.module = module;
         Balancer.Settings settings = config.settings();
         Budget budget = new Budget((long) config.memoryMb() << 20 >> KEPT_SHIFT);
-        int perSide = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2);
-        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(), perSide,
+        // Those who only come to stay are on the clients' side: a third of all is for clients with requests.
+        int free = config.sockets() - OWN_DESCRIPTORS;
+        int toUpstreams = Math.max(LEAST_PER_SIDE, free / 3);
+        int ofClients = Math.max(LEAST_PER_SIDE, free - toUpstreams);
+        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(), toUpstreams,
                 budget);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
@@ -77,7 +81,7 @@
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
         cordons = config.admin() == null ? null : new CordonStore(config.kept(), settings.rules().rampUs() / 1000,
                 now -> loop.execute(() -> mark(now)));
-        clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, perSide, budget);
+        clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, ofClients, budget);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -104,7 +104,7 @@
     void idleClientsMakeRoomForNewOnes() throws Exception {
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
-            rig.sockets = 64 + 2 * 16;
+            rig.sockets = 48 + 2 * 16;
             rig.start();
             Peer.Client[] clients = new Peer.Client[40];
             for (int i = 0; i < clients.length; i++) {
