--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
 
@@ -56,7 +57,8 @@
     private final Clock clock;
     private final Set<String> classes;
     private final BooleanSupplier canServe;
-    private final int maxConnections;
+    /** As many may be open now: it follows what upstreams take. */
+    private final IntSupplier maxConnections;
     private final Budget budget;
     /** No client waits longer than this for an answer. */
     private final long longestUs;
@@ -74,7 +76,7 @@
     private boolean drainLooked;
 
     ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
-                 int maxConnections, Budget budget) {
+                 IntSupplier maxConnections, Budget budget) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
@@ -127,7 +129,7 @@
         acceptedUs = clock.now();
         ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget);
         connections.add(connection);
-        if (connections.size() >= maxConnections) {
+        if (connections.size() >= maxConnections.getAsInt()) {
             // One between requests makes room: its client opens another where it needs one.
             connections.stream().filter(c -> c != connection && c.quiet())
                     .min(Comparator.comparingLong(ClientConnection::activeUs)).ifPresent(ClientConnection::close);
@@ -144,11 +146,13 @@
     }
 
     private boolean hasRoom() {
-        return connections.size() < maxConnections && !(shared && stopAtUs > 0);
+        return connections.size() < maxConnections.getAsInt() && !(shared && stopAtUs > 0);
     }
 
     private void closeUnfinished() {
         long now = clock.now();
+        // Upstreams may have given back what clients can use.
+        listener.config().setAutoRead(hasRoom());
         for (ClientConnection c : List.copyOf(connections)) {
             c.closeIfUnfinished(now, PATIENCE_US, FIRST_PATIENCE_US);
         }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -69,11 +69,11 @@
         this.module = module;
         Balancer.Settings settings = config.settings();
         Budget budget = new Budget((long) config.memoryMb() << 20 >> KEPT_SHIFT);
-        // Those who only come to stay are on the clients' side: a third of all is for clients with requests.
-        int free = config.sockets() - OWN_DESCRIPTORS;
-        int toUpstreams = Math.max(LEAST_PER_SIDE, free / 3);
-        int ofClients = Math.max(LEAST_PER_SIDE, free - toUpstreams);
-        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(), toUpstreams,
+        // Those who only come to stay are on the clients' side. What that does not use upstreams may have.
+        int free = Math.max(2 * LEAST_PER_SIDE, config.sockets() - OWN_DESCRIPTORS);
+        int ofClients = free - Math.max(LEAST_PER_SIDE, free / 4);
+        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(),
+                () -> free - Math.min(ofClients, clients().open()),
                 budget);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
@@ -81,7 +81,8 @@
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
         cordons = config.admin() == null ? null : new CordonStore(config.kept(), settings.rules().rampUs() / 1000,
                 now -> loop.execute(() -> mark(now)));
-        clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, ofClients, budget);
+        clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady,
+                () -> Math.min(ofClients, free - upstreams.open()), budget);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
@@ -226,6 +227,10 @@
         });
     }
 
+    private ClientServer clients() {
+        return clients;
+    }
+
     private String held() {
         return clients.open() + " connections of clients, " + upstreams.open() + " to upstreams";
     }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.LongFunction;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
@@ -179,7 +180,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final long idleUs;
-    private final int maxConnections;
+    private final IntSupplier maxConnections;
     private final Bootstrap bootstrap;
     private final Map<String, Target> targets = new HashMap<>();
     /** Left out by the operators, whatever the list says. */
@@ -187,7 +188,7 @@
     private final Future<?> sweep;
     private int connections;
 
-    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, int maxConnections, Budget budget) {
+    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, IntSupplier maxConnections, Budget budget) {
         this.loop = loop;
         this.clock = clock;
         this.maxConnections = maxConnections;
@@ -328,7 +329,7 @@
     }
 
     private void connect(Call call) {
-        if (connections >= maxConnections && !dropOldestIdle()) {
+        if (connections >= maxConnections.getAsInt() && !dropOldestIdle()) {
             call.end(Outcome.NOT_SENT, null, null);
             return;
         }
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -31,7 +31,7 @@
     }
 
     private Upstreams upstreams(long idleUs, int most) throws Exception {
-        return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, most, new Budget(1 << 20))).get();
+        return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, () -> most, new Budget(1 << 20))).get();
     }
 
     private static UpstreamList list(boolean whole, String... entries) {
