--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -75,9 +75,11 @@
         }
         if (part instanceof HttpResponse response) {
             HttpResponseStatus status = response.status();
-            interim = status.codeClass() == HttpStatusClass.INFORMATIONAL
-                    && !status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-            if (!interim) {
+            interim = status.codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+                // Nobody asked for another protocol, and what follows is no HTTP.
+                giveUp(ctx);
+            } else if (!interim) {
                 headed(ctx, response);
             }
         }
--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -54,6 +54,8 @@
             line.socket().close();
         });
         outcome("RESET false -", 502, (m, line) -> line.raw("this is no HTTP at all\r\n\r\n"));
+        outcome("RESET false -", 502, (m, line) ->
+                line.raw("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"));
     }
 
     /** An interim answer is not the answer. */
