Count a request's time from when it may have come, not from when a late loop read it

Ruled out by probes: collections and safepoints (32 ms at most), calls of the module, actions and reads (63 ms at most), other threads of the process (3 to 8 ms of core used by all in stalls of 160 to 480 ms), a jump of thread time on an idle core (3 ms). A trace of the loop shows a timer due in 5 ms and sockets ready all the while: the process is not run. What it then reads it took for new: ClientConnection took the time of the read for that of the sending, so that an answer came late by the whole stall, and past half a second that is a lost request. Now the time runs from when the loop was last known to run. A stall longer than what a client waits and half a second can still lose one. Test: seen to fail with the time of the read.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -58,11 +58,14 @@
     private final Set<String> classes;
     private final ClientServer server;
     private final Budget budget;
+    private final Pulse pulse;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
     private long activeUs;
     private final long openedUs;
+    /** Since when what was read last may have lain there. */
+    private long sentUs;
     /** Whether a whole request has come: such a client may be quiet for as long as it likes. */
     private boolean proven;
 
@@ -90,14 +93,16 @@
     private record Arrival(HttpObject part, long atUs) {}
 
     ClientConnection(Channel channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
-                     Budget budget) {
+                     Budget budget, Pulse pulse) {
         this.channel = channel;
         this.clock = clock;
         this.requests = requests;
         this.classes = classes;
         this.server = server;
         this.budget = budget;
+        this.pulse = pulse;
         activeUs = openedUs = clock.now();
+        sentUs = openedUs - pulse.behindUs(openedUs);
     }
 
     /** Stands before the decoder: half a request is no quiet. */
@@ -106,6 +111,10 @@
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object message) {
                 activeUs = clock.now();
+                // What comes with a new connection is read a turn of the loop later, and may be as old as that.
+                if (activeUs - openedUs >= Pulse.BEAT_US) {
+                    sentUs = activeUs - pulse.behindUs(activeUs);
+                }
                 if (readingSinceUs == 0) {
                     readingSinceUs = activeUs;
                 }
@@ -122,12 +131,12 @@
             proven |= part.decoderResult().isSuccess();
         }
         if (busy && !receiving || !ahead.isEmpty()) {
-            ahead.add(new Arrival(part, activeUs));
+            ahead.add(new Arrival(part, sentUs));
             if (ahead.size() >= MOST_AHEAD) {
                 channel.config().setAutoRead(false);
             }
         } else {
-            handle(part, activeUs);
+            handle(part, sentUs);
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -60,6 +60,7 @@
     /** As many may be open now: it follows what upstreams take. */
     private final IntSupplier maxConnections;
     private final Budget budget;
+    private final Pulse pulse;
     /** No client waits longer than this for an answer. */
     private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
@@ -76,7 +77,7 @@
     private boolean drainLooked;
 
     ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
-                 IntSupplier maxConnections, Budget budget) {
+                 IntSupplier maxConnections, Budget budget, Pulse pulse) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
@@ -85,6 +86,7 @@
         this.canServe = canServe;
         this.maxConnections = maxConnections;
         this.budget = budget;
+        this.pulse = pulse;
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
@@ -127,7 +129,7 @@
 
     private void accepted(Channel channel) {
         acceptedUs = clock.now();
-        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget);
+        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, pulse);
         connections.add(connection);
         if (connections.size() >= maxConnections.getAsInt()) {
             // One between requests makes room: its client opens another where it needs one.
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Pulse.java
@@ -0,0 +1,20 @@
+package rushproxy.sidecar;
+
+/**
+ * How far behind the event loop is. What is read after the loop was held up may have lain there since: its client has
+ * waited for that time already, and counts it.
+ */
+final class Pulse {
+    static final long BEAT_US = 50_000;
+
+    private long beatAtUs;
+
+    void beat(long now) {
+        beatAtUs = now;
+    }
+
+    /** Time that the loop has not run for, as far as the beat that is due tells; 0 where none is. */
+    long behindUs(long now) {
+        return beatAtUs == 0 ? 0 : Math.max(0, now - beatAtUs - BEAT_US);
+    }
+}
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -30,7 +30,7 @@
     /** An answer to a probe that takes longer tells nothing of now. */
     private static final long PROBE_US = 50_000;
 
-    private static final long BEAT_MS = 50;
+    private static final long BEAT_MS = Pulse.BEAT_US / 1000;
     private static final int BEATS = 100;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
     private static final long LAG_US = 15_000;
@@ -53,7 +53,7 @@
     private InetSocketAddress listening;
     /** Null where no second address is named. */
     private InetSocketAddress administered;
-    private long beatAtUs;
+    private final Pulse pulse = new Pulse();
     private long worstLagUs;
     private long beats;
 
@@ -82,7 +82,7 @@
         cordons = config.admin() == null ? null : new CordonStore(config.kept(), settings.rules().rampUs() / 1000,
                 now -> loop.execute(() -> mark(now)));
         clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady,
-                () -> Math.min(ofClients, free - upstreams.open()), budget);
+                () -> Math.min(ofClients, free - upstreams.open()), budget, pulse);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
@@ -170,15 +170,14 @@
         if (config.admin() != null) {
             administered = new AdminServer(loop, new Operators()).listen(config.admin());
         }
-        beatAtUs = clock.now();
         loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
     }
 
     /** What makes the event loop late makes every answer late: too little of the core, a pause, or a fault here. */
     private void beat() {
         long now = clock.now();
-        worstLagUs = Math.max(worstLagUs, now - beatAtUs - BEAT_MS * 1000);
-        beatAtUs = now;
+        worstLagUs = Math.max(worstLagUs, pulse.behindUs(now));
+        pulse.beat(now);
         if (++beats % BEATS == 0) {
             String tally = requests.tally();
             if (tally != null) {
@@ -207,6 +206,10 @@
         loop.execute(() -> clients.rehearsing(false));
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     InetSocketAddress listening() {
         return listening;
     }
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import rushproxy.Balancer.Outcome;
@@ -59,6 +60,42 @@
         }
     }
 
+    /** Its client has waited meanwhile: answered only when its time has run from then, it would be far too late. */
+    @Test
+    void whatLayUnreadWhileTheLoopWasHeldUpHasLessTimeLeft() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.onRequest = (now, r, out) -> out.refuse(r.id(), 0);
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a0", 20_000));
+                assertEquals(503, client.status());
+                // A connection is new, and what comes on it taken for as old, until the beat has come again.
+                Thread.sleep(2 * Pulse.BEAT_US / 1000);
+                CountDownLatch goOn = new CountDownLatch(1);
+                CountDownLatch held = new CountDownLatch(1);
+                rig.sidecar.loop().execute(() -> {
+                    held.countDown();
+                    try {
+                        goOn.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                held.await();
+                client.send(Rig.get("a1", 300));
+                try (Peer.Client fresh = rig.client()) {
+                    fresh.send(Rig.get("a2", 300));
+                    Thread.sleep(500);
+                    goOn.countDown();
+                    assertEquals("request a1 1", rig.await("request a1"));
+                    assertEquals("request a2 1", rig.await("request a2"));
+                    assertEquals(503, client.status());
+                    assertEquals(503, fresh.status());
+                }
+            }
+        }
+    }
+
     /** A fault in the module ends neither the program nor the request that met it. */
     @Test
     void anExceptionInTheModuleAnswersWhatItMet() throws Exception {
