A stop reaches the requests that are held already: they are answered before the end

Cause: ClientConnection.deadline() bounds a request's time by ClientServer.dueUs() only where it is taken; stop() reached none that was held. Where classes allow more than 3 s such a request outlives the time to SIGKILL (3 s and 0.7 s), and look() then ended the process with it open.

Change: Requests.dueBy() gives what is held the end's deadline: its attempts time out by then, the module is told, and the client gets its one answer. The test gets no answer without the change.

--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -232,6 +232,8 @@
             // What waits in the backlog is the next process's. Closing an inherited socket would end the log with it.
             listener.config().setAutoRead(false);
         }
+        // What was taken before the stop may have been given longer than there is.
+        requests.dueBy(dueUs());
         look(stopped);
     }
 
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -73,6 +73,20 @@
         }
     }
 
+    /** All that is held has to be over by then. What is still coming gets its time when it has come. */
+    void dueBy(long us) {
+        for (Exchange x : open.values()) {
+            if (!x.over && x.body.complete() && x.deadlineUs > us) {
+                x.overdue.cancel(false);
+                x.deadlineUs = us;
+                await(x);
+                for (Upstreams.Call call : x.attempts) {
+                    upstreams.due(call, Math.min(call.untilUs(), us));
+                }
+            }
+        }
+    }
+
     /** The client has left: nothing is owed any more, and what is out ends by itself, but for what flows. */
     void left(Exchange x) {
         boolean flows = x.passing != null || !x.body.complete();
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -95,6 +95,10 @@
             return ended;
         }
 
+        long untilUs() {
+            return untilUs;
+        }
+
         boolean written() {
             return written;
         }
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -84,6 +84,25 @@
         }
     }
 
+    /** Its class may give it more time than there is between the stop and the end: it gets an answer all the same. */
+    @Test
+    void whatWasHeldBeforeTheStopIsAnsweredBeforeTheEnd() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            CountDownLatch stopped = new CountDownLatch(1);
+            try (Peer.Client held = rig.client()) {
+                held.send(Rig.get("held", 30_000));
+                rig.await("request held");
+                rig.sidecar.stop(stopped::countDown);
+                Peer.Message m = held.answer();
+                assertTrue(m != null && m.head().startsWith("HTTP/1.1 502 "), () -> "" + m);
+                rig.await("outcome held 0 TIMEOUT");
+            }
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        }
+    }
+
     /** Half a request whose client has fallen silent holds up the stop no longer than a client would wait. */
     @Test
     void aClientThatFellSilentDoesNotKeepTheSidecarFromEnding() throws Exception {
