A sidecar that is to leave waits for an answer that is still on its way to the client

Need: after SIGTERM a process ended 80 ms before SIGKILL was due, whatever it was still giving. By the protocol what a process has taken and not answered is lost when it exits, but what SIGKILL finds unanswered is not, if it came early. So an early exit can only lose: a long answer that a slow client reads, or answers that a stalled loop has not written yet.

Change: at that time it leaves if no connection owes an answer, else with the last of them, and 20 s later in any case, where nobody sends SIGKILL. The test sees the old program leave with half of an answer.

Way not taken: to count on SIGKILL and never leave by itself; a restart would then always take the longest time.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -481,6 +481,11 @@
         return !busy && ahead.isEmpty() && readingSinceUs == 0;
     }
 
+    /** A whole request has come, and its answer is not wholly with the kernel yet. */
+    boolean owes() {
+        return busy && !receiving;
+    }
+
     long activeUs() {
         return activeUs;
     }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -35,6 +35,8 @@
     private static final long LAST_CALL_US = 350_000;
     private static final long LEAVE_DUE_US = 150_000;
     private static final long GONE_US = 80_000;
+    /** Where the end that is not asked for does not come, an answer that still flows is waited for so much longer. */
+    private static final long STAY_US = 20_000_000;
     /** A connection this young or this busy may have a request on its way. */
     private static final long QUIET_US = 150_000;
     private static final long LOOK_MS = 20;
@@ -246,7 +248,9 @@
                 c.closeIfQuiet(left < LAST_CALL_US ? now : now - QUIET_US, left < LAST_CALL_US ? now : now - longestUs);
             }
         }
-        if (nobody || left < GONE_US || shared && connections.isEmpty()) {
+        // What ends by itself with an answer owed loses it; what is killed with one does not.
+        boolean over = left < GONE_US && connections.stream().noneMatch(ClientConnection::owes) || left < -STAY_US;
+        if (nobody || over || shared && connections.isEmpty()) {
             if (!shared) {
                 listener.close();
             }
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -103,6 +103,35 @@
         }
     }
 
+    /** Only what ends by itself loses an answer that still flows: whoever is killed with one does not. */
+    @Test
+    void anAnswerThatFlowsIsWaitedFor() throws Exception {
+        try (Rig rig = new Rig()) {
+            CountDownLatch more = new CountDownLatch(1);
+            rig.upstream((m, line) -> {
+                line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+                try {
+                    more.await();
+                } catch (InterruptedException e) {
+                    throw new java.io.InterruptedIOException();
+                }
+                line.raw("3\r\ndef\r\n0\r\n\r\n");
+            });
+            rig.start();
+            CountDownLatch stopped = new CountDownLatch(1);
+            try (Peer.Client reads = rig.client()) {
+                reads.send(Rig.get("long", 30_000));
+                rig.await("begins long");
+                rig.sidecar.stop(stopped::countDown);
+                // The end would have come by now: 0.8 s, the longest deadline here, and 0.7 s.
+                assertTrue(!stopped.await(2, TimeUnit.SECONDS), "it left with half of an answer");
+                more.countDown();
+                assertTrue(reads.rest().endsWith("0\r\n\r\n"));
+            }
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        }
+    }
+
     /** Half a request whose client has fallen silent holds up the stop no longer than a client would wait. */
     @Test
     void aClientThatFellSilentDoesNotKeepTheSidecarFromEnding() throws Exception {
