A sidecar started with SIGHUP ignored says so in its log

Change: the handler that the runtime gives back tells it (SIG_IGN); one line at the start, one for on-call. The test starts the program from a shell that ignores the signal.

Way not taken: to install the handler by force; whoever ignores a signal for a child may mean it.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -19,6 +19,7 @@
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
 public final class Sidecar {
@@ -113,7 +114,9 @@
             return 1;
         }
         // Without a handler of its own the Java runtime ends on this signal.
-        Signal.handle(new Signal("HUP"), signal -> sidecar.reload(environment));
+        if (Signal.handle(new Signal("HUP"), signal -> sidecar.reload(environment)) == SignalHandler.SIG_IGN) {
+            Log.line("was started with SIGHUP ignored: it will not reload");
+        }
         CountDownLatch empty = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             sidecar.stop(empty::countDown);
--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -22,9 +22,15 @@
     Path folder;
 
     private Process start(String config) throws Exception {
+        return start(config, "exec \"$0\" \"$@\"");
+    }
+
+    /** {@code shell} is the line of a shell that ends in the program: {@code "$0" "$@"}. */
+    private Process start(String config, String shell) throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, config);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", shell,
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), "rushproxy.Main", "serve");
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", file.toString());
@@ -91,6 +97,19 @@
         }
     }
 
+    /** The runtime leaves an ignored signal ignored: whoever looks for the reload that never came finds why. */
+    @Test
+    void startedWithTheReloadSignalIgnoredItSaysSo() throws Exception {
+        Process p = start(CONFIG, "trap '' HUP; exec \"$0\" \"$@\"");
+        try {
+            awaitLog(p, " serves on ");
+            assertTrue(log().stream().anyMatch(l -> l.contains("SIGHUP ignored")), log().toString());
+        } finally {
+            p.destroy();
+            p.waitFor();
+        }
+    }
+
     /** Asked to end it exits with 0 once it is empty, which a signal's own exit code would not tell. */
     @Test
     void askedToEndItExitsWithZero() throws Exception {
