Laboratory: scenarios in TOML, read strictly, and eleven that come with the program

Need: a run must be described by one file, and a mistake in it must not start thirty processes.

Way not taken: binding to records by reflection, whose complaints name classes rather than places.

--- /dev/null
+++ b/src/main/java/rushproxy/lab/scenario/ScenarioReader.java
@@ -0,0 +1,380 @@
+package rushproxy.lab.scenario;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Reads scenarios in TOML, strictly: what is not understood is an error that names the place, and nothing is started. */
+public final class ScenarioReader {
+    /** More would need more addresses and descriptors than one machine's laboratory has. */
+    private static final int MOST_NODES = 60;
+    private static final int MOST_SERVERS = 200;
+    private static final String SHIPPED = "/rushproxy/lab/scenarios/";
+    /** Names of the scenarios that come with the program, in the order in which they are listed. */
+    public static final List<String> NAMES = List.of("demo", "calm", "crash-cold-return", "zone-cut-one-way", "list-late",
+            "mass-kill", "rolling-restart", "retry-storm", "fast-errors", "hand-over", "big-fleet");
+
+    private static final Set<String> NODE_FAULTS = Set.of("kill", "restart", "stall", "call", "replace", "jar", "start");
+    private static final Set<String> SERVER_FAULTS = Set.of("crash", "hang", "slow", "errors", "drain", "add", "refuse");
+    private static final Set<String> LINK_FAULTS = Set.of("cut", "delay", "peer-loss", "reset");
+    private static final Set<String> DISCOVERY_FAULTS = Set.of("list-silent", "list-late", "discovery-moves", "list-splits");
+
+    private final String file;
+
+    private ScenarioReader(String file) {
+        this.file = file;
+    }
+
+    /** A file, or the name of a shipped scenario; {@code changes} are of the form {@code path=value}, TOML values. */
+    public static Scenario read(String nameOrFile, Map<String, String> changes) throws ScenarioException {
+        if (NAMES.contains(nameOrFile)) {
+            try (InputStream in = ScenarioReader.class.getResourceAsStream(SHIPPED + nameOrFile + ".toml")) {
+                return parse(nameOrFile, new String(in.readAllBytes(), StandardCharsets.UTF_8), changes);
+            } catch (IOException e) {
+                throw new ScenarioException(nameOrFile + ": can't be read: " + e);
+            }
+        }
+        try {
+            return parse(nameOrFile, Files.readString(Path.of(nameOrFile)), changes);
+        } catch (IOException | java.nio.file.InvalidPathException e) {
+            throw new ScenarioException(nameOrFile + ": neither a file that can be read nor one of " + NAMES);
+        }
+    }
+
+    public static Scenario parse(String file, String toml, Map<String, String> changes) throws ScenarioException {
+        TomlMapper mapper = new TomlMapper();
+        try {
+            JsonNode root = mapper.readTree(toml);
+            for (Map.Entry<String, String> change : changes.entrySet()) {
+                change(file, mapper, root, change.getKey(), change.getValue());
+            }
+            return new ScenarioReader(file).scenario(new Section(file, "", root));
+        } catch (JsonProcessingException e) {
+            String place = e.getLocation() == null ? "" : ", line " + e.getLocation().getLineNr();
+            throw new ScenarioException(file + place + ": no TOML: " + e.getOriginalMessage());
+        }
+    }
+
+    /** {@code traffic.rate_per_s} or {@code servers.0.cores}: what lies there is replaced, or added. */
+    private static void change(String file, TomlMapper mapper, JsonNode root, String path, String value)
+            throws ScenarioException {
+        try {
+            JsonNode to = mapper.readTree("v = " + value).get("v");
+            JsonNode at = root;
+            String[] steps = path.split("\\.");
+            for (int i = 0; i < steps.length - 1; i++) {
+                JsonNode next = steps[i].matches("[0-9]+") ? at.get(Integer.parseInt(steps[i])) : at.get(steps[i]);
+                if (next == null && at instanceof com.fasterxml.jackson.databind.node.ObjectNode table) {
+                    next = table.putObject(steps[i]);
+                }
+                if (next == null) {
+                    throw new ScenarioException(file + ": " + path + ": there is no '" + steps[i] + "' to change");
+                }
+                at = next;
+            }
+            if (!(at instanceof com.fasterxml.jackson.databind.node.ObjectNode table)) {
+                throw new ScenarioException(file + ": " + path + ": lies in no table");
+            }
+            table.set(steps[steps.length - 1], to);
+        } catch (JsonProcessingException e) {
+            throw new ScenarioException(file + ": " + path + "=" + value + ": no TOML value (texts need quotes)");
+        }
+    }
+
+    private Scenario scenario(Section s) throws ScenarioException {
+        String name = s.text("name");
+        if (!name.matches("[a-z0-9-]{1,40}")) {
+            throw s.wrong("name", "'" + name + "' is not of small letters, digits and hyphens, 40 at most");
+        }
+        String about = s.text("about", "");
+        long seed = (long) s.number("seed", 0, 1L << 52, 1);
+        long lengthUs = us(s.number("length_s", 1, 3600), 1e6);
+        Scenario.Fleet fleet = fleet(s.table("fleet"));
+        List<Scenario.Servers> servers = new ArrayList<>();
+        int count = 0;
+        for (Section one : s.tables("servers")) {
+            servers.add(servers(one, fleet.zones()));
+            count += servers.get(servers.size() - 1).count();
+        }
+        if (servers.isEmpty()) {
+            throw s.wrong("servers", "is missing: write [[servers]]");
+        }
+        if (count > MOST_SERVERS) {
+            throw s.wrong("servers", count + " are more than " + MOST_SERVERS);
+        }
+        List<Scenario.RequestClass> classes = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Section one : s.tables("classes")) {
+            classes.add(requestClass(one));
+            if (!names.add(classes.get(classes.size() - 1).name())) {
+                throw one.wrong("name", "is taken by another class");
+            }
+        }
+        if (classes.isEmpty()) {
+            throw s.wrong("classes", "is missing: write [[classes]]");
+        }
+        Scenario.Traffic traffic = traffic(s.table("traffic"), lengthUs);
+        Scenario.Network network = network(s.table("network"));
+        Section d = s.table("discovery");
+        Scenario.Discovery discovery = new Scenario.Discovery(d.number("notice_ms", 0, 60_000, 300),
+                d.number("spread_ms", 0, 60_000, 100));
+        d.end();
+        Section r = s.table("rules");
+        Scenario.Rules rules = new Scenario.Rules(us(r.number("drain_grace_ms", 0, 60_000, 500), 1e3),
+                r.number("cold_share", 0.01, 1, 0.35), us(r.number("ramp_s", 0, 600, 8.6), 1e6),
+                r.number("fall_multiple", 1, 100, 3), us(r.number("fall_s", 0.1, 60, 2), 1e6),
+                us(r.number("slack_ms", 0, 1000, 50), 1e3));
+        r.end();
+        Section l = s.table("lateness");
+        Scenario.Lateness lateness = new Scenario.Lateness(us(l.number("late_ms", 1, 10_000, 20), 1e3),
+                l.number("most", 0, 1, 0.02));
+        l.end();
+        Scenario bare = new Scenario(name, about, seed, lengthUs, fleet, servers, classes, traffic, network, discovery, rules,
+                lateness, List.of(), List.of());
+        Set<String> zones = new LinkedHashSet<>(bare.zoneNames());
+        for (String zone : network.regions().keySet()) {
+            if (!zones.contains(zone)) {
+                throw s.table("network").table("regions").wrong(zone, "is no zone of " + zones);
+            }
+        }
+        List<Scenario.Fault> faults = new ArrayList<>();
+        for (Section one : s.tables("faults")) {
+            faults.add(fault(one, bare));
+        }
+        List<Scenario.Expectation> expectations = new ArrayList<>();
+        for (Section one : s.tables("expect")) {
+            expectations.add(expectation(one, lengthUs));
+        }
+        s.end();
+        return new Scenario(name, about, seed, lengthUs, fleet, servers, classes, traffic, network, discovery, rules, lateness,
+                List.copyOf(faults), List.copyOf(expectations));
+    }
+
+    private static long us(double value, double perUnit) {
+        return Math.round(value * perUnit);
+    }
+
+    private Scenario.Fleet fleet(Section s) throws ScenarioException {
+        int nodes = s.count("nodes", 1, MOST_NODES);
+        List<String> zones = s.texts("zones");
+        Map<String, String> settings = new LinkedHashMap<>();
+        for (String pair : s.texts("settings")) {
+            int equals = pair.indexOf('=');
+            if (equals <= 0) {
+                throw s.wrong("settings", "'" + pair + "' is not of the form path=value");
+            }
+            settings.put(pair.substring(0, equals), pair.substring(equals + 1));
+        }
+        Scenario.Fleet fleet = new Scenario.Fleet(nodes, zones.isEmpty() ? List.of("a") : zones,
+                s.count("memory_mb", 32, 4096, 144), s.count("sockets", 256, 65_536, 576), s.number("cores", 0.05, 64, 1),
+                s.text("jar", null), settings);
+        s.end();
+        return fleet;
+    }
+
+    private Scenario.Servers servers(Section s, List<String> fleetZones) throws ScenarioException {
+        List<String> zones = s.texts("zones");
+        double cores = s.number("cores", 0.5, 256, 3);
+        Scenario.Servers servers = new Scenario.Servers(s.count("count", 1, MOST_SERVERS), s.text("kind", "std"),
+                zones.isEmpty() ? fleetZones : zones, s.count("pods", 1, 100, 1), cores, s.number("speed", 0.01, 100, 1),
+                s.count("slots", 1, 10_000, (int) Math.ceil(cores * 2)), s.count("queue", 0, 100_000, 20),
+                s.number("crowding", 0, 10, 0.1), s.number("warm_saving", 0, 0.95, 0), us(s.number("warm_s", 0, 600, 5), 1e6),
+                s.count("warm_keys", 0, 1_000_000, 200), s.count("connections", 1, 100_000, 1_000),
+                s.number("handshake_ms", 0, 1_000, 1), s.word("reports", Set.of("none", "inline", "on_probe"), "none"));
+        s.end();
+        return servers;
+    }
+
+    private Scenario.RequestClass requestClass(Section s) throws ScenarioException {
+        long deadlineUs = us(s.number("deadline_ms", 10, 600_000), 1e3);
+        Scenario.RequestClass c = new Scenario.RequestClass(s.text("name"), s.number("share", 0, 1e6, 1),
+                s.number("work_ms", 0.01, 60_000), s.number("work_spread", 0, 3, 0.4),
+                us(s.number("aim_ms", 1, 600_000, deadlineUs / 1e3), 1e3), deadlineUs, s.number("worth", 0, 1e6, 1),
+                s.word("semantics", Set.of("safe", "keyed", "unsafe"), "safe"),
+                s.word("group", Set.of("all", "zone", "cell"), "all"), us(s.number("window_ms", 0, 600_000, 5_000), 1e3));
+        if (!c.name().matches("[a-z0-9-]{1,40}")) {
+            throw s.wrong("name", "'" + c.name() + "' is not of small letters, digits and hyphens, 40 at most");
+        }
+        s.end();
+        return c;
+    }
+
+    private Scenario.Traffic traffic(Section s, long lengthUs) throws ScenarioException {
+        List<Scenario.Burst> bursts = new ArrayList<>();
+        double rate = s.number("rate_per_s", 0.1, 100_000);
+        double skew = s.number("skew", 0, 3, 0);
+        int keys = s.count("keys", 1, 10_000_000, 1_000);
+        double zipf = s.number("zipf", 0, 5, 1);
+        int retries = s.count("retries", 0, 20, 2);
+        double tryShare = s.number("try_share", 0.05, 1, 0.55);
+        long backoffUs = us(s.number("backoff_ms", 0, 60_000, 50), 1e3);
+        double honour = s.number("honour", 0, 1, 0.5);
+        for (Section one : s.tables("bursts")) {
+            Scenario.Burst burst = new Scenario.Burst(us(one.number("at_s", 0, lengthUs / 1e6), 1e6),
+                    us(one.number("for_s", 0.01, 3600), 1e6), one.number("factor", 0, 100));
+            one.end();
+            bursts.add(burst);
+        }
+        s.end();
+        return new Scenario.Traffic(rate, skew, keys, zipf, retries, tryShare, backoffUs, honour, bursts);
+    }
+
+    private Scenario.Network network(Section s) throws ScenarioException {
+        Map<String, String> regions = new HashMap<>();
+        Section table = s.table("regions");
+        if (s.has("regions")) {
+            for (String region : table.names()) {
+                for (String zone : table.texts(region)) {
+                    if (regions.put(zone, region) != null) {
+                        throw table.wrong(region, "zone '" + zone + "' lies in two regions");
+                    }
+                }
+            }
+        }
+        double same = s.number("same_ms", 0, 10_000, 0.2);
+        double cross = s.number("cross_ms", 0, 10_000, 8);
+        Scenario.Network network = new Scenario.Network(same, cross, s.number("region_ms", 0, 10_000, 4 * cross),
+                s.number("jitter", 0, 1, 0.2), s.number("peer_loss", 0, 1, 0.01), s.number("peer_twice", 0, 1, 0),
+                s.number("peer_late_ms", 0, 10_000, 2), regions);
+        s.end();
+        return network;
+    }
+
+    private Scenario.Fault fault(Section s, Scenario of) throws ScenarioException {
+        Set<String> words = new HashSet<>(NODE_FAULTS);
+        words.addAll(SERVER_FAULTS);
+        words.addAll(LINK_FAULTS);
+        words.addAll(DISCOVERY_FAULTS);
+        String what = s.word("do", words, "");
+        long atUs = us(s.number("at_s", 0, of.lengthUs() / 1e6), 1e6);
+        long forUs = us(s.number("for_s", 0, 3600, 0), 1e6);
+        List<String> nodes = NODE_FAULTS.contains(what) || DISCOVERY_FAULTS.contains(what)
+                ? pick(s, "nodes", of.nodeNames(), nodeZones(of), DISCOVERY_FAULTS.contains(what)) : List.of();
+        List<String> servers = SERVER_FAULTS.contains(what)
+                ? pick(s, "servers", serverNames(of), serverZones(of), false) : List.of();
+        List<String> from = List.of();
+        List<String> to = List.of();
+        boolean silent = true;
+        if (LINK_FAULTS.contains(what)) {
+            from = ends(s, "from", of);
+            to = ends(s, "to", of);
+            silent = s.flag("silent", true);
+        }
+        double factor = switch (what) {
+            case "slow" -> s.number("factor", 1, 1_000);
+            case "errors" -> s.number("part", 0, 1, 1);
+            case "delay", "list-late" -> s.number("by_ms", 0, 600_000);
+            case "peer-loss" -> s.number("part", 0, 1);
+            case "list-splits" -> s.number("part", 0, 1, 0.5);
+            case "cut" -> s.flag("one_way", false) ? 1 : 2;
+            default -> 0;
+        };
+        String call = what.equals("call") ? s.text("call") : null;
+        String jar = what.equals("jar") ? s.text("jar") : null;
+        double stagger = s.number("stagger_s", 0, 600, 0);
+        boolean lasts = Set.of("hang", "slow", "errors", "cut", "delay", "peer-loss", "list-silent", "list-late", "stall",
+                "list-splits", "refuse").contains(what);
+        if (lasts && forUs == 0) {
+            throw s.wrong("for_s", "is missing: '" + what + "' lasts");
+        }
+        s.end();
+        return new Scenario.Fault(atUs, what, nodes, servers, forUs, factor, from, to, silent, call, jar, stagger);
+    }
+
+    /** Names, {@code zone:a}, {@code part:0.3} (the first of them, spread over the zones) or {@code all}. */
+    private static List<String> pick(Section s, String key, List<String> names, List<String> zones, boolean allIfAbsent)
+            throws ScenarioException {
+        List<String> asked = s.texts(key);
+        if (asked.isEmpty()) {
+            if (allIfAbsent) {
+                return names;
+            }
+            throw s.wrong(key, "is missing");
+        }
+        Set<String> picked = new LinkedHashSet<>();
+        for (String one : asked) {
+            if (one.equals("all")) {
+                picked.addAll(names);
+            } else if (one.startsWith("zone:")) {
+                String zone = one.substring(5);
+                if (!zones.contains(zone)) {
+                    throw s.wrong(key, "there is nobody in a zone '" + zone + "'");
+                }
+                for (int i = 0; i < names.size(); i++) {
+                    if (zones.get(i).equals(zone)) {
+                        picked.add(names.get(i));
+                    }
+                }
+            } else if (one.matches("part:(0(\\.[0-9]+)?|1(\\.0+)?)")) {
+                picked.addAll(names.subList(0, (int) Math.round(Double.parseDouble(one.substring(5)) * names.size())));
+            } else if (names.contains(one)) {
+                picked.add(one);
+            } else {
+                throw s.wrong(key, "there is no '" + one + "'; there are " + names.get(0) + " to " + names.get(names.size() - 1));
+            }
+        }
+        return List.copyOf(picked);
+    }
+
+    /** Either end of a link: nodes, servers, {@code zone:a}, {@code nodes:a}, {@code servers:a}, {@code discovery}, {@code all}. */
+    private static List<String> ends(Section s, String key, Scenario of) throws ScenarioException {
+        List<String> asked = s.texts(key);
+        if (asked.isEmpty()) {
+            throw s.wrong(key, "is missing");
+        }
+        List<String> nodes = of.nodeNames();
+        List<String> servers = serverNames(of);
+        for (String one : asked) {
+            boolean zone = one.matches("(zone|nodes|servers):.+") && of.zoneNames().contains(one.substring(one.indexOf(':') + 1));
+            if (!zone && !one.equals("all") && !one.equals("discovery") && !nodes.contains(one) && !servers.contains(one)) {
+                throw s.wrong(key, "there is no '" + one + "'");
+            }
+        }
+        return asked;
+    }
+
+    private static List<String> nodeZones(Scenario of) {
+        return java.util.stream.IntStream.range(0, of.fleet().nodes()).mapToObj(of::zoneOfNode).toList();
+    }
+
+    /** {@code s0}, {@code s1} and so on, over the groups in the order of the file. */
+    public static List<String> serverNames(Scenario of) {
+        int all = of.servers().stream().mapToInt(Scenario.Servers::count).sum();
+        return java.util.stream.IntStream.range(0, all).mapToObj(i -> "s" + i).toList();
+    }
+
+    public static List<String> serverZones(Scenario of) {
+        List<String> zones = new ArrayList<>();
+        for (Scenario.Servers g : of.servers()) {
+            for (int i = 0; i < g.count(); i++) {
+                zones.add(g.zones().get(i % g.zones().size()));
+            }
+        }
+        return zones;
+    }
+
+    private static final Set<String> FIGURES = Set.of("served", "worth", "refused", "failed", "lost", "p50_ms", "p99_ms",
+            "requests", "rules_broken", "runs_per_request");
+
+    private Scenario.Expectation expectation(Section s, long lengthUs) throws ScenarioException {
+        double max = Double.MAX_VALUE;
+        Scenario.Expectation e = new Scenario.Expectation(s.word("figure", FIGURES, ""), s.number("at_least", -max, max, -max),
+                s.number("at_most", -max, max, max), us(s.number("from_s", 0, lengthUs / 1e6, 0), 1e6),
+                us(s.number("to_s", 0, 36_000, lengthUs / 1e6), 1e6));
+        s.end();
+        return e;
+    }
+}
