--- /dev/null
+++ b/src/main/java/rushproxy/lab/world/Addresses.java
@@ -0,0 +1,85 @@
+package rushproxy.lab.world;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.UnknownHostException;
+
+/**
+ * The loopback addresses of one laboratory: a block {@code 127.B.0.0/16} of its own, so that two may run at once on one
+ * machine. The block is held by a listening socket in it until {@link #close}, or until the process ends in any way.
+ */
+public final class Addresses implements AutoCloseable {
+    private static final int FIRST_BLOCK = 200;
+    private static final int BLOCKS = 50;
+    private static final int LOCK_PORT = 7999;
+
+    private final int block;
+    private final ServerSocket lock;
+
+    private Addresses(int block, ServerSocket lock) {
+        this.block = block;
+        this.lock = lock;
+    }
+
+    /** The first block that nobody holds. */
+    public static Addresses take() throws IOException {
+        for (int b = FIRST_BLOCK; b < FIRST_BLOCK + BLOCKS; b++) {
+            try {
+                return new Addresses(b, new ServerSocket(LOCK_PORT, 1, InetAddress.getByName("127." + b + ".255.1")));
+            } catch (IOException e) {
+                // Another laboratory's.
+            }
+        }
+        throw new IOException("all " + BLOCKS + " blocks of addresses from 127." + FIRST_BLOCK
+                + ".0.0 on are held by other laboratories");
+    }
+
+    private InetSocketAddress at(int third, int fourth, int port) {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(
+                    new byte[] {127, (byte) block, (byte) third, (byte) fourth}), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Where a node's clients connect. */
+    public InetSocketAddress listen(int node) {
+        return at(0, node + 1, 8081);
+    }
+
+    /** Where a node's operators connect; the process beside it in a replacement has the other one. */
+    public InetSocketAddress admin(int node, int process) {
+        return at(0, node + 1, 9901 + process % 2);
+    }
+
+    public InetSocketAddress peerListen(int node) {
+        return at(0, node + 1, 7946);
+    }
+
+    /** The upstream as this node reaches it: each pair has its own address, and with it its own link. */
+    public InetSocketAddress upstream(int node, int server) {
+        return at(1 + node, server + 1, 8080);
+    }
+
+    /** The agent of discovery on the node's machine; {@code moves} counts its changes of address. */
+    public InetSocketAddress discovery(int node, int moves) {
+        return at(100, node + 1, 8500 + moves);
+    }
+
+    /** Where {@code from} sends what is meant for {@code to}; what comes from {@code to} comes from here too. */
+    public InetSocketAddress peer(int from, int to) {
+        return at(101 + from, to + 1, 7946);
+    }
+
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        lock.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -0,0 +1,370 @@
+package rushproxy.lab.world;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import org.HdrHistogram.Histogram;
+import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.world.Observation.What;
+
+/**
+ * The applications beside the sidecars: an open loop of first tries, their retries, and a pool of connections for each
+ * node. A request that a close between requests has crossed is sent once more on a new connection, as the protocol has
+ * it. Lives on the world's event loop from {@link #start} until all first tries are settled.
+ */
+final class Clients {
+    private static final int CONNECT_MS = 1_000;
+    private static final int MAX_ANSWER = 1 << 20;
+    private static final double IDLE_US = 4e6;
+    /** An answer may come as late as the rules and the sockets allow before its client takes it for lost. */
+    private static final long SLACK_US = 70_000;
+
+    private final EventLoop loop;
+    private final Observations seen;
+    private final Scenario scenario;
+    private final DoubleSupplier chance;
+    private final List<Traffic.Arrival> arrivals;
+    private final List<InetSocketAddress> sidecars;
+    private final List<ArrayDeque<Line>> idle;
+    private final Map<String, UpstreamServer.Needs> asked = new HashMap<>();
+    /** By how much first tries left later than they were meant to, in microseconds. */
+    final Histogram lateness = new Histogram(3);
+    private int next;
+    private int open;
+    private Runnable settled = () -> { };
+
+    Clients(EventLoop loop, Observations seen, Scenario scenario, DoubleSupplier chance, List<Traffic.Arrival> arrivals,
+            List<InetSocketAddress> sidecars) {
+        this.loop = loop;
+        this.seen = seen;
+        this.scenario = scenario;
+        this.chance = chance;
+        this.arrivals = arrivals;
+        this.sidecars = sidecars;
+        idle = sidecars.stream().map(s -> new ArrayDeque<Line>()).toList();
+    }
+
+    /** {@code settled} runs when all first tries are over. */
+    void start(Runnable settled) {
+        this.settled = settled;
+        look();
+    }
+
+    /** What a request that a client has sent needs; null for any other id. */
+    UpstreamServer.Needs needs(String id) {
+        return asked.get(id);
+    }
+
+    /** No further first tries. */
+    void stop() {
+        next = arrivals.size();
+        look();
+    }
+
+    private void look() {
+        long now = seen.us();
+        while (next < arrivals.size() && arrivals.get(next).atUs() <= now) {
+            open++;
+            lateness.recordValue(now - arrivals.get(next).atUs());
+            new Asked(arrivals.get(next++)).attempt(0);
+        }
+        if (next < arrivals.size()) {
+            loop.schedule(this::look, arrivals.get(next).atUs() - now, TimeUnit.MICROSECONDS);
+        } else if (open == 0) {
+            Runnable once = settled;
+            settled = () -> { };
+            once.run();
+        }
+    }
+
+    /** What a client wants, from its first try to the end of the last. */
+    private final class Asked {
+        private final Traffic.Arrival arrival;
+        private final long untilUs;
+        private final String idempotencyKey;
+        private int tries;
+        private String worst = "failed";
+
+        Asked(Traffic.Arrival arrival) {
+            this.arrival = arrival;
+            untilUs = arrival.atUs() + arrival.spec().deadlineUs();
+            idempotencyKey = arrival.spec().semantics().equals("keyed") ? arrival.id() + "k" : null;
+        }
+
+        void attempt(long meantUs) {
+            long now = seen.us();
+            long left = untilUs - now;
+            long wait = Math.min(left, Math.round(scenario.traffic().tryShare() * arrival.spec().deadlineUs()));
+            if (wait < 5_000) {
+                settle(worst);
+                return;
+            }
+            String id = arrival.id() + Integer.toHexString(tries++);
+            asked.put(id, new UpstreamServer.Needs(arrival.workMs(), arrival.key(), idempotencyKey, arrival.spec().group(),
+                    arrival.spec().windowUs()));
+            new Try(this, id, tries == 1 ? arrival.atUs() : meantUs, wait).begin(true);
+        }
+
+        void ended(Try t, String how, double retryAfterMs) {
+            worst = how;
+            boolean refused = how.equals("refused");
+            String semantics = arrival.spec().semantics();
+            boolean again = semantics.equals("safe") || refused || how.equals("unreached")
+                    || semantics.equals("keyed") && arrival.spec().group().equals("all")
+                    && seen.us() - arrival.atUs() < arrival.spec().windowUs();
+            if (!again || tries > scenario.traffic().retries()) {
+                settle(how);
+                return;
+            }
+            double waitUs = scenario.traffic().backoffUs();
+            if (retryAfterMs > 0 && chance.getAsDouble() < scenario.traffic().honour()) {
+                waitUs = retryAfterMs * 1_000;
+            }
+            long meant = seen.us() + (long) waitUs;
+            loop.schedule(() -> attempt(meant), (long) waitUs, TimeUnit.MICROSECONDS);
+        }
+
+        void settle(String how) {
+            long us = seen.us() - arrival.atUs();
+            String word = how.equals("served") && us > arrival.spec().aimUs() ? "late" : how.equals("unreached") ? "failed" : how;
+            seen.see(What.SETTLED, "n" + arrival.node(), null, null, arrival.id(), word + " " + arrival.spec().name(),
+                    us / 1e3, arrival.atUs());
+            open--;
+            if (open == 0 && next >= arrivals.size()) {
+                look();
+            }
+        }
+    }
+
+    /** One try, until its answer or its end without one. */
+    private final class Try {
+        private final Asked of;
+        private final String id;
+        private final long meantUs;
+        private final long waitUs;
+        private Line line;
+        private Future<?> patience;
+        private long sentUs;
+        private boolean again;
+        private boolean over;
+
+        Try(Asked of, String id, long meantUs, long waitUs) {
+            this.of = of;
+            this.id = id;
+            this.meantUs = meantUs;
+            this.waitUs = waitUs;
+        }
+
+        private String node() {
+            return "n" + of.arrival.node();
+        }
+
+        void begin(boolean pooled) {
+            if (patience == null) {
+                patience = loop.schedule(this::giveUp, waitUs + SLACK_US, TimeUnit.MICROSECONDS);
+            }
+            ArrayDeque<Line> pool = idle.get(of.arrival.node());
+            for (Line l; pooled && (l = pool.pollFirst()) != null; ) {
+                if (l.channel.isActive() && seen.us() - l.idleSinceUs < IDLE_US) {
+                    send(l);
+                    return;
+                }
+                l.channel.close();
+            }
+            Line fresh = new Line(of.arrival.node());
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            fresh.channel = channel;
+                            channel.pipeline().addLast(new HttpClientCodec(), fresh.heads(),
+                                    new HttpObjectAggregator(MAX_ANSWER), fresh);
+                        }
+                    }).connect(sidecars.get(of.arrival.node()));
+            connecting.addListener(f -> {
+                if (over) {
+                    connecting.channel().close();
+                } else if (f.isSuccess()) {
+                    send(fresh);
+                } else {
+                    seen.see(What.UNREACHED, node(), null, id, of.arrival.id(), "" + f.cause().getMessage(), 0, meantUs);
+                    end("unreached", 0);
+                }
+            });
+        }
+
+        private void send(Line to) {
+            line = to;
+            to.busy = this;
+            long left = Math.max(1, waitUs / 1_000);
+            boolean get = of.arrival.spec().semantics().equals("safe");
+            DefaultFullHttpRequest m = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, get ? HttpMethod.GET : HttpMethod.POST,
+                    "/api/" + of.arrival.spec().name(), get ? Unpooled.EMPTY_BUFFER
+                    : Unpooled.copiedBuffer(id, StandardCharsets.US_ASCII));
+            m.headers().set("Host", "api.internal").set("X-Txn", id).set("X-Lane", of.arrival.spec().name())
+                    .set("X-Remaining-Ms", left).set("Cookie", "k=" + Long.toHexString(of.arrival.key()));
+            if (!get) {
+                m.headers().set("Content-Length", m.content().readableBytes());
+            }
+            if (of.idempotencyKey != null) {
+                m.headers().set("Idempotency-Key", of.idempotencyKey);
+            }
+            if (of.tries > 1) {
+                m.headers().set("X-Resent", "1");
+            }
+            sentUs = seen.us();
+            if (!again) {
+                seen.see(What.ASKED, node(), null, id, of.arrival.id(), of.arrival.spec().name(), left, meantUs);
+            }
+            to.channel.writeAndFlush(m);
+        }
+
+        void answered(int status, String body, double retryAfterMs) {
+            seen.see(What.ANSWERED, node(), null, id, of.arrival.id(), status + " " + body, retryAfterMs, sentUs);
+            end(status == 200 ? "served" : status == 429 || status == 503 ? "refused" : "failed", retryAfterMs);
+        }
+
+        /** The connection has ended without an answer. */
+        void broke(boolean used, boolean part, String how) {
+            if (used && !part && !again) {
+                // The close has crossed the request: it goes once more.
+                again = true;
+                begin(false);
+                return;
+            }
+            seen.see(What.BROKE, node(), null, id, of.arrival.id(), part ? "part" : how, used ? 1 : 0, sentUs);
+            end("failed", 0);
+        }
+
+        private void giveUp() {
+            if (!over) {
+                seen.see(What.GAVE_UP, node(), null, id, of.arrival.id(), line == null ? "unconnected" : null, waitUs / 1e3,
+                        meantUs);
+                Line had = line;
+                end("failed", 0);
+                if (had != null) {
+                    had.channel.close();
+                }
+            }
+        }
+
+        private void end(String how, double retryAfterMs) {
+            if (over) {
+                return;
+            }
+            over = true;
+            patience.cancel(false);
+            if (line != null) {
+                line.busy = null;
+            }
+            if (how.equals("served")) {
+                of.settle(how);
+            } else {
+                of.ended(this, how, retryAfterMs);
+            }
+        }
+    }
+
+    /** One connection to a sidecar. */
+    private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final int node;
+        private Channel channel;
+        private Try busy;
+        private boolean used;
+        private boolean reset;
+        private boolean part;
+        private long idleSinceUs;
+
+        Line(int node) {
+            this.node = node;
+        }
+
+        /** Stands before what makes answers whole: an answer that has begun is no silence. */
+        ChannelInboundHandlerAdapter heads() {
+            return new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext ctx, Object message) {
+                    part |= message instanceof HttpResponse;
+                    ctx.fireChannelRead(message);
+                }
+            };
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse m) {
+            part = false;
+            Try of = busy;
+            if (of == null) {
+                // A second answer, or one to nobody.
+                seen.see(What.ANSWERED, "n" + node, null, null, null, m.status().code() + " unasked", 0, 0);
+                ctx.close();
+                return;
+            }
+            if (!m.decoderResult().isSuccess()) {
+                ctx.close();
+                return;
+            }
+            boolean keep = HttpUtil.isKeepAlive(m);
+            String after = m.headers().get("Retry-After");
+            used = true;
+            idleSinceUs = seen.us();
+            busy = null;
+            of.answered(m.status().code(), m.content().toString(StandardCharsets.US_ASCII), seconds(after) * 1_000);
+            if (!keep) {
+                ctx.close();
+            } else if (busy == null) {
+                idle.get(node).addFirst(this);
+            }
+        }
+
+        private double seconds(String text) {
+            try {
+                return text == null ? 0 : Double.parseDouble(text);
+            } catch (NumberFormatException e) {
+                return 0;
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            idle.get(node).remove(this);
+            Try of = busy;
+            busy = null;
+            if (of != null && !of.over) {
+                of.broke(used, part, reset ? "reset" : "closed");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            reset = true;
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -0,0 +1,67 @@
+package rushproxy.lab.world;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * One thing that was seen on either side of the sidecars, a line of a run's {@code events.jsonl}. Times are microseconds
+ * since the first possible request. What does not apply is absent: null, or 0 for numbers.
+ *
+ * @param what    what happened
+ * @param node    the sidecar, {@code n3}
+ * @param server  the upstream, {@code s5}
+ * @param id      the request's {@code X-Txn}, fresh for each try
+ * @param first   the try with which its client began
+ * @param text    class, status, body or words, by the kind of event
+ * @param number  milliseconds of work, remaining milliseconds or the like, by the kind of event
+ * @param sinceUs when what ended now began, or when it was meant to happen
+ */
+@JsonInclude(JsonInclude.Include.NON_DEFAULT)
+public record Observation(@JsonProperty("us") @JsonInclude(JsonInclude.Include.ALWAYS) long us,
+                          @JsonProperty("what") What what, @JsonProperty("node") String node,
+                          @JsonProperty("server") String server, @JsonProperty("id") String id,
+                          @JsonProperty("first") String first, @JsonProperty("text") String text,
+                          @JsonProperty("number") double number, @JsonProperty("sinceUs") long sinceUs) {
+
+    /** Kinds of events; after each what {@code text}, {@code number} and {@code sinceUs} say. */
+    public enum What {
+        /** A client has written a whole request: its class, the time it waits in ms, when it was meant to leave. */
+        ASKED,
+        /** A whole answer has come: its status and body, the wait that it asks for in ms; sinceUs the send. */
+        ANSWERED,
+        /** The connection ended before a whole answer: "reset", "closed" or "part"; number 1 on a connection used before. */
+        BROKE,
+        /** No connection was to be had: why. */
+        UNREACHED,
+        /** The client has stopped waiting and closed its connection. */
+        GAVE_UP,
+        /** A client's first try is over for good: "served", "late", "refused", "failed"; ms since it was meant to leave. */
+        SETTLED,
+        /** The last byte of a request has come to an upstream: its idempotency key, its work in ms; sinceUs its first byte. */
+        GOT,
+        /** The upstream has turned it away unseen. */
+        TURNED_AWAY,
+        /** The upstream works on it from now on: it has its effect. */
+        RAN,
+        /** A repeat that the pod has dropped: it had no effect of its own. */
+        DROPPED,
+        /** The upstream has answered: status and body. */
+        REPLIED,
+        /** A server's process has started: its start. */
+        SERVER_STARTED,
+        /** A server's process is gone: why. */
+        SERVER_ENDED,
+        /** Discovery has written to a node's agent that a server is now in this state: the state, the start in Unix ms. */
+        TOLD,
+        /** A node's process: "started", "ready", "term", "exit CODE", "kill", "stopped", "continued", "hup". */
+        NODE,
+        /** An operators' call and its answer. */
+        CALLED,
+        /** A fault begins: its words, its length in s. */
+        FAULT,
+        /** Requests at the upstreams of a zone and kind, "a big", now. */
+        HELD,
+        /** The laboratory was late: by how many ms at most in the last second. */
+        LATE
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/lab/world/Observations.java
@@ -0,0 +1,49 @@
+package rushproxy.lab.world;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import rushproxy.lab.world.Observation.What;
+
+/**
+ * Everything that was seen in a run, in order. Written by any thread. It is as long as the run's traffic, which is drawn ahead
+ * and bounded.
+ */
+public final class Observations {
+    private final List<Observation> all = new ArrayList<>();
+    private final Consumer<Observation> each;
+    /** What comes before time begins has negative times. */
+    private static final long BEFORE_NANOS = 3_600_000_000_000L;
+    private long zeroNanos = System.nanoTime() + BEFORE_NANOS;
+
+    /** {@code each} hears of every observation at once, under this lock: it must be quick. */
+    public Observations(Consumer<Observation> each) {
+        this.each = each;
+    }
+
+    /** Time begins: what was seen until now was before it, at negative times. */
+    public synchronized void begin(long nanos) {
+        zeroNanos = nanos;
+    }
+
+    public synchronized long us() {
+        return (System.nanoTime() - zeroNanos) / 1_000;
+    }
+
+    public void see(What what, String node, String server, String id, String first, String text, double number,
+                    long sinceUs) {
+        synchronized (this) {
+            Observation o = new Observation(us(), what, node, server, id, first, text, number, sinceUs);
+            all.add(o);
+            each.accept(o);
+        }
+    }
+
+    public synchronized List<Observation> all() {
+        return List.copyOf(all);
+    }
+
+    public synchronized int size() {
+        return all.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/lab/world/Registry.java
@@ -0,0 +1,312 @@
+package rushproxy.lab.world;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.world.Observation.What;
+
+/**
+ * Discovery: the true state of the upstreams, and an agent on each node's machine that has the news late and tells it to
+ * watches. Lives on the world's event loop; agents listen until {@link #end}.
+ */
+final class Registry {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long OLD_ADDRESS_MS = 1_500;
+
+    /** One server as discovery knows it, {@code number} its place among all changes. {@code state}: Ready, Terminating or Gone. */
+    private record Line(long number, UpstreamServer server, String state, long startedAtMs) {}
+
+    private final EventLoop loop;
+    private final Observations seen;
+    private final Scenario.Discovery spec;
+    private final DoubleSupplier chance;
+    private final List<Agent> agents = new ArrayList<>();
+    private long changes;
+
+    Registry(EventLoop loop, Observations seen, Scenario.Discovery spec, DoubleSupplier chance) {
+        this.loop = loop;
+        this.seen = seen;
+        this.spec = spec;
+        this.chance = chance;
+    }
+
+    /** The agents of all nodes, in their order; {@code reach.at(node, server)} is the server's address for the node. */
+    interface Reach {
+        InetSocketAddress at(int node, int server);
+    }
+
+    List<ChannelFuture> start(List<String> nodes, List<InetSocketAddress> addresses, Reach reach, List<UpstreamServer> servers) {
+        List<ChannelFuture> binds = new ArrayList<>();
+        for (int i = 0; i < nodes.size(); i++) {
+            Agent agent = new Agent(i, nodes.get(i), reach);
+            for (UpstreamServer s : servers) {
+                agent.lines.put(s.id, new Line(0, s, "Ready", s.startedAtMs()));
+                agent.changedAt.put(s.id, agent.generation);
+            }
+            agents.add(agent);
+            binds.add(agent.listen(addresses.get(i)));
+        }
+        return binds;
+    }
+
+    /** The server's true state has changed: each agent hears of it in its own time. */
+    void changed(UpstreamServer server, String state) {
+        Line line = new Line(++changes, server, state, server.startedAtMs());
+        for (Agent agent : agents) {
+            double lateMs = spec.noticeMs() + spec.spreadMs() * chance.getAsDouble() + agent.lateMs;
+            loop.schedule(() -> agent.news(line), Math.round(1_000 * lateMs), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** The agent hears nothing and answers nothing new until the fault is over. */
+    void silent(int node, boolean on) {
+        agents.get(node).silent(on);
+    }
+
+    void late(int node, double byMs) {
+        agents.get(node).lateMs = byMs;
+    }
+
+    /** The agent misses this part of the changes until it is told 0, and then has them all. */
+    void splits(int node, double part) {
+        agents.get(node).splits(part);
+    }
+
+    /** From now on the agent is at the new address; the old one takes no connection and closes the open ones soon. */
+    ChannelFuture move(int node, InetSocketAddress to) {
+        return agents.get(node).move(to);
+    }
+
+    /** The list as a configuration's {@code known} has it: what the agent holds now. */
+    ObjectNode known(int node) {
+        return agents.get(node).list(-1);
+    }
+
+    void end() {
+        agents.forEach(Agent::end);
+    }
+
+    private final class Agent {
+        private final int number;
+        private final String node;
+        private final Reach reach;
+        private final Map<String, Line> lines = new LinkedHashMap<>();
+        private final Map<String, Long> changedAt = new LinkedHashMap<>();
+        private final List<Line> held = new ArrayList<>();
+        private final List<Line> missed = new ArrayList<>();
+        private final Set<Watch> watches = new HashSet<>();
+        private final Set<Channel> connections = new HashSet<>();
+        private long generation = 1;
+        private Channel listener;
+        private boolean silent;
+        private double lateMs;
+        private double missing;
+
+        Agent(int number, String node, Reach reach) {
+            this.number = number;
+            this.node = node;
+            this.reach = reach;
+        }
+
+        ChannelFuture listen(InetSocketAddress address) {
+            ChannelFuture bind = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            connections.add(channel);
+                            channel.closeFuture().addListener(f -> connections.remove(channel));
+                            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
+                                    new Handler());
+                        }
+                    }).bind(address);
+            listener = bind.channel();
+            return bind;
+        }
+
+        ChannelFuture move(InetSocketAddress to) {
+            Channel old = listener;
+            Set<Channel> open = Set.copyOf(connections);
+            ChannelFuture bind = listen(to);
+            old.close();
+            loop.schedule(() -> open.forEach(Channel::close), OLD_ADDRESS_MS, TimeUnit.MILLISECONDS);
+            return bind;
+        }
+
+        void end() {
+            if (listener != null) {
+                listener.close();
+            }
+            Set.copyOf(connections).forEach(Channel::close);
+        }
+
+        void news(Line line) {
+            if (silent) {
+                held.add(line);
+            } else if (missing > 0 && chance.getAsDouble() < missing) {
+                missed.add(line);
+            } else {
+                put(line);
+                tellAll();
+            }
+        }
+
+        private void put(Line line) {
+            Line before = lines.get(line.server.id);
+            // News may overtake older news of the same server.
+            if (before != null && before.number > line.number) {
+                return;
+            }
+            generation++;
+            lines.put(line.server.id, line);
+            changedAt.put(line.server.id, generation);
+        }
+
+        void silent(boolean on) {
+            silent = on;
+            if (!on) {
+                release(held);
+            }
+        }
+
+        void splits(double part) {
+            missing = part;
+            if (part == 0) {
+                release(missed);
+            }
+        }
+
+        private void release(List<Line> late) {
+            late.forEach(this::put);
+            late.clear();
+            tellAll();
+        }
+
+        private void tellAll() {
+            for (Watch w : Set.copyOf(watches)) {
+                if (w.index < generation) {
+                    w.answer();
+                }
+            }
+        }
+
+        /** Changes after the index, or the whole list where it is negative. */
+        ObjectNode list(long index) {
+            ObjectNode list = JSON.createObjectNode();
+            list.put("generation", generation).put("reset", index < 0);
+            ArrayNode instances = list.putArray("instances");
+            for (Line line : lines.values()) {
+                if (index < 0 ? !line.state.equals("Gone") : changedAt.get(line.server.id) > index) {
+                    instances.addObject().put("instanceId", line.server.id)
+                            .put("hostPort", Addresses.text(reach.at(number, line.server.number)))
+                            .put("zone", line.server.zone).put("machineType", line.server.spec().kind())
+                            .put("cell", line.server.cell).put("lifecycle", line.state).put("weight", 1.0)
+                            .put("startedAtMs", line.startedAtMs);
+                }
+            }
+            return list;
+        }
+
+        private void write(Channel channel, long index) {
+            byte[] body = list(index).toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+                    Unpooled.wrappedBuffer(body));
+            response.headers().set("Content-Length", body.length);
+            List<Line> told = lines.values().stream().filter(l -> index < 0 || changedAt.get(l.server.id) > index).toList();
+            channel.writeAndFlush(response).addListener(f -> {
+                if (f.isSuccess()) {
+                    for (Line l : told) {
+                        seen.see(What.TOLD, node, l.server.id, null, null, l.state, l.startedAtMs, 0);
+                    }
+                }
+            });
+        }
+
+        /** A call that waits for news. */
+        private final class Watch {
+            private final Channel channel;
+            private final long index;
+            private Future<?> timer;
+
+            Watch(Channel channel, long index) {
+                this.channel = channel;
+                this.index = index;
+            }
+
+            void answer() {
+                timer.cancel(false);
+                if (watches.remove(this) && channel.isActive()) {
+                    write(channel, index > generation ? -1 : index);
+                }
+            }
+        }
+
+        private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                Map<String, List<String>> query = new QueryStringDecoder(request.uri()).parameters();
+                long index = Long.parseLong(query.getOrDefault("index", List.of("-1")).get(0));
+                long waitMs = Math.min(60_000, Long.parseLong(query.getOrDefault("wait", List.of("0")).get(0)));
+                if (index < 0 && !silent) {
+                    write(ctx.channel(), -1);
+                    return;
+                }
+                Watch watch = new Watch(ctx.channel(), index);
+                watches.add(watch);
+                // While discovery is down the agent stays silent, also past the wait.
+                watch.timer = loop.schedule(() -> {
+                    if (!silent) {
+                        watch.answer();
+                    }
+                }, waitMs, TimeUnit.MILLISECONDS);
+                if (!silent && index != generation) {
+                    watch.answer();
+                }
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                watches.removeIf(w -> {
+                    boolean gone = w.channel == ctx.channel();
+                    if (gone) {
+                        w.timer.cancel(false);
+                    }
+                    return gone;
+                });
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                ctx.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/lab/world/Traffic.java
@@ -0,0 +1,81 @@
+package rushproxy.lab.world;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.PermutationSampler;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.sampling.distribution.SharedStateContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import rushproxy.lab.scenario.Scenario;
+
+/** The first tries of a run, all drawn ahead: an open loop, which does not wait for answers. */
+final class Traffic {
+    /** One first try. {@code id} and those of its retries, {@code id} and a digit, are the same for the same seed. */
+    record Arrival(long atUs, int node, Scenario.RequestClass spec, long key, double workMs, String id) {}
+
+    private Traffic() {}
+
+    /** Poisson arrivals over the run's length, at most {@code most}; in the order of their times. */
+    static List<Arrival> draw(Scenario scenario, UniformRandomProvider random, int most) {
+        Scenario.Traffic t = scenario.traffic();
+        double peak = t.ratePerS() * t.bursts().stream().mapToDouble(Scenario.Burst::factor).reduce(1, Math::max);
+        double[] nodes = upTo(weights(scenario.fleet().nodes(), t.skew(), random));
+        double[] classes = upTo(scenario.classes().stream().mapToDouble(Scenario.RequestClass::share).toArray());
+        List<SharedStateContinuousSampler> work = scenario.classes().stream().map(c -> (SharedStateContinuousSampler)
+                // The mean of a log-normal is exp(mu + sigma^2 / 2): mu is set so that it comes out at work_ms.
+                LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random),
+                        Math.log(c.workMs()) - c.workSpread() * c.workSpread() / 2, Math.max(1e-9, c.workSpread()))).toList();
+        DiscreteSampler keys = RejectionInversionZipfSampler.of(random, t.keys(), t.zipf());
+        ZigguratSampler.Exponential gaps = ZigguratSampler.Exponential.of(random);
+        List<Arrival> arrivals = new ArrayList<>();
+        for (double at = 0; arrivals.size() < most; ) {
+            at += gaps.sample() / peak * 1e6;
+            if (at >= scenario.lengthUs()) {
+                break;
+            }
+            // Thinned from the highest rate to that of the moment.
+            if (random.nextDouble() * peak < rate(t, (long) at)) {
+                int c = place(classes, random.nextDouble());
+                arrivals.add(new Arrival((long) at, place(nodes, random.nextDouble()), scenario.classes().get(c),
+                        keys.sample(), work.get(c).sample(), String.format("%015x", random.nextLong() >>> 4)));
+            }
+        }
+        return arrivals;
+    }
+
+    private static double rate(Scenario.Traffic t, long atUs) {
+        double rate = t.ratePerS();
+        for (Scenario.Burst b : t.bursts()) {
+            if (atUs >= b.atUs() && atUs < b.atUs() + b.forUs()) {
+                rate *= b.factor();
+            }
+        }
+        return rate;
+    }
+
+    private static double[] weights(int n, double skew, UniformRandomProvider random) {
+        int[] rank = PermutationSampler.natural(n);
+        PermutationSampler.shuffle(random, rank);
+        double[] weights = new double[n];
+        for (int i = 0; i < n; i++) {
+            weights[i] = Math.pow(rank[i] + 1, -skew);
+        }
+        return weights;
+    }
+
+    private static double[] upTo(double[] weights) {
+        double[] sums = weights.clone();
+        for (int i = 1; i < sums.length; i++) {
+            sums[i] += sums[i - 1];
+        }
+        return sums;
+    }
+
+    private static int place(double[] sums, double x) {
+        int i = java.util.Arrays.binarySearch(sums, x * sums[sums.length - 1]);
+        return Math.min(sums.length - 1, i < 0 ? -i - 1 : i + 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/lab/world/UpstreamServer.java
@@ -0,0 +1,453 @@
+package rushproxy.lab.world;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import rushproxy.lab.world.Observation.What;
+
+/**
+ * One upstream on its sockets, an address for each node, in front of an {@link UpstreamModel}. Lives on the world's event
+ * loop from {@link #start} to {@link #crash}, as often as the scenario wants; {@link #end} is for good.
+ */
+final class UpstreamServer {
+    /** Small, so that a few connections of the laboratory's own fill it and the kernel drops all further ones. */
+    private static final int BACKLOG = 8;
+    private static final int MAX_BODY = 1 << 20;
+
+    /** What a request that a client has sent needs and what its repeats mean. */
+    record Needs(double workMs, long key, String idempotencyKey, String group, long windowUs) {}
+
+    /** What all upstreams share: the requests that clients have made, and the pods' memory of keys. */
+    interface Shared {
+        /** Null where no client has made a request of this id. */
+        Needs needs(String id);
+
+        /** True where the key's effect was had in this server's group within its window; else remembers it from now on. */
+        boolean repeated(UpstreamServer at, Needs needs);
+    }
+
+    final int number;
+    final String id;
+    final String zone;
+    final int cell;
+    private final rushproxy.lab.scenario.Scenario.Servers spec;
+    private final rushproxy.lab.scenario.Scenario.Rules rules;
+    private final EventLoop loop;
+    private final Observations seen;
+    private final Network network;
+    private final Network.End end;
+    private final List<Network.End> nodes;
+    private final List<InetSocketAddress> addresses;
+    private final Shared shared;
+    private final DoubleSupplier chance;
+    private final Runnable fell;
+    private final List<Pair> pairs = new ArrayList<>();
+    private final Set<Connection> connections = new HashSet<>();
+    private final List<UpstreamModel.Job> unseen = new ArrayList<>();
+    private UpstreamModel model;
+    private Future<?> timer;
+    private long startedAtMs;
+    private double errors;
+    private boolean refuses;
+
+    UpstreamServer(int number, String zone, int cell, rushproxy.lab.scenario.Scenario.Servers spec,
+                   rushproxy.lab.scenario.Scenario.Rules rules, EventLoop loop, Observations seen, Network network,
+                   List<Network.End> nodes, List<InetSocketAddress> addresses, Shared shared, DoubleSupplier chance,
+                   Runnable fell) {
+        this.number = number;
+        this.id = "s" + number;
+        this.zone = zone;
+        this.cell = cell;
+        this.spec = spec;
+        this.rules = rules;
+        this.loop = loop;
+        this.seen = seen;
+        this.network = network;
+        this.end = new Network.End(id, "servers", zone);
+        this.nodes = nodes;
+        this.addresses = addresses;
+        this.shared = shared;
+        this.chance = chance;
+        this.fell = fell;
+    }
+
+    /** {@code warm}: it has run for long already. The listeners are open when the result is done. */
+    List<ChannelFuture> start(boolean warm) {
+        long now = seen.us();
+        startedAtMs = warm ? 0 : System.currentTimeMillis();
+        model = new UpstreamModel(spec, rules, warm ? now - rules.rampUs() - 1 : now);
+        errors = 0;
+        refuses = false;
+        seen.see(What.SERVER_STARTED, null, id, null, null, warm ? "warm" : "cold", startedAtMs, 0);
+        List<ChannelFuture> binds = new ArrayList<>();
+        for (int i = 0; i < nodes.size(); i++) {
+            Pair pair = new Pair(nodes.get(i), addresses.get(i));
+            pairs.add(pair);
+            binds.add(pair.listen());
+        }
+        return binds;
+    }
+
+    /** Its process is gone: connections are reset, new ones refused, what it held is lost. */
+    void crash(String why) {
+        if (model == null) {
+            return;
+        }
+        seen.see(What.SERVER_ENDED, null, id, null, null, why, 0, 0);
+        model = null;
+        unseen.clear();
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+        pairs.forEach(Pair::close);
+        pairs.clear();
+        for (Connection c : Set.copyOf(connections)) {
+            c.reset();
+        }
+    }
+
+    void end() {
+        crash("the run ends");
+    }
+
+    boolean running() {
+        return model != null;
+    }
+
+    long startedAtMs() {
+        return startedAtMs;
+    }
+
+    rushproxy.lab.scenario.Scenario.Servers spec() {
+        return spec;
+    }
+
+    Network.End place() {
+        return end;
+    }
+
+    int inFlight() {
+        return model == null ? 0 : model.working() + model.waiting();
+    }
+
+    void hang(boolean on) {
+        if (model != null) {
+            model.hang(seen.us(), on);
+            look();
+        }
+    }
+
+    void slow(double factor) {
+        if (model != null) {
+            model.slow(seen.us(), factor);
+            look();
+        }
+    }
+
+    /** This part of the requests gets an error at once. */
+    void errors(double part) {
+        errors = part;
+    }
+
+    /** Turns everything away, as a full one does. */
+    void refuse(boolean on) {
+        refuses = on;
+    }
+
+    /** A network fault has begun or ended: whether new connections of a node come up may have changed. */
+    void linksChanged() {
+        pairs.forEach(Pair::look);
+    }
+
+    /** Connections between this server and the nodes that the fault touches break. */
+    void reset(rushproxy.lab.scenario.Scenario.Fault fault) {
+        for (Connection c : Set.copyOf(connections)) {
+            if (Network.between(fault, c.node, end)) {
+                c.reset();
+            }
+        }
+    }
+
+    private void look() {
+        if (model == null) {
+            return;
+        }
+        long now = seen.us();
+        for (UpstreamModel.Job job : model.done(now)) {
+            started(job);
+            ((Work) job.tag).done();
+        }
+        for (UpstreamModel.Job job : List.copyOf(unseen)) {
+            if (job.startedUs() >= 0) {
+                started(job);
+            }
+        }
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+        long next = model.nextUs();
+        if (next != Long.MAX_VALUE) {
+            timer = loop.schedule(this::look, next - now, TimeUnit.MICROSECONDS);
+        }
+        if (model.fallen()) {
+            crash("pushed over while cold");
+            fell.run();
+        }
+    }
+
+    private void started(UpstreamModel.Job job) {
+        if (unseen.remove(job)) {
+            Work work = (Work) job.tag;
+            boolean repeat = work.needs.idempotencyKey() != null && shared.repeated(this, work.needs);
+            seen.see(repeat ? What.DROPPED : What.RAN, work.connection.node.name(), id, work.id, null, null, job.workMs,
+                    job.startedUs());
+        }
+    }
+
+    /** One request from its last byte to its answer. */
+    private final class Work {
+        private final Connection connection;
+        private final String id;
+        private final Needs needs;
+
+        Work(Connection connection, String id, Needs needs) {
+            this.connection = connection;
+            this.id = id;
+            this.needs = needs;
+        }
+
+        void done() {
+            String body = UpstreamServer.this.id + ":" + id + ":" + Long.toHexString((long) (chance.getAsDouble() * (1L << 50)));
+            seen.see(What.REPLIED, connection.node.name(), UpstreamServer.this.id, id, null, "200 " + body, 0, 0);
+            connection.answer(HttpResponseStatus.OK, body, null);
+        }
+    }
+
+    /** The address at which one node finds this server. */
+    private final class Pair {
+        private final Network.End node;
+        private final InetSocketAddress address;
+        private final List<SocketChannel> fillers = new ArrayList<>();
+        private final Set<InetSocketAddress> own = new HashSet<>();
+        private Channel listener;
+
+        Pair(Network.End node, InetSocketAddress address) {
+            this.node = node;
+            this.address = address;
+        }
+
+        ChannelFuture listen() {
+            ChannelFuture bind = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            accepted(channel);
+                        }
+                    }).bind(address);
+            listener = bind.channel();
+            bind.addListener(f -> look());
+            return bind;
+        }
+
+        private void accepted(Channel channel) {
+            if (own.remove((InetSocketAddress) channel.remoteAddress())) {
+                channel.close();
+                return;
+            }
+            Connection connection = new Connection(channel, node);
+            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), connection);
+        }
+
+        /** A cut in either way keeps connections from coming up: the queue is filled, and the kernel drops the rest. */
+        void look() {
+            boolean cut = network.cut(node, end) || network.cut(end, node);
+            if (cut && fillers.isEmpty()) {
+                listener.config().setAutoRead(false);
+                fill();
+            } else if (!cut && !fillers.isEmpty()) {
+                release();
+                listener.config().setAutoRead(true);
+            }
+        }
+
+        private void fill() {
+            try {
+                for (int i = 0; i <= BACKLOG; i++) {
+                    SocketChannel filler = SocketChannel.open();
+                    filler.configureBlocking(false);
+                    fillers.add(filler);
+                    filler.connect(address);
+                    own.add((InetSocketAddress) filler.getLocalAddress());
+                }
+            } catch (IOException e) {
+                seen.see(What.LATE, node.name(), id, null, null, "a cut could not be made whole: " + e, 0, 0);
+            }
+        }
+
+        private void release() {
+            for (SocketChannel filler : fillers) {
+                try {
+                    filler.close();
+                } catch (IOException e) {
+                    // It is gone either way.
+                }
+            }
+            fillers.clear();
+        }
+
+        void close() {
+            release();
+            listener.close();
+        }
+    }
+
+    /** One connection of a node, from the server's side. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Channel channel;
+        private final Network.End node;
+        private final Link link;
+        private final List<UpstreamModel.Job> jobs = new ArrayList<>(1);
+        private boolean fresh = true;
+
+        Connection(Channel channel, Network.End node) {
+            this.channel = channel;
+            this.node = node;
+            link = new Link(loop, network, node, end);
+            if (connections.size() >= spec.connections()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            } else {
+                connections.add(this);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest m) {
+            long sinceUs = seen.us();
+            String path = m.uri();
+            String txn = m.headers().get("X-Txn");
+            String key = m.headers().get("Idempotency-Key");
+            link.inward(() -> arrived(path, txn, key, sinceUs));
+        }
+
+        private void arrived(String path, String txn, String key, long sinceUs) {
+            // A connection that its node has closed meanwhile still brings what was on its way.
+            if (model == null) {
+                return;
+            }
+            if (path.equals("/stats") || path.equals("/health/live")) {
+                model.burden(seen.us(), 0.1);
+                look();
+                answer(HttpResponseStatus.OK, path.equals("/stats") ? report() : "", null);
+                return;
+            }
+            Needs needs = txn == null ? null : shared.needs(txn);
+            seen.see(What.GOT, node.name(), id, txn, null, key, needs == null ? 0 : needs.workMs, sinceUs);
+            if (needs == null) {
+                answer(HttpResponseStatus.BAD_REQUEST, "", null);
+                return;
+            }
+            if (fresh) {
+                fresh = false;
+                model.burden(seen.us(), spec.handshakeMs());
+            }
+            if (refuses) {
+                turnAway(txn);
+            } else if (errors > 0 && chance.getAsDouble() < errors) {
+                seen.see(What.REPLIED, node.name(), id, txn, null, "500", 0, 0);
+                answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "", null);
+            } else {
+                begin(txn, needs);
+            }
+        }
+
+        private void begin(String txn, Needs needs) {
+            UpstreamModel.Job job = model.arrive(seen.us(), needs.workMs, needs.key, new Work(this, txn, needs));
+            if (job == null) {
+                turnAway(txn);
+            } else {
+                unseen.add(job);
+                jobs.add(job);
+            }
+            look();
+        }
+
+        private void turnAway(String txn) {
+            seen.see(What.TURNED_AWAY, node.name(), id, txn, null, null, 0, 0);
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "", "1");
+        }
+
+        private String report() {
+            return String.format(Locale.ROOT, "TEXT inflight=%d, queue=%d, util=%.2f", inFlight(),
+                    model == null ? 0 : model.waiting(),
+                    model == null ? 0 : Math.min(1, model.working() / spec.cores()));
+        }
+
+        private void answer(HttpResponseStatus status, String body, String turnedAway) {
+            jobs.clear();
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+            response.headers().set("Content-Length", response.content().readableBytes());
+            if (turnedAway != null) {
+                response.headers().set("X-Turned-Away", turnedAway);
+            }
+            if (spec.reports().equals("inline")) {
+                response.headers().set("X-Pressure", report());
+            }
+            link.outward(() -> channel.writeAndFlush(response));
+        }
+
+        void reset() {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            connections.remove(this);
+            link.closed();
+            // What has not begun to run is dropped when its sender is known to be gone.
+            link.inward(() -> {
+                if (model != null) {
+                    jobs.forEach(model::leave);
+                    unseen.removeAll(jobs.stream().filter(j -> j.startedUs() < 0).toList());
+                    look();
+                }
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
