Laboratory: a node is a sidecar's folder and its processes, started as the deploy file says

Start, SIGTERM with SIGKILL after the protocol's time, SIGKILL, SIGHUP with a new address of discovery, SIGSTOP and SIGCONT, operators' calls, another build, and replacement by a second process that inherits the clients' socket as descriptor 0. A taken address, an early end and a start without readiness are one line that names the node. All are ended by id.

--- /dev/null
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -0,0 +1,304 @@
+package rushproxy.lab.node;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.world.Addresses;
+import rushproxy.lab.world.Observation.What;
+import rushproxy.lab.world.Observations;
+import rushproxy.lab.world.World;
+
+/**
+ * One sidecar of a run: its folder (configuration, log, what outlives its process) and its processes, of which there are
+ * two while one replaces the other. Its calls block and belong to one thread; {@link #end} may come from any, and leaves
+ * no process of it.
+ */
+public final class Node {
+    private static final long READY_MS = 30_000;
+    private static final long POLL_MS = 20;
+    private static final int CALL_MS = 3_000;
+
+    /** A node that can't be had; the message is for the one who reads the terminal. */
+    public static final class Trouble extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Trouble(String message) {
+            super(message);
+        }
+    }
+
+    private final int number;
+    public final String name;
+    private final Scenario scenario;
+    private final World world;
+    private final Addresses addresses;
+    private final Observations seen;
+    private final Path folder;
+    private final UniformRandomProvider random;
+    private final List<Process> processes = new ArrayList<>();
+    private Build build;
+    private SharedSocket shared;
+    /** Which of the two addresses for operators the process that was started last has. */
+    private int current;
+    private boolean ended;
+
+    public Node(int number, Scenario scenario, World world, Addresses addresses, Observations seen, Path folder, Build build,
+                UniformRandomProvider random) {
+        this.number = number;
+        this.name = "n" + number;
+        this.scenario = scenario;
+        this.world = world;
+        this.addresses = addresses;
+        this.seen = seen;
+        this.folder = folder;
+        this.build = build;
+        this.random = random;
+    }
+
+    /** From the next start on it runs this program. */
+    public void build(Build next) {
+        build = next;
+    }
+
+    /** Its clients' socket is the laboratory's from now on, inherited by each process as descriptor 0. */
+    public void share() throws IOException {
+        shared = new SharedSocket(addresses.listen(number));
+    }
+
+    /** Starts its process; {@link #awaitReady} tells when it serves. A {@code $TMPDIR} of before is emptied. */
+    public void start() throws IOException, InterruptedException, Trouble {
+        if (shared == null) {
+            free(addresses.listen(number), "clients");
+        }
+        free(addresses.admin(number, 0), "operators");
+        Path kept = folder.resolve("tmp");
+        empty(kept);
+        Files.createDirectories(kept);
+        launch(0);
+    }
+
+    private void free(InetSocketAddress address, String whose) throws Trouble {
+        try (ServerSocket probe = new ServerSocket()) {
+            probe.setReuseAddress(true);
+            probe.bind(address, 1);
+        } catch (IOException e) {
+            throw new Trouble(name + ": the address for its " + whose + ", " + Addresses.text(address)
+                    + ", is taken by somebody else");
+        }
+    }
+
+    private void launch(int process) throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        Path config = folder.resolve("config.json");
+        ObjectNode known = world.known(number);
+        Files.write(config, NodeConfig.write(scenario, addresses, number, world.discovery(number), known, random.nextLong()));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", build.command());
+        builder.directory(build.root().toFile());
+        builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
+        builder.environment().put("BALANCER_CONFIG", config.toAbsolutePath().toString());
+        builder.environment().put("BALANCER_NAME", name);
+        builder.environment().put("BALANCER_LISTEN", Addresses.text(addresses.listen(number)));
+        builder.environment().put("BALANCER_ADMIN_ADDR", Addresses.text(addresses.admin(number, process)));
+        builder.environment().put("TMPDIR", folder.resolve("tmp").toAbsolutePath().toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
+        synchronized (this) {
+            if (ended) {
+                throw new IOException("the run is over");
+            }
+            Process p;
+            if (shared == null) {
+                p = builder.redirectInput(ProcessBuilder.Redirect.from(new java.io.File("/dev/null"))).start();
+            } else {
+                builder.environment().put("BALANCER_ACCEPT_FD", "0");
+                p = shared.inherited(() -> builder.redirectInput(ProcessBuilder.Redirect.INHERIT).start());
+            }
+            processes.add(p);
+            current = process;
+            seen.see(What.NODE, name, null, null, null, "started", p.pid(), 0);
+            p.onExit().thenAccept(gone -> seen.see(What.NODE, name, null, null, null, "exit " + gone.exitValue(), gone.pid(), 0));
+        }
+    }
+
+    private Process last() {
+        return processes.get(processes.size() - 1);
+    }
+
+    public synchronized boolean running() {
+        return !processes.isEmpty() && last().isAlive();
+    }
+
+    /** Throws, with the end of its log, where it ends before it is ready, or is not within 30 s. */
+    public void awaitReady() throws InterruptedException, Trouble {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
+        while (!ready()) {
+            if (!running()) {
+                throw new Trouble(name + " ended before it was ready, with " + last().exitValue() + ": " + lastWords());
+            }
+            if (System.nanoTime() > until) {
+                throw new Trouble(name + " was not ready after " + READY_MS / 1_000 + " s: " + lastWords());
+            }
+            Thread.sleep(POLL_MS);
+        }
+        seen.see(What.NODE, name, null, null, null, "ready", last().pid(), 0);
+    }
+
+    private boolean ready() {
+        try (Socket s = new Socket()) {
+            s.connect(addresses.listen(number), CALL_MS);
+            s.setSoTimeout(CALL_MS);
+            s.getOutputStream().write("GET /health/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            byte[] head = s.getInputStream().readNBytes(12);
+            return new String(head, StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private String lastWords() {
+        try {
+            List<String> lines = Files.readAllLines(folder.resolve("log"));
+            return lines.isEmpty() ? "its log is empty" : String.join(" | ", lines.subList(Math.max(0, lines.size() - 3), lines.size()));
+        } catch (IOException e) {
+            return "it has no log";
+        }
+    }
+
+    /** An operators' call to the process that was started last; the answer, or why there is none. */
+    public String call(String line) {
+        return call(line, current);
+    }
+
+    private String call(String line, int process) {
+        String answer;
+        try (Socket s = new Socket()) {
+            s.connect(addresses.admin(number, process), CALL_MS);
+            s.setSoTimeout(CALL_MS);
+            s.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+            answer = new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim();
+        } catch (IOException e) {
+            answer = "no answer: " + e.getMessage();
+        }
+        seen.see(What.CALLED, name, null, null, null, line + " -> " + answer, 0, 0);
+        return answer;
+    }
+
+    /** Sends a signal to the process that was started last. */
+    public void signal(String signal) throws IOException, InterruptedException {
+        signal(signal, last());
+    }
+
+    private void signal(String signal, Process to) throws IOException, InterruptedException {
+        if (to.isAlive()) {
+            seen.see(What.NODE, name, null, null, null, signal.toLowerCase(java.util.Locale.ROOT), to.pid(), 0);
+            new ProcessBuilder("kill", "-" + signal, Long.toString(to.pid())).inheritIO().start().waitFor();
+        }
+    }
+
+    /** Writes the configuration anew, with discovery where it is now, and asks for a reload. */
+    public void reload() throws IOException, InterruptedException {
+        Files.write(folder.resolve("config.json"), NodeConfig.write(scenario, addresses, number, world.discovery(number),
+                world.known(number), random.nextLong()));
+        signal("HUP");
+    }
+
+    /** Asks the process to leave and sends SIGKILL {@code patienceMs} later; true where it left by itself. */
+    public boolean stop(long patienceMs) throws IOException, InterruptedException {
+        return stop(last(), patienceMs);
+    }
+
+    private boolean stop(Process p, long patienceMs) throws IOException, InterruptedException {
+        signal("TERM", p);
+        boolean left = p.waitFor(patienceMs, TimeUnit.MILLISECONDS);
+        if (!left) {
+            signal("KILL", p);
+            p.waitFor();
+        }
+        return left;
+    }
+
+    /** A second process beside the running one takes over: its health says yes, then the old one is asked to leave. */
+    public void replace(long patienceMs) throws IOException, InterruptedException, Trouble {
+        if (shared == null) {
+            throw new Trouble(name + ": can't be replaced: its clients' socket is not the laboratory's");
+        }
+        Process old = last();
+        int process = 1 - current;
+        launch(process);
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
+        while (!call("health", process).startsWith("ACK")) {
+            if (!last().isAlive() || System.nanoTime() > until) {
+                throw new Trouble(name + ": the process that was to take over did not: " + lastWords());
+            }
+            Thread.sleep(POLL_MS);
+        }
+        stop(old, patienceMs);
+    }
+
+    /** What the process that was started last has cost so far, "cpu_s" and "rss_mb", and how many "starts" there were. */
+    public synchronized Map<String, Double> cost() {
+        Map<String, Double> cost = new TreeMap<>();
+        cost.put("starts", (double) processes.size());
+        if (running()) {
+            last().info().totalCpuDuration().ifPresent(d -> cost.put("cpu_s", d.toMillis() / 1e3));
+            try {
+                for (String line : Files.readAllLines(Path.of("/proc/" + last().pid() + "/status"))) {
+                    if (line.startsWith("VmRSS:")) {
+                        cost.put("rss_mb", Double.parseDouble(line.replaceAll("\\D", "")) / 1024);
+                    }
+                }
+            } catch (IOException e) {
+                // Not a machine that tells.
+            }
+        }
+        return cost;
+    }
+
+    /** Ends all of its processes at once, by id, whatever state they are in. */
+    public void end() {
+        synchronized (this) {
+            ended = true;
+            for (Process p : processes) {
+                p.descendants().forEach(ProcessHandle::destroyForcibly);
+                p.destroyForcibly();
+            }
+        }
+        for (Process p : processes) {
+            try {
+                p.waitFor(5, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        try {
+            if (shared != null) {
+                shared.close();
+            }
+        } catch (IOException e) {
+            // The laboratory's end closes it.
+        }
+    }
+
+    private static void empty(Path folder) throws IOException {
+        if (Files.exists(folder)) {
+            try (java.util.stream.Stream<Path> all = Files.walk(folder)) {
+                for (Path p : all.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                    Files.delete(p);
+                }
+            }
+        }
+    }
+}
