--- /dev/null
+++ b/src/main/java/rushproxy/lab/check/OneAnswer.java
@@ -0,0 +1,99 @@
+package rushproxy.lab.check;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rushproxy.lab.world.Observation;
+import rushproxy.lab.world.Observation.What;
+
+/**
+ * Each request that a running sidecar has taken gets exactly one final answer in time. What a process held that was
+ * killed is not lost; what it held when it left by itself is. A stopped process owes nothing until a while after it goes
+ * on. One request in 200 may find its new connection closed unanswered.
+ */
+final class OneAnswer implements Checker {
+    private static final int CLOSED_ONE_IN = 200;
+    /** What came this long after SIGTERM is owed an answer even by a process that is killed then. */
+    private static final long TERM_US = 700_000;
+    private static final long AFTER_STALL_US = 500_000;
+
+    /** When a node was killed, and when it was stopped and went on. */
+    private static final class Life {
+        private final List<long[]> stalls = new ArrayList<>();
+        private final List<Long> kills = new ArrayList<>();
+        private final List<Long> terms = new ArrayList<>();
+
+        boolean stalled(long fromUs, long toUs) {
+            return stalls.stream().anyMatch(s -> s[0] <= toUs && fromUs <= s[1] + AFTER_STALL_US);
+        }
+
+        /** Killed between the two, with no word of the stop long before the request. */
+        boolean killed(long askedUs, long endUs) {
+            boolean killed = kills.stream().anyMatch(k -> k >= askedUs - 1_000 && k <= endUs + 1_000);
+            return killed && terms.stream().noneMatch(t -> t <= askedUs - TERM_US
+                    && kills.stream().anyMatch(k -> k >= t && k <= endUs + 1_000));
+        }
+    }
+
+    @Override
+    public String rule() {
+        return "lost";
+    }
+
+    @Override
+    public List<Violation> check(Run run) {
+        Map<String, Life> lives = lives(run);
+        List<Violation> found = new ArrayList<>();
+        List<Violation> closed = new ArrayList<>();
+        int asked = 0;
+        for (Map.Entry<String, List<Observation>> e : run.byId().entrySet()) {
+            Observation ask = e.getValue().stream().filter(o -> o.what() == What.ASKED).findFirst().orElse(null);
+            if (ask == null) {
+                continue;
+            }
+            asked++;
+            Life life = lives.computeIfAbsent(ask.node(), n -> new Life());
+            List<Observation> answers = e.getValue().stream().filter(o -> o.what() == What.ANSWERED).toList();
+            if (answers.size() > 1) {
+                found.add(new Violation(rule(), answers.get(1).us(), e.getKey(), "was answered " + answers.size() + " times"));
+            }
+            for (Observation o : e.getValue()) {
+                boolean excused = life.killed(ask.us(), o.us()) || life.stalled(ask.us(), o.us());
+                if (o.what() == What.GAVE_UP && o.text() == null && !excused) {
+                    found.add(new Violation(rule(), o.us(), e.getKey(), "got no answer in its time"));
+                } else if (o.what() == What.BROKE && !excused) {
+                    boolean fresh = o.number() == 0 && "closed".equals(o.text());
+                    (fresh ? closed : found).add(new Violation(rule(), o.us(), e.getKey(),
+                            "lost its connection (" + o.text() + ") with no whole answer"));
+                }
+            }
+        }
+        for (Observation o : run.of(What.ANSWERED)) {
+            if (o.id() == null) {
+                found.add(new Violation(rule(), o.us(), null, "an answer came that nobody had asked for: " + o.text()));
+            }
+        }
+        if (closed.size() * CLOSED_ONE_IN > asked) {
+            found.addAll(closed);
+        }
+        return found;
+    }
+
+    private static Map<String, Life> lives(Run run) {
+        Map<String, Life> lives = new HashMap<>();
+        Map<String, Long> stopped = new HashMap<>();
+        for (Observation o : run.of(What.NODE)) {
+            Life life = lives.computeIfAbsent(o.node(), n -> new Life());
+            switch (o.text()) {
+                case "kill" -> life.kills.add(o.us());
+                case "term" -> life.terms.add(o.us());
+                case "stop" -> stopped.put(o.node(), o.us());
+                case "cont" -> life.stalls.add(new long[] {stopped.getOrDefault(o.node(), o.us()), o.us()});
+                default -> { }
+            }
+        }
+        stopped.forEach((node, us) -> lives.get(node).stalls.add(new long[] {us, us}));
+        return lives;
+    }
+}
