--- a/src/main/java/rushproxy/Main.java
+++ b/src/main/java/rushproxy/Main.java
@@ -1,9 +1,13 @@
 package rushproxy;
 
+import rushproxy.cli.Commands;
 import rushproxy.sidecar.Sidecar;
 import rushproxy.wire.SimHost;
 
-/** Command line: {@code serve} runs a sidecar, {@code simhost} hosts many instances on the simulator's wire. */
+/**
+ * Command line: {@code serve} runs a sidecar, {@code simhost} hosts many instances on the simulator's wire. All other
+ * commands are for people, and load what people need only then.
+ */
 public final class Main {
     private Main() {}
 
@@ -14,7 +18,6 @@
         if (args.length == 1 && args[0].equals("serve")) {
             System.exit(Sidecar.serve(System.getenv()));
         }
-        System.err.println("usage: java -jar rushproxy.jar serve|simhost");
-        System.exit(2);
+        System.exit(Commands.run(args));
     }
 }
--- /dev/null
+++ b/src/main/java/rushproxy/lab/Lab.java
@@ -0,0 +1,350 @@
+package rushproxy.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import rushproxy.lab.check.Checker;
+import rushproxy.lab.check.Run;
+import rushproxy.lab.check.Violation;
+import rushproxy.lab.node.Build;
+import rushproxy.lab.node.Node;
+import rushproxy.lab.report.Figures;
+import rushproxy.lab.report.Report;
+import rushproxy.lab.report.Summary;
+import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.world.Addresses;
+import rushproxy.lab.world.Observation;
+import rushproxy.lab.world.Observations;
+import rushproxy.lab.world.World;
+
+/**
+ * One run of a scenario: real sidecar processes in a world that this process plays. Whatever happens, also when this
+ * process is asked to end, each sidecar that it started is ended by its id and what was seen until then is reported.
+ */
+public final class Lab {
+    /** After the last first try: retries, late answers and what faults have still to end. */
+    private static final long TAIL_MS = 10_000;
+    /** SIGKILL comes the longest deadline, or this, and 0.7 s after SIGTERM, as the protocol has it. */
+    private static final long LONGEST_MS = 3_000;
+    private static final long THEN_KILL_MS = 700;
+
+    /** Hears how a run goes on, once a second. */
+    public interface Progress {
+        void says(String line);
+    }
+
+    private final Scenario scenario;
+    private final Build build;
+    private final Path folder;
+    private final Progress progress;
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<String, Map<String, Double>> costs = new TreeMap<>();
+    /** What went wrong with the nodes themselves: a run with any of it is no run of the scenario. */
+    private final ConcurrentLinkedQueue<String> troubles = new ConcurrentLinkedQueue<>();
+    private final Counts counts = new Counts();
+    private final Observations seen = new Observations(counts::add);
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private final CompletableFuture<Void> reported = new CompletableFuture<>();
+
+    /** {@code folder} is made, and gets the report and a folder for each sidecar. */
+    public Lab(Scenario scenario, Build build, Path folder, Progress progress) {
+        this.scenario = scenario;
+        this.build = build;
+        this.folder = folder;
+        this.progress = progress;
+    }
+
+    /** Plays the scenario to its end; returns what {@code summary.json} says too. */
+    public Summary run() throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        Thread hook = new Thread(this::stopAndWait, "lab-stop");
+        Runtime.getRuntime().addShutdownHook(hook);
+        try {
+            return play();
+        } finally {
+            reported.complete(null);
+            try {
+                Runtime.getRuntime().removeShutdownHook(hook);
+            } catch (IllegalStateException e) {
+                // The process is on its way out already: the hook waits for this.
+            }
+        }
+    }
+
+    /** Ends the run where it is: no process is left, and the report says that it was stopped. */
+    public void stop() {
+        stopped.complete(null);
+    }
+
+    private void stopAndWait() {
+        stop();
+        nodes.forEach(Node::end);
+        try {
+            reported.get(20, TimeUnit.SECONDS);
+        } catch (InterruptedException | ExecutionException | TimeoutException e) {
+            // The runtime ends all the same.
+        }
+    }
+
+    private Summary play() throws IOException, InterruptedException {
+        String failure = null;
+        Histogram sends = new Histogram(3);
+        Histogram beats = new Histogram(3);
+        ExecutorService hands = Executors.newCachedThreadPool();
+        ScheduledExecutorService times = Executors.newSingleThreadScheduledExecutor();
+        try (Addresses addresses = Addresses.take()) {
+            World world = new World(scenario, seen, addresses);
+            try {
+                world.open();
+                startAll(world, addresses, hands);
+                progress.says(scenario.name() + ": " + nodes.size() + " sidecars are ready; seed " + scenario.seed());
+                CompletableFuture<Void> settled = world.ask();
+                long zero = System.nanoTime();
+                for (Scenario.Fault f : scenario.faults()) {
+                    times.schedule(() -> begin(f, world, times, hands), f.atUs(), TimeUnit.MICROSECONDS);
+                }
+                times.scheduleAtFixedRate(() -> progress.says(counts.line((System.nanoTime() - zero) / 1_000_000_000)), 1, 1,
+                        TimeUnit.SECONDS);
+                await(settled, world);
+            } catch (Node.Trouble e) {
+                failure = e.getMessage();
+            } catch (IOException e) {
+                failure = "" + e.getMessage();
+            } finally {
+                times.shutdownNow();
+                measure(world);
+                nodes.forEach(Node::end);
+                hands.shutdownNow();
+                hands.awaitTermination(10, TimeUnit.SECONDS);
+                world.close();
+                sends = world.sendLateness();
+                beats = world.lateness();
+            }
+        }
+        if (failure == null && !troubles.isEmpty()) {
+            failure = String.join("; ", troubles);
+        }
+        Run run = new Run(scenario, seen.all());
+        Summary summary = summary(run, failure, sends, beats);
+        Report.write(folder, run, summary);
+        return summary;
+    }
+
+    private void startAll(World world, Addresses addresses, ExecutorService hands)
+            throws IOException, InterruptedException, Node.Trouble {
+        Build first = scenario.fleet().jar() == null ? build : build.with(scenario.fleet().jar());
+        UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(scenario.seed());
+        boolean replaced = scenario.faults().stream().anyMatch(f -> f.what().equals("replace"));
+        List<CompletableFuture<Void>> ready = new ArrayList<>();
+        for (int i = 0; i < scenario.fleet().nodes(); i++) {
+            Node node = new Node(i, scenario, world, addresses, seen, folder.resolve("n" + i), first,
+                    RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()));
+            nodes.add(node);
+            if (stopped.isDone()) {
+                return;
+            }
+            if (replaced) {
+                node.share();
+            }
+            node.start();
+            ready.add(CompletableFuture.runAsync(() -> {
+                try {
+                    node.awaitReady();
+                } catch (Exception e) {
+                    throw new CompletionException(e);
+                }
+            }, hands));
+        }
+        for (CompletableFuture<Void> r : ready) {
+            try {
+                CompletableFuture.anyOf(r, stopped).get();
+            } catch (ExecutionException e) {
+                if (e.getCause() instanceof Node.Trouble trouble) {
+                    throw trouble;
+                }
+                throw new IOException(e.getCause());
+            }
+        }
+    }
+
+    private void await(CompletableFuture<Void> settled, World world) throws InterruptedException {
+        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
+        long lastFault = scenario.faults().stream().mapToLong(f -> f.atUs() + f.forUs()).max().orElse(0);
+        long mostUs = Math.max(scenario.lengthUs() + longest, Math.min(lastFault, scenario.lengthUs())) + TAIL_MS * 1_000;
+        try {
+            CompletableFuture.anyOf(settled, stopped).get(mostUs, TimeUnit.MICROSECONDS);
+        } catch (ExecutionException e) {
+            troubles.add("the clients failed: " + e.getCause());
+        } catch (TimeoutException e) {
+            troubles.add("the clients had not settled " + TAIL_MS / 1_000 + " s after the end");
+        }
+        world.stopAsking();
+    }
+
+    private void begin(Scenario.Fault f, World world, ScheduledExecutorService times, ExecutorService hands) {
+        progress.says(String.format(Locale.ROOT, "%8.1f s  %s", f.atUs() / 1e6, f.words()));
+        seen.see(Observation.What.FAULT, null, null, null, null, f.words(), f.forUs() / 1e6, 0);
+        if (f.nodes().isEmpty() || f.what().startsWith("list-")) {
+            world.begin(f);
+            return;
+        }
+        int i = 0;
+        for (String name : f.nodes()) {
+            Node node = nodes.get(Integer.parseInt(name.substring(1)));
+            times.schedule(() -> hands.execute(() -> act(f, node, world)), Math.round(i++ * f.stagger() * 1e6),
+                    TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** One node's part in a fault. What it throws is the run's trouble, not only this thread's. */
+    private void act(Scenario.Fault f, Node node, World world) {
+        try {
+            switch (f.what()) {
+                case "kill" -> {
+                    node.signal("KILL");
+                    if (f.forUs() > 0) {
+                        TimeUnit.MICROSECONDS.sleep(f.forUs());
+                        again(node);
+                    }
+                }
+                case "start" -> {
+                    if (!node.running()) {
+                        again(node);
+                    }
+                }
+                case "restart" -> restart(node);
+                case "jar" -> {
+                    node.build(build.with(f.jar()));
+                    restart(node);
+                }
+                case "replace" -> node.replace(patienceMs());
+                case "stall" -> {
+                    node.signal("STOP");
+                    TimeUnit.MICROSECONDS.sleep(f.forUs());
+                    node.signal("CONT");
+                }
+                case "call" -> node.call(f.call());
+                case "discovery-moves" -> {
+                    world.moveDiscovery(Integer.parseInt(node.name.substring(1)));
+                    node.reload();
+                }
+                default -> throw new IllegalStateException(f.what());
+            }
+        } catch (InterruptedException e) {
+            // The run is over.
+        } catch (IOException | Node.Trouble | RuntimeException e) {
+            if (!stopped.isDone()) {
+                troubles.add(e.getMessage() == null ? e.toString() : e.getMessage());
+            }
+        }
+    }
+
+    private long patienceMs() {
+        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0) / 1_000;
+        return Math.min(longest, LONGEST_MS) + THEN_KILL_MS;
+    }
+
+    private void restart(Node node) throws IOException, InterruptedException, Node.Trouble {
+        node.stop(patienceMs());
+        again(node);
+    }
+
+    private void again(Node node) throws IOException, InterruptedException, Node.Trouble {
+        node.start();
+        node.awaitReady();
+    }
+
+    private void measure(World world) throws InterruptedException {
+        for (int i = 0; i < nodes.size(); i++) {
+            Map<String, Double> cost = nodes.get(i).cost();
+            long[] peers = world.peerCost(i);
+            cost.put("datagrams", (double) peers[0]);
+            cost.put("datagram_bytes", (double) peers[1]);
+            costs.put(nodes.get(i).name, cost);
+        }
+    }
+
+    private Summary summary(Run run, String failure, Histogram sends, Histogram beats) {
+        List<Violation> violations = new ArrayList<>();
+        Checker.all().forEach(c -> violations.addAll(c.check(run)));
+        violations.sort(Comparator.comparingLong(Violation::us));
+        Figures figures = Figures.of(run, 0, Long.MAX_VALUE);
+        Map<String, Double> late = lateness(sends, beats);
+        List<String> why = new ArrayList<>();
+        String verdict;
+        if (failure != null) {
+            verdict = "failed";
+            why.add(failure);
+        } else if (stopped.isDone()) {
+            verdict = "stopped";
+        } else if (late.get("late_sends") > scenario.lateness().most()) {
+            verdict = "void";
+            why.add(String.format(Locale.ROOT, "%.1f%% of the first tries left over %d ms late, %.1f%% are allowed: the machine was"
+                    + " too slow or too busy", 100 * late.get("late_sends"), scenario.lateness().lateUs() / 1_000,
+                    100 * scenario.lateness().most()));
+        } else {
+            why.addAll(Expectations.missed(run, violations));
+            Map<String, Integer> rules = new LinkedHashMap<>();
+            violations.forEach(v -> rules.merge(v.rule(), 1, Integer::sum));
+            rules.forEach((rule, times) -> why.add("rule broken: " + rule + ", " + times + " times"));
+            verdict = why.isEmpty() ? "held" : "broken";
+        }
+        return new Summary(scenario.name(), scenario.seed(), verdict, why, figures, violations, late, costs);
+    }
+
+    private Map<String, Double> lateness(Histogram sends, Histogram beats) {
+        Map<String, Double> late = new TreeMap<>();
+        long n = Math.max(1, sends.getTotalCount());
+        late.put("send_p99", sends.getValueAtPercentile(99) / 1e3);
+        late.put("send_max", sends.getMaxValue() / 1e3);
+        late.put("beat_p99", beats.getValueAtPercentile(99) / 1e3);
+        late.put("beat_max", beats.getMaxValue() / 1e3);
+        long late20 = sends.getTotalCount() == 0 ? 0 : sends.getCountBetweenValues(scenario.lateness().lateUs() + 1, Long.MAX_VALUE / 4);
+        late.put("late_sends", late20 / (double) n);
+        return late;
+    }
+
+    /** What the terminal is told once a second. */
+    private static final class Counts {
+        private int asked;
+        private int served;
+        private int other;
+
+        synchronized void add(Observation o) {
+            if (o.what() == Observation.What.SETTLED) {
+                if (o.text().startsWith("served")) {
+                    served++;
+                } else {
+                    other++;
+                }
+            } else if (o.what() == Observation.What.ASKED) {
+                asked++;
+            }
+        }
+
+        synchronized String line(long s) {
+            String line = String.format(Locale.ROOT, "%8d s  %5d tries, %5d served, %4d not", s, asked, served, other);
+            asked = served = other = 0;
+            return line;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/lab/report/Figures.java
@@ -0,0 +1,129 @@
+package rushproxy.lab.report;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import rushproxy.lab.check.Run;
+import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.world.Observation;
+import rushproxy.lab.world.Observation.What;
+
+/**
+ * What became of the first tries of a run, or of a stretch of it, by the time at which they were meant to leave. Parts are
+ * of the first tries; latencies are in milliseconds from the intended send to the answer of those that were served, also
+ * late; {@code runsPerRequest} counts what upstreams took in work or queue for each.
+ */
+public record Figures(@JsonProperty("requests") long requests, @JsonProperty("served") double served,
+                      @JsonProperty("late") double late, @JsonProperty("refused") double refused,
+                      @JsonProperty("failed") double failed, @JsonProperty("worth") double worth,
+                      @JsonProperty("p50_ms") double p50Ms, @JsonProperty("p90_ms") double p90Ms,
+                      @JsonProperty("p99_ms") double p99Ms, @JsonProperty("max_ms") double maxMs,
+                      @JsonProperty("runs_per_request") double runsPerRequest) {
+
+    /** The first tries from {@code fromUs} on and before {@code toUs}. */
+    public static Figures of(Run run, long fromUs, long toUs) {
+        Map<String, Double> worths = new HashMap<>();
+        run.scenario().classes().forEach(c -> worths.put(c.name(), c.worth()));
+        Map<String, Integer> by = new HashMap<>();
+        Histogram latency = new Histogram(3);
+        double asked = 0;
+        double earned = 0;
+        int all = 0;
+        long runs = 0;
+        for (Observation o : run.all()) {
+            if (o.what() == What.SETTLED && o.sinceUs() >= fromUs && o.sinceUs() < toUs) {
+                String[] words = o.text().split(" ");
+                all++;
+                by.merge(words[0], 1, Integer::sum);
+                double worth = worths.getOrDefault(words[1], 0.0);
+                asked += worth;
+                earned += words[0].equals("served") ? worth : 0;
+                if (words[0].equals("served") || words[0].equals("late")) {
+                    latency.recordValue(Math.round(o.number() * 1e3));
+                }
+            } else if (o.us() >= fromUs && o.us() < toUs) {
+                runs += o.what() == What.GOT ? 1 : o.what() == What.TURNED_AWAY ? -1 : 0;
+            }
+        }
+        double n = Math.max(1, all);
+        return new Figures(all, by.getOrDefault("served", 0) / n, by.getOrDefault("late", 0) / n,
+                by.getOrDefault("refused", 0) / n, by.getOrDefault("failed", 0) / n, asked == 0 ? 0 : earned / asked,
+                ms(latency, 50), ms(latency, 90), ms(latency, 99), latency.getMaxValue() / 1e3, runs / n);
+    }
+
+    private static double ms(Histogram latency, double percentile) {
+        return latency.getTotalCount() == 0 ? 0 : latency.getValueAtPercentile(percentile) / 1e3;
+    }
+
+    /** The figure by the name that a scenario has for it. */
+    public double named(String figure) {
+        return switch (figure) {
+            case "served" -> served;
+            case "worth" -> worth;
+            case "refused" -> refused;
+            case "failed" -> failed;
+            case "p50_ms" -> p50Ms;
+            case "p99_ms" -> p99Ms;
+            case "requests" -> requests;
+            case "runs_per_request" -> runsPerRequest;
+            default -> throw new IllegalArgumentException(figure);
+        };
+    }
+
+    /** Names for {@link #named}, as sweeps list them. */
+    public static final List<String> NAMES = List.of("served", "worth", "refused", "failed", "p50_ms", "p99_ms", "runs_per_request");
+
+    /** A second of a run: how many first tries ended how, and how long those that were served took. */
+    public record Second(@JsonProperty("s") int s, @JsonProperty("asked") int asked, @JsonProperty("served") int served,
+                         @JsonProperty("late") int late, @JsonProperty("refused") int refused,
+                         @JsonProperty("failed") int failed, @JsonProperty("p50_ms") Double p50Ms,
+                         @JsonProperty("p90_ms") Double p90Ms, @JsonProperty("p99_ms") Double p99Ms,
+                         @JsonProperty("held") Map<String, Double> held, @JsonProperty("lab_late_ms") double labLateMs) {}
+
+    /** The seconds of the run, in order; latencies are null where nothing was served. */
+    public static List<Second> seconds(Run run) {
+        Scenario scenario = run.scenario();
+        int n = (int) ((scenario.lengthUs() + 999_999) / 1_000_000);
+        List<Map<String, Integer>> by = new ArrayList<>();
+        List<Histogram> latency = new ArrayList<>();
+        List<Map<String, Double>> held = new ArrayList<>();
+        double[] late = new double[n];
+        for (int i = 0; i < n; i++) {
+            by.add(new HashMap<>());
+            latency.add(new Histogram(3));
+            held.add(new TreeMap<>());
+        }
+        for (Observation o : run.all()) {
+            long at = o.what() == What.SETTLED ? o.sinceUs() : o.us();
+            int s = (int) Math.floorDiv(at, 1_000_000L);
+            if (s < 0 || s >= n) {
+                continue;
+            }
+            if (o.what() == What.SETTLED) {
+                String how = o.text().split(" ")[0];
+                by.get(s).merge(how, 1, Integer::sum);
+                if (how.equals("served") || how.equals("late")) {
+                    latency.get(s).recordValue(Math.round(o.number() * 1e3));
+                }
+            } else if (o.what() == What.HELD) {
+                held.get(s).put(o.text(), o.number());
+            } else if (o.what() == What.LATE) {
+                late[s] = Math.max(late[s], o.number());
+            }
+        }
+        List<Second> seconds = new ArrayList<>();
+        for (int s = 0; s < n; s++) {
+            Map<String, Integer> b = by.get(s);
+            Histogram h = latency.get(s);
+            boolean none = h.getTotalCount() == 0;
+            seconds.add(new Second(s, b.values().stream().mapToInt(Integer::intValue).sum(), b.getOrDefault("served", 0),
+                    b.getOrDefault("late", 0), b.getOrDefault("refused", 0), b.getOrDefault("failed", 0),
+                    none ? null : ms(h, 50), none ? null : ms(h, 90), none ? null : ms(h, 99), held.get(s), late[s]));
+        }
+        return seconds;
+    }
+}
