--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -39,7 +39,7 @@
         }
     }
 
-    private final int number;
+    public final int number;
     public final String name;
     private final Scenario scenario;
     private final World world;
@@ -204,7 +204,8 @@
     private void signal(String signal, Process to) throws IOException, InterruptedException {
         if (to.isAlive()) {
             seen.see(What.NODE, name, null, null, null, signal.toLowerCase(java.util.Locale.ROOT), to.pid(), 0);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(to.pid())).inheritIO().start().waitFor();
+            new ProcessBuilder("kill", "-" + signal, Long.toString(to.pid()))
+                    .redirectError(ProcessBuilder.Redirect.DISCARD).start().waitFor();
         }
     }
 
--- a/src/main/java/rushproxy/lab/scenario/ScenarioReader.java
+++ b/src/main/java/rushproxy/lab/scenario/ScenarioReader.java
@@ -215,6 +215,7 @@
     private Scenario.Traffic traffic(Section s, long lengthUs) throws ScenarioException {
         List<Scenario.Burst> bursts = new ArrayList<>();
         double rate = s.number("rate_per_s", 0.1, 100_000);
+        long rampUs = us(s.number("ramp_s", 0, 600, 0), 1e6);
         double skew = s.number("skew", 0, 3, 0);
         int keys = s.count("keys", 1, 10_000_000, 1_000);
         double zipf = s.number("zipf", 0, 5, 1);
@@ -229,7 +230,7 @@
             bursts.add(burst);
         }
         s.end();
-        return new Scenario.Traffic(rate, skew, keys, zipf, retries, tryShare, backoffUs, honour, bursts);
+        return new Scenario.Traffic(rate, rampUs, skew, keys, zipf, retries, tryShare, backoffUs, honour, bursts);
     }
 
     private Scenario.Network network(Section s) throws ScenarioException {
--- a/src/main/java/rushproxy/lab/world/Clients.java
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -20,9 +20,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,6 +43,8 @@
     private static final int CONNECT_MS = 1_000;
     private static final int MAX_ANSWER = 1 << 20;
     private static final double IDLE_US = 4e6;
+    /** After SIGTERM new connections come for this long to twice as long, as the protocol has it. */
+    private static final long CONNECTS_ON_US = 200_000;
     /** An answer may come as late as the rules and the sockets allow before its client takes it for lost. */
     private static final long SLACK_US = 70_000;
 
@@ -54,6 +58,8 @@
     private final Map<String, UpstreamServer.Needs> asked = new HashMap<>();
     /** By how much first tries left later than they were meant to, in microseconds. */
     final Histogram lateness = new Histogram(3);
+    /** By node: from then on nobody connects anew, as its platform has told it to leave. */
+    private final long[] connectsUntilUs;
     private int next;
     private int open;
     private Runnable settled = () -> { };
@@ -66,6 +72,8 @@
         this.chance = chance;
         this.arrivals = arrivals;
         this.sidecars = sidecars;
+        connectsUntilUs = new long[sidecars.size()];
+        Arrays.fill(connectsUntilUs, Long.MAX_VALUE);
         idle = sidecars.stream().map(s -> new ArrayDeque<Line>()).toList();
     }
 
@@ -80,6 +88,16 @@
         return asked.get(id);
     }
 
+    /** The node was told to leave: new connections come for some tenths of a second more. */
+    void leaving(int node) {
+        connectsUntilUs[node] = seen.us() + Math.round(CONNECTS_ON_US * (1 + chance.getAsDouble()));
+    }
+
+    /** The node is ready again. */
+    void back(int node) {
+        connectsUntilUs[node] = Long.MAX_VALUE;
+    }
+
     /** No further first tries. */
     void stop() {
         next = arrivals.size();
@@ -196,6 +214,10 @@
                 }
                 l.channel.close();
             }
+            if (seen.us() > connectsUntilUs[of.arrival.node()]) {
+                unreached("the sidecar is leaving");
+                return;
+            }
             Line fresh = new Line(of.arrival.node());
             ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
@@ -213,12 +235,16 @@
                 } else if (f.isSuccess()) {
                     send(fresh);
                 } else {
-                    seen.see(What.UNREACHED, node(), null, id, of.arrival.id(), "" + f.cause().getMessage(), 0, meantUs);
-                    end("unreached", 0);
+                    unreached("" + f.cause().getMessage());
                 }
             });
         }
 
+        private void unreached(String why) {
+            seen.see(What.UNREACHED, node(), null, id, of.arrival.id(), why, 0, meantUs);
+            end("unreached", 0);
+        }
+
         private void send(Line to) {
             line = to;
             to.busy = this;
@@ -364,6 +390,9 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             reset = true;
+            if (!(cause instanceof IOException)) {
+                seen.see(What.TROUBLE, "n" + node, null, null, null, "a client failed: " + cause, 0, 0);
+            }
             ctx.close();
         }
     }
--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -61,6 +61,8 @@
         FAULT,
         /** Requests at the upstreams of a zone and kind, "a big", now. */
         HELD,
+        /** The laboratory itself has a fault. */
+        TROUBLE,
         /** The laboratory was late: by how many ms at most in the last second. */
         LATE
     }
--- a/src/main/java/rushproxy/lab/world/Traffic.java
+++ b/src/main/java/rushproxy/lab/world/Traffic.java
@@ -47,7 +47,7 @@
     }
 
     private static double rate(Scenario.Traffic t, long atUs) {
-        double rate = t.ratePerS();
+        double rate = t.ratePerS() * (atUs < t.rampUs() ? (double) atUs / t.rampUs() : 1);
         for (Scenario.Burst b : t.bursts()) {
             if (atUs >= b.atUs() && atUs < b.atUs() + b.forUs()) {
                 rate *= b.factor();
--- a/src/main/java/rushproxy/lab/world/UpstreamServer.java
+++ b/src/main/java/rushproxy/lab/world/UpstreamServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -194,6 +195,15 @@
         }
     }
 
+    private static void reset(Channel channel) {
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException e) {
+            // The other side was first.
+        }
+        channel.close();
+    }
+
     private void look() {
         if (model == null) {
             return;
@@ -309,7 +319,7 @@
                     own.add((InetSocketAddress) filler.getLocalAddress());
                 }
             } catch (IOException e) {
-                seen.see(What.LATE, node.name(), id, null, null, "a cut could not be made whole: " + e, 0, 0);
+                seen.see(What.TROUBLE, node.name(), id, null, null, "a cut could not be made whole: " + e, 0, 0);
             }
         }
 
@@ -343,8 +353,7 @@
             this.node = node;
             link = new Link(loop, network, node, end);
             if (connections.size() >= spec.connections()) {
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
-                channel.close();
+                UpstreamServer.reset(channel);
             } else {
                 connections.add(this);
             }
@@ -427,8 +436,7 @@
         }
 
         void reset() {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            channel.close();
+            UpstreamServer.reset(channel);
         }
 
         @Override
@@ -447,6 +455,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                seen.see(What.TROUBLE, node.name(), id, null, null, "an upstream failed: " + cause, 0, 0);
+            }
             ctx.close();
         }
     }
--- a/src/main/java/rushproxy/lab/world/World.java
+++ b/src/main/java/rushproxy/lab/world/World.java
@@ -13,7 +13,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -30,6 +32,9 @@
 public final class World implements AutoCloseable {
     private static final int MOST_ARRIVALS = 1_000_000;
     private static final long BEAT_MS = 5;
+    private static final long REHEARSAL_US = 2_000_000;
+    private static final double REHEARSAL_PER_S = 1_500;
+    private static final long REHEARSAL_MOST_S = 10;
 
     private final Scenario scenario;
     private final Observations seen;
@@ -51,6 +56,11 @@
     private int beats;
 
     public World(Scenario scenario, Observations seen, Addresses addresses) {
+        this(scenario, seen, addresses, false);
+    }
+
+    /** {@code direct}: there are no sidecars, and clients call the upstreams themselves. */
+    private World(Scenario scenario, Observations seen, Addresses addresses, boolean direct) {
         this.scenario = scenario;
         this.seen = seen;
         this.addresses = addresses;
@@ -65,13 +75,31 @@
         relay = new PeerRelay(loop, network, nodes, addresses);
         List<InetSocketAddress> sidecars = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            sidecars.add(addresses.listen(i));
+            sidecars.add(direct ? addresses.upstream(i, i % ScenarioReader.serverNames(scenario).size()) : addresses.listen(i));
         }
         clients = new Clients(loop, seen, scenario, random(4)::nextDouble,
                 Traffic.draw(scenario, random(5), MOST_ARRIVALS), sidecars);
         makeServers(chance);
     }
 
+    /**
+     * Plays a world without sidecars for a moment: the runtime compiles what a run needs, which would make its first
+     * second late. Takes a block of addresses of its own.
+     */
+    public static void rehearse(Scenario scenario) throws IOException, InterruptedException {
+        Scenario.Traffic t = scenario.traffic();
+        Scenario brief = new Scenario(scenario.name(), "", scenario.seed(), REHEARSAL_US, scenario.fleet(), scenario.servers(),
+                scenario.classes(), new Scenario.Traffic(REHEARSAL_PER_S, 0, t.skew(), t.keys(), t.zipf(), 0, t.tryShare(), 0, 0,
+                List.of()), scenario.network(), scenario.discovery(), scenario.rules(), scenario.lateness(), List.of(), List.of());
+        try (Addresses addresses = Addresses.take();
+             World world = new World(brief, new Observations(o -> { }), addresses, true)) {
+            world.open();
+            world.ask().get(REHEARSAL_MOST_S, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            // It was only to warm up.
+        }
+    }
+
     private UniformRandomProvider random(int stream) {
         return RandomSource.XO_SHI_RO_256_PP.create(scenario.seed() * 0x9e3779b97f4a7c15L + stream);
     }
@@ -167,6 +195,17 @@
         return settled;
     }
 
+    /** The node's platform has asked it to leave, or has it back: whether its clients connect anew follows. */
+    public void leaving(int node, boolean leaves) {
+        loop.execute(() -> {
+            if (leaves) {
+                clients.leaving(node);
+            } else {
+                clients.back(node);
+            }
+        });
+    }
+
     public void stopAsking() {
         loop.execute(clients::stop);
     }
@@ -303,11 +342,15 @@
 
     @Override
     public void close() throws InterruptedException {
-        on(() -> {
-            servers.forEach(UpstreamServer::end);
-            registry.end();
-            relay.end();
-        });
-        group.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
+        try {
+            on(() -> {
+                servers.forEach(UpstreamServer::end);
+                registry.end();
+                relay.end();
+            });
+        } finally {
+            // Closes what is open still: the next laboratory may be given the same addresses.
+            group.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
+        }
     }
 }
