--- /dev/null
+++ b/src/main/java/rushproxy/fleet/member/Member.java
@@ -0,0 +1,106 @@
+package rushproxy.fleet.member;
+
+import java.nio.ByteBuffer;
+import rushproxy.fleet.Envelope;
+
+/** What one sidecar knows of another, or of itself. Belongs to its {@link Membership}. */
+public final class Member {
+    public enum State { ALIVE, SUSPECT, DEAD, LEFT }
+
+    /** Bytes on the wire: id, incarnation, state, zone, number, version, parts. */
+    static final int BYTES = 18;
+    static final int NO_NUMBER = 0xFFFF;
+
+    final long id;
+    /** Milliseconds since 1970 at its process's start, and one more for each refutation; 48 bits, and only grows. */
+    long incarnation;
+    State state;
+    int zone;
+    /** Its place in its own configured list. */
+    int number;
+    int version;
+    /** A bit for each part of the fleet plane that it speaks. */
+    int parts;
+    /** Null until it has told. */
+    String name;
+    /** Where it is reached: its place in our configured list; -1 while that is not known. */
+    int slot = -1;
+    /** Since when it is in its state, and why. */
+    long sinceUs;
+    String why = "";
+    /** When a datagram of its own came last; {@code Long.MIN_VALUE / 2} for never. */
+    long heardUs = Long.MIN_VALUE / 2;
+
+    Member(long id) {
+        this.id = id;
+    }
+
+    /** Whether it has told of itself, or somebody has who knew: versions begin at 1. */
+    boolean known() {
+        return version > 0;
+    }
+
+    public long id() {
+        return id;
+    }
+
+    public long incarnation() {
+        return incarnation;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    public int zone() {
+        return zone;
+    }
+
+    public int version() {
+        return version;
+    }
+
+    public int parts() {
+        return parts;
+    }
+
+    /** Its name, or its id as text while it has not told. */
+    public String name() {
+        return name != null ? name : String.format("%012x", id);
+    }
+
+    public long sinceUs() {
+        return sinceUs;
+    }
+
+    public String why() {
+        return why;
+    }
+
+    void write(ByteBuffer b) {
+        Envelope.put48(b, id);
+        Envelope.put48(b, incarnation);
+        b.put((byte) (state == State.SUSPECT ? State.ALIVE : state).ordinal()).put((byte) zone).putShort((short) number).put((byte) version).put((byte) parts);
+    }
+
+    /** Null where the bytes can't be a member's. */
+    static Member read(ByteBuffer b) {
+        Member m = new Member(Envelope.get48(b));
+        m.incarnation = Envelope.get48(b);
+        int state = b.get() & 255;
+        m.zone = b.get() & 255;
+        m.number = b.getShort() & 0xFFFF;
+        m.version = b.get() & 255;
+        m.parts = b.get() & 255;
+        if (state >= State.values().length) {
+            return null;
+        }
+        m.state = State.values()[state];
+        return m;
+    }
+
+    /** Of two words on the same member the later: by incarnation, then by state; a leave is final for its incarnation. */
+    static boolean later(long incarnation, State state, long than, State thanState) {
+        return incarnation != than ? incarnation > than : state.ordinal() > thanState.ordinal();
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/fleet/member/Membership.java
@@ -0,0 +1,986 @@
+package rushproxy.fleet.member;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import rushproxy.fleet.Envelope;
+import rushproxy.fleet.Host;
+import rushproxy.fleet.member.Member.State;
+
+/**
+ * Who is here, who has left: a failure detector and membership view of the SWIM family (Das, Gupta, Motivala 2002; probes,
+ * suspicion, refutation by incarnation, gossip that rides on probes) with Lifeguard's self-doubt (Dadgar, Phillips,
+ * Currey 2017: a member that was held up or hears nobody accuses nobody). Without I/O: it is told datagrams and the time,
+ * in microseconds, and acts through its {@link Host}. Equal calls give equal results. One thread.
+ *
+ * <p>It differs from SWIM in two things. Most probes go to fixed targets, the next members of a ring that all order
+ * alike, so that each member is looked at in every period, not only on average. And a suspicion stays with those who have
+ * evidence of their own: they ask the accused again and again and others to look for themselves, and declare it dead
+ * when their time is up. Not taken: to gossip suspicions, as SWIM does. At 10% loss each member misses an answer every
+ * second; told to all, with the refutations, that costs more the larger the fleet is, and the accused would have to be
+ * heard by the whole fleet, not by its accusers alone, before the time is up.
+ */
+public final class Membership {
+    /** Call {@link #onTick} this often. */
+    public static final long TICK_US = 100_000;
+    /** Each member sends {@link #TARGETS} and one more probes in this time: 12 datagrams a second with their answers. */
+    static final long PERIOD_US = 500_000;
+    /** Two accusers are wanted for a quick death, so two watch each member. */
+    static final int TARGETS = 2;
+    /** An answer across regions comes within 0.1 s; a busy core takes as long again. */
+    static final long ANSWER_US = 300_000;
+    /** Suspects are asked so often, so that one who goes on is heard at once. */
+    static final long AGAIN_US = 200_000;
+    /** With evidence of two: with {@link #ANSWER_US} more than the longest stall that was measured, 1.5 s, and time to answer. */
+    static final long QUICK_US = 1_800_000;
+    /** With evidence of one alone, whose own link may be at fault. */
+    static final long SLOW_US = 4_000_000;
+    /** Members asked to look for themselves when one does not answer. */
+    private static final int WITNESSES = 3;
+    /** Unanswered probes make its own answer time longer, up to so many times. */
+    private static final int MOST_DOUBT = 4;
+    /** Who has heard nobody for so long doubts itself before others. */
+    private static final long DEAF_US = 1_000_000;
+    /** And for so long, is alone as far as it can tell. */
+    private static final long ALONE_US = 5_000_000;
+    /** A tick that comes later than this after its time was held up, and all that ran then ran without us. */
+    private static final long HELD_UP_US = 100_000;
+    /** A change is told on so many times log2 of the fleet's size datagrams. */
+    private static final int TOLD = 3;
+    private static final int EAGER = 3;
+    /** One in so many random probes goes to those held dead, so that halves of a fleet find each other again. */
+    private static final int DEAD_ONE_IN = 4;
+    /** One page of the state is compared with somebody's in this time, and many more after a start. */
+    private static final long COMPARE_US = 1_000_000;
+    private static final long JOIN_US = 3_000_000;
+    private static final int JOIN_PAGES = 4;
+    private static final int PAGE = 12;
+    /** The dead are forgotten after this: a member that comes back tells of itself. */
+    private static final long FORGET_US = 600_000_000;
+    /** Word of the program before counts as life for so long. */
+    private static final long OLD_WORD_US = 10_000_000;
+    /** An incarnation further ahead of our clock is a lie or a fault. */
+    private static final long AHEAD_MS = 86_400_000;
+    /** Refutations of another's claim to be us, in a minute, before we let it. */
+    private static final int MOST_CLAIMS = 3;
+    private static final long CLAIMS_US = 60_000_000;
+    private static final long NAME_EVERY = 8;
+    private static final int MOST_NAME = 48;
+    /** Bytes before the name. */
+    private static final int FACTS = 5;
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private static final int PING = 1;
+    private static final int ACK = 2;
+    private static final int CHECK = 3;
+    private static final int ACCUSE = 4;
+    private static final int SEEN = 5;
+    private static final int UPDATES = 6;
+    private static final int NAME = 7;
+    private static final int COMPARE = 8;
+    private static final int PAGE_OF = 9;
+
+    /**
+     * What it is told of itself.
+     *
+     * @param number  its place in its configured list
+     * @param peers   length of that list
+     * @param startMs Unix time of its start, its first incarnation
+     * @param taken   length of a datagram that belongs to somebody else; -1 for none
+     */
+    public record Self(String name, int number, int peers, int zone, int zones, int version, int parts, long startMs, int taken) {}
+
+    /** A probe that is out. */
+    private static final class Probe {
+        private final Member target;
+        /** Of our own accord, not since another has asked us to look. */
+        private final boolean own;
+        private long dueUs;
+
+        Probe(Member target, boolean own, long dueUs) {
+            this.target = target;
+            this.own = own;
+            this.dueUs = dueUs;
+        }
+    }
+
+    /** Own evidence against a member: it has not answered us. */
+    private static final class Accusation {
+        private final Set<Long> accusers = new HashSet<>();
+        private long sinceUs;
+        private long againUs;
+        private int asked;
+        /** Not where it was another who made us look, or at a loss of 30% all would look for ever. */
+        private boolean asksOthers;
+        /** Those who asked us to look, and hear what we saw. */
+        private final Set<Integer> askers = new HashSet<>();
+
+        /** Who misses many answers is at the worse end of its links, and waits for longer. */
+        long dueUs(int doubt) {
+            return sinceUs + (accusers.size() >= 2 ? QUICK_US : SLOW_US) * (MOST_DOUBT + doubt) / MOST_DOUBT;
+        }
+    }
+
+    /** A change that is being told on. */
+    private static final class Update {
+        private final Member of;
+        private int left;
+
+        Update(Member of, int left) {
+            this.of = of;
+            this.left = left;
+        }
+    }
+
+    private final Self self;
+    private final Host host;
+    private final SplittableRandom random;
+    private final Member me;
+    private final Map<Long, Member> members = new HashMap<>();
+    /** All but the dead and those who left, in the order that all share. */
+    private final NavigableMap<Long, Member> ring = new TreeMap<>();
+    /** By place in the configured list; null where nobody is known. */
+    private final Member[] slots;
+    private final long[] oldWordUs;
+    private final Map<Integer, Probe> probes = new LinkedHashMap<>();
+    private final Map<Long, Accusation> accusations = new LinkedHashMap<>();
+    /** Who asked us to look at whom, until our own probe has ended. */
+    private final Map<Long, Set<Integer>> asked = new LinkedHashMap<>();
+    /** Deaths, leaves and returns go first; who has come is found by pages too. Each is told in turn. */
+    private final Map<Long, Update> urgent = new LinkedHashMap<>();
+    private final Map<Long, Update> others = new LinkedHashMap<>();
+    private final long startedUs;
+    private long nowUs;
+    private long tickedUs;
+    private long periodUs;
+    private long compareUs;
+    private long heardUs = NEVER;
+    private long lookUs;
+    /** A change to be told on at once; one of the view. */
+    private boolean fresh;
+    private boolean changed;
+    private boolean quiet;
+    private int doubt;
+    private int sequence;
+    private int bucket;
+    private long sentCount;
+    private final List<Long> claims = new ArrayList<>();
+    private View view;
+
+    public Membership(Self self, long nowUs, long seed, Host host) {
+        this.self = self;
+        this.host = host;
+        random = new SplittableRandom(seed);
+        this.nowUs = tickedUs = startedUs = nowUs;
+        me = new Member(Envelope.id(self.name()));
+        me.incarnation = self.startMs();
+        me.state = State.ALIVE;
+        me.zone = self.zone();
+        me.number = self.number();
+        me.version = self.version();
+        me.parts = self.parts();
+        me.name = self.name();
+        me.slot = self.number();
+        me.sinceUs = nowUs;
+        slots = new Member[self.peers()];
+        oldWordUs = new long[self.peers()];
+        Arrays.fill(oldWordUs, NEVER);
+        if (self.number() >= 0 && self.number() < slots.length) {
+            slots[self.number()] = me;
+        }
+        members.put(me.id, me);
+        ring.put(place(me.id), me);
+        periodUs = nowUs + random.nextLong(PERIOD_US);
+        compareUs = nowUs;
+        tell(me);
+        view = look(null);
+    }
+
+    // ---- what users see ---------------------------------------------------------------------------
+
+    public View view() {
+        return view;
+    }
+
+    /** All that are remembered, itself included, in no order. */
+    public Collection<Member> members() {
+        return members.values();
+    }
+
+    /** Null where nothing is known of it. */
+    public Member member(long id) {
+        return members.get(id);
+    }
+
+    public Member self() {
+        return me;
+    }
+
+    /** Another process of its name has come after it: it takes no part any more. */
+    public boolean isQuiet() {
+        return quiet;
+    }
+
+    // ---- time ---------------------------------------------------------------------------------------
+
+    /** Wants to be called every {@link #TICK_US}. A time that goes back is taken as no time at all. */
+    public void onTick(long now) {
+        advance(now);
+        long heldUpUs = nowUs - tickedUs - TICK_US;
+        tickedUs = nowUs;
+        if (quiet) {
+            return;
+        }
+        if (heldUpUs > HELD_UP_US) {
+            heldUp(heldUpUs);
+        }
+        lateProbes();
+        lateAccusations();
+        if (nowUs >= periodUs) {
+            periodUs = Math.max(periodUs + PERIOD_US, nowUs + PERIOD_US / 2);
+            period();
+        }
+        if (nowUs >= compareUs) {
+            compare();
+        }
+        if (fresh) {
+            eager();
+        }
+        if (changed || nowUs >= lookUs) {
+            changed = false;
+            lookUs = nowUs + COMPARE_US;
+            view = look(view);
+        }
+    }
+
+    private void advance(long now) {
+        nowUs = Math.max(nowUs, now);
+    }
+
+    /** What lay in our socket meanwhile has not been read: nobody's time ran. */
+    private void heldUp(long us) {
+        doubt = Math.min(MOST_DOUBT, doubt + 1);
+        probes.values().forEach(p -> p.dueUs += us);
+        accusations.values().forEach(a -> a.sinceUs += us);
+        heardUs = heardUs == NEVER ? NEVER : heardUs + us;
+    }
+
+    private boolean deaf() {
+        return nowUs - heardUs > DEAF_US;
+    }
+
+    private void lateProbes() {
+        for (Iterator<Map.Entry<Integer, Probe>> i = probes.entrySet().iterator(); i.hasNext(); ) {
+            Probe p = i.next().getValue();
+            if (nowUs < p.dueUs) {
+                continue;
+            }
+            i.remove();
+            doubt = Math.min(MOST_DOUBT, doubt + 1);
+            if (p.target.state == State.ALIVE || p.target.state == State.SUSPECT) {
+                accuse(p.target, p.own);
+            }
+        }
+    }
+
+    private void accuse(Member m, boolean own) {
+        if (accusations.containsKey(m.id) || deaf() && heardUs != NEVER) {
+            return;
+        }
+        Accusation a = new Accusation();
+        a.accusers.add(me.id);
+        a.sinceUs = nowUs;
+        a.againUs = nowUs;
+        a.asksOthers = own;
+        accusations.put(m.id, a);
+        for (int slot : asked.getOrDefault(m.id, Set.of())) {
+            a.askers.add(slot);
+            host.send(slot, letter().add(ACCUSE, about(m)).bytes(self.taken()));
+        }
+        asked.remove(m.id);
+        if (m.state == State.ALIVE) {
+            become(m, State.SUSPECT, "no answer to our probe");
+        }
+    }
+
+    /** Asks again; the second time others too, since most that is missed is one datagram lost. */
+    private void askAgain(Accusation a, Member m) {
+        a.againUs = nowUs + AGAIN_US;
+        ping(m);
+        if (++a.asked == 2 && a.asksOthers) {
+            for (Member w : some(WITNESSES, m)) {
+                host.send(w.slot, letter().add(CHECK, about(m)).bytes(self.taken()));
+            }
+        }
+    }
+
+    private void lateAccusations() {
+        for (Map.Entry<Long, Accusation> e : List.copyOf(accusations.entrySet())) {
+            Accusation a = e.getValue();
+            Member m = members.get(e.getKey());
+            if (m == null || m.state == State.DEAD || m.state == State.LEFT) {
+                accusations.remove(e.getKey());
+            } else if (nowUs >= a.dueUs(doubt) && !deaf()) {
+                accusations.remove(e.getKey());
+                become(m, State.DEAD, a.accusers.size() >= 2 ? "silent for us and " + name(a) : "silent for us alone");
+            } else if (nowUs >= a.againUs) {
+                askAgain(a, m);
+            }
+        }
+    }
+
+    private String name(Accusation a) {
+        return a.accusers.stream().filter(id -> id != me.id).map(id -> members.containsKey(id) ? members.get(id).name()
+                : String.format("%012x", id)).sorted().reduce((x, y) -> x + " and " + y).orElse("nobody");
+    }
+
+    /** Probes of a period: the next in the ring and one at random. */
+    private void period() {
+        int wanted = TARGETS;
+        Member at = me;
+        for (int i = 0; i < ring.size() - 1 && wanted > 0; i++) {
+            Map.Entry<Long, Member> next = ring.higherEntry(place(at.id));
+            at = next == null ? ring.firstEntry().getValue() : next.getValue();
+            if (at.slot >= 0 && at != me) {
+                probe(at, true);
+                // Beyond one under suspicion is somebody who would have nobody left to look at him.
+                wanted -= at.state == State.SUSPECT ? 0 : 1;
+            }
+        }
+        int slot = random.nextInt(slots.length);
+        Member m = slots[slot];
+        if (m == null) {
+            // Nobody is known there yet, or the program before is.
+            ping(slot);
+        } else if (m != me) {
+            boolean gone = m.state == State.DEAD || m.state == State.LEFT;
+            if (!gone || random.nextInt(DEAD_ONE_IN) == 0) {
+                probe(m, true);
+            }
+        }
+        if (random.nextInt(DEAD_ONE_IN) == 0) {
+            oneOfTheDead();
+        }
+        forget();
+    }
+
+    private void oneOfTheDead() {
+        List<Member> dead = new ArrayList<>();
+        for (Member m : members.values()) {
+            if (m.state == State.DEAD && m.slot >= 0) {
+                dead.add(m);
+            }
+        }
+        if (!dead.isEmpty()) {
+            dead.sort((a, b) -> Long.compare(a.id, b.id));
+            ping(dead.get(random.nextInt(dead.size())));
+        }
+    }
+
+    private void forget() {
+        members.values().removeIf(m -> {
+            boolean old = (m.state == State.DEAD || m.state == State.LEFT) && nowUs - m.sinceUs > FORGET_US;
+            if (old && m.slot >= 0 && slots[m.slot] == m) {
+                slots[m.slot] = null;
+            }
+            return old;
+        });
+    }
+
+    private void probe(Member m, boolean own) {
+        int number = ping(m);
+        if (!accusations.containsKey(m.id)) {
+            probes.put(number, new Probe(m, own, nowUs + ANSWER_US * (4 + doubt) / 4));
+        }
+    }
+
+    private int ping(Member m) {
+        return ping(m.slot);
+    }
+
+    /** Whoever is there answers, and says by it who that is. */
+    private int ping(int slot) {
+        int number = sequence = sequence + 1 & 0xFFFF;
+        ByteBuffer b = ByteBuffer.allocate(2).putShort((short) number);
+        Envelope e = letter().add(PING, b);
+        if (nowUs - startedUs < JOIN_US || sentCount++ % NAME_EVERY == 0) {
+            addName(e);
+        }
+        host.send(slot, withUpdates(e).bytes(self.taken()));
+        return number;
+    }
+
+    /** Who we are: zone, number, version, parts, and the name. */
+    private void addName(Envelope e) {
+        byte[] name = self.name().getBytes(StandardCharsets.UTF_8);
+        ByteBuffer b = ByteBuffer.allocate(FACTS + MOST_NAME);
+        b.put((byte) me.zone).putShort((short) me.number).put((byte) me.version).put((byte) me.parts);
+        b.put(name, 0, Math.min(MOST_NAME, name.length));
+        e.add(NAME, b);
+    }
+
+    /** One page of the state with somebody's: only a hash goes out where both have the same. */
+    private void compare() {
+        boolean joining = nowUs - startedUs < JOIN_US;
+        compareUs = nowUs + (joining ? TICK_US : COMPARE_US);
+        for (int i = 0; i < (joining ? JOIN_PAGES : 1); i++) {
+            List<Member> one = some(1, null);
+            int slot = one.isEmpty() ? random.nextInt(slots.length) : one.get(0).slot;
+            if (slot == self.number()) {
+                continue;
+            }
+            int buckets = Math.max(1, Math.max(slots.length, members.size()) / PAGE);
+            bucket = (bucket + 1) % buckets;
+            ByteBuffer b = ByteBuffer.allocate(8).putShort((short) bucket).putShort((short) buckets)
+                    .putInt(hash(bucket, buckets));
+            host.send(slot, withUpdates(letter().add(COMPARE, b)).bytes(self.taken()));
+        }
+    }
+
+    private static int bucketOf(long id, int buckets) {
+        return (int) Long.remainderUnsigned(place(id) >>> 8, buckets);
+    }
+
+    private int hash(int of, int buckets) {
+        int hash = 0;
+        for (Member m : members.values()) {
+            if (bucketOf(m.id, buckets) == of && m.known()) {
+                long x = place(m.id ^ m.incarnation << 3 ^ (m.state == State.SUSPECT ? State.ALIVE : m.state).ordinal());
+                hash += (int) (x ^ x >>> 32);
+            }
+        }
+        return hash;
+    }
+
+    // ---- datagrams ----------------------------------------------------------------------------------
+
+    /** The program before, which speaks no envelopes, has said something: its peer lives. */
+    public void onOldWord(long now, int from) {
+        advance(now);
+        if (from >= 0 && from < oldWordUs.length) {
+            oldWordUs[from] = nowUs;
+        }
+    }
+
+    /** From the peer at this place of the list; what is no envelope, or can't be true, changes nothing. */
+    public void onDatagram(long now, int from, byte[] datagram) {
+        advance(now);
+        Envelope.Letter letter = from < 0 || from >= slots.length ? null : Envelope.read(datagram);
+        if (letter == null || quiet || letter.sender() == 0 || ahead(letter.incarnation())) {
+            return;
+        }
+        if (letter.sender() == me.id) {
+            mirror(letter, from);
+            return;
+        }
+        Member sender = heard(letter, from);
+        if (sender == null) {
+            return;
+        }
+        for (Envelope.Section s : letter.sections()) {
+            ByteBuffer b = ByteBuffer.wrap(s.bytes());
+            switch (s.type()) {
+                case PING -> pinged(sender, b);
+                case ACK -> acked(sender, b);
+                case CHECK -> checked(sender, b);
+                case ACCUSE -> accused(sender, b);
+                case SEEN -> seen(b);
+                case UPDATES -> updated(sender, b);
+                case COMPARE -> compared(sender, b);
+                case PAGE_OF -> page(b);
+                default -> { }
+            }
+        }
+    }
+
+    private boolean ahead(long incarnation) {
+        return incarnation > nowUs / 1_000 + AHEAD_MS;
+    }
+
+    /** Somebody else has our name. The later process stays, the earlier goes quiet and leaves the name to it. */
+    private void mirror(Envelope.Letter letter, int from) {
+        if (from == self.number() && letter.incarnation() == me.incarnation) {
+            return;
+        }
+        if (letter.incarnation() > me.incarnation && nowUs - startedUs >= JOIN_US) {
+            goQuiet("another process of this name, started later, speaks from place " + from);
+        } else if (letter.incarnation() > me.incarnation) {
+            host.note("another process of this name speaks from place " + from);
+            refute(letter.incarnation(), "place " + from);
+        } else {
+            host.note("another process of this name, started before, speaks from place " + from);
+        }
+    }
+
+    private void goQuiet(String why) {
+        quiet = true;
+        probes.clear();
+        accusations.clear();
+        urgent.clear();
+        others.clear();
+        host.note("takes no part among members any more: " + why);
+        view = look(view);
+    }
+
+    /** What a datagram says by having come: its sender lives, is this one, and is reached there. */
+    private Member heard(Envelope.Letter letter, int from) {
+        Member m = members.get(letter.sender());
+        if (m == null) {
+            m = new Member(letter.sender());
+            m.number = Member.NO_NUMBER;
+            m.incarnation = letter.incarnation();
+            m.state = State.LEFT;
+            facts(m, letter);
+            members.put(m.id, m);
+            place(m, from);
+            heardNow(m);
+            become(m, State.ALIVE, "has come");
+            return m;
+        }
+        if (letter.incarnation() < m.incarnation) {
+            // A process of before, or one that does not know yet what was said of it: it is told, and may answer that.
+            if (m.slot < 0 || m.slot == from) {
+                ByteBuffer b = ByteBuffer.allocate(Member.BYTES);
+                m.write(b);
+                host.send(from, letter().add(UPDATES, b).bytes(self.taken()));
+            }
+            return null;
+        }
+        facts(m, letter);
+        place(m, from);
+        heardNow(m);
+        if (letter.incarnation() > m.incarnation) {
+            m.incarnation = letter.incarnation();
+            become(m, State.ALIVE, "has come back");
+            tell(m);
+        } else if (m.state == State.SUSPECT) {
+            become(m, State.ALIVE, "has answered");
+        }
+        Accusation a = accusations.remove(m.id);
+        for (int slot : a == null ? Set.<Integer>of() : a.askers) {
+            sendSeen(slot, m.id);
+        }
+        return m;
+    }
+
+    private void heardNow(Member m) {
+        m.heardUs = nowUs;
+        heardUs = nowUs;
+        if (m.slot >= 0) {
+            oldWordUs[m.slot] = NEVER;
+        }
+    }
+
+    private void place(Member m, int from) {
+        if (m.slot == from || from == self.number()) {
+            return;
+        }
+        if (m.slot >= 0 && slots[m.slot] == m) {
+            slots[m.slot] = null;
+        }
+        Member before = slots[from];
+        if (before != null && before != me) {
+            before.slot = -1;
+        }
+        slots[from] = m;
+        m.slot = from;
+    }
+
+    private static boolean has(ByteBuffer b, int bytes) {
+        return b.remaining() >= bytes;
+    }
+
+    private void pinged(Member sender, ByteBuffer b) {
+        if (!has(b, 2)) {
+            return;
+        }
+        short number = b.getShort();
+        ByteBuffer ack = ByteBuffer.allocate(2).putShort(number);
+        Envelope e = letter().add(ACK, ack);
+        if (nowUs - startedUs < JOIN_US || sentCount++ % NAME_EVERY == 0) {
+            addName(e);
+        }
+        host.send(sender.slot, withUpdates(e).bytes(self.taken()));
+    }
+
+    private void acked(Member sender, ByteBuffer b) {
+        if (!has(b, 2)) {
+            return;
+        }
+        Probe p = probes.remove(b.getShort() & 0xFFFF);
+        if (p != null && p.target == sender) {
+            doubt = Math.max(0, doubt - 1);
+        }
+        Set<Integer> askers = asked.remove(sender.id);
+        if (askers != null) {
+            askers.forEach(slot -> sendSeen(slot, sender.id));
+        }
+    }
+
+    /** A member that has not heard from another asks us to look for ourselves. */
+    private void checked(Member sender, ByteBuffer b) {
+        Member m = has(b, 12) ? members.get(Envelope.get48(b)) : null;
+        long incarnation = m == null ? 0 : Envelope.get48(b);
+        if (m == null || m == me || incarnation < m.incarnation || m.slot < 0 || m.state == State.DEAD || m.state == State.LEFT) {
+            return;
+        }
+        Accusation own = accusations.get(m.id);
+        if (own != null) {
+            own.accusers.add(sender.id);
+            own.askers.add(sender.slot);
+            host.send(sender.slot, letter().add(ACCUSE, about(m)).bytes(self.taken()));
+        } else {
+            asked.computeIfAbsent(m.id, id -> new HashSet<>()).add(sender.slot);
+            probe(m, false);
+        }
+    }
+
+    private void accused(Member sender, ByteBuffer b) {
+        Accusation a = has(b, 12) ? accusations.get(Envelope.get48(b)) : null;
+        if (a != null) {
+            a.accusers.add(sender.id);
+        }
+    }
+
+    /** A witness has heard from the one that does not answer us: the link between us is bad, not the member. */
+    private void seen(ByteBuffer b) {
+        Member m = has(b, 12) ? members.get(Envelope.get48(b)) : null;
+        if (m != null && accusations.remove(m.id) != null && m.state == State.SUSPECT) {
+            m.heardUs = nowUs;
+            become(m, State.ALIVE, "was heard by a witness");
+        }
+    }
+
+    private void sendSeen(int slot, long id) {
+        Member m = members.get(id);
+        host.send(slot, letter().add(SEEN, about(m)).bytes(self.taken()));
+    }
+
+    private void updated(Member sender, ByteBuffer b) {
+        while (has(b, Member.BYTES)) {
+            Member word = Member.read(b);
+            if (word == null) {
+                return;
+            }
+            take(word, sender.name(), false);
+        }
+    }
+
+    /** What it says of itself; only the name that the id stands for. */
+    private void facts(Member m, Envelope.Letter letter) {
+        for (Envelope.Section s : letter.sections()) {
+            if (s.type() != NAME || s.bytes().length < FACTS) {
+                continue;
+            }
+            ByteBuffer b = ByteBuffer.wrap(s.bytes());
+            int zone = b.get() & 255;
+            if (zone < Math.max(1, self.zones())) {
+                boolean news = !m.known();
+                m.zone = zone;
+                m.number = b.getShort() & 0xFFFF;
+                m.version = b.get() & 255;
+                m.parts = b.get() & 255;
+                if (news && m.known() && m.state == State.ALIVE) {
+                    tellInPassing(m);
+                }
+            }
+            if (m.name == null) {
+                String name = new String(s.bytes(), FACTS, s.bytes().length - FACTS, StandardCharsets.UTF_8);
+                m.name = Envelope.id(name) == m.id ? name : null;
+            }
+        }
+    }
+
+    private void compared(Member sender, ByteBuffer b) {
+        if (!has(b, 8)) {
+            return;
+        }
+        int of = b.getShort() & 0xFFFF;
+        int buckets = b.getShort() & 0xFFFF;
+        if (buckets == 0 || of >= buckets || b.getInt() == hash(of, buckets)) {
+            return;
+        }
+        ByteBuffer page = ByteBuffer.allocate(Member.BYTES * PAGE);
+        for (Member m : members.values()) {
+            if (bucketOf(m.id, buckets) == of && page.hasRemaining() && m.known()) {
+                m.write(page);
+            }
+        }
+        host.send(sender.slot, letter().add(PAGE_OF, page).bytes(self.taken()));
+    }
+
+    private void page(ByteBuffer b) {
+        while (has(b, Member.BYTES)) {
+            Member word = Member.read(b);
+            if (word == null) {
+                return;
+            }
+            take(word, "a page", true);
+        }
+    }
+
+    /** Somebody's word on a member. What can't be true is left out. */
+    private void take(Member word, String who, boolean paged) {
+        boolean zoneFits = word.zone < Math.max(1, self.zones());
+        if (word.id == 0 || !zoneFits || ahead(word.incarnation)) {
+            return;
+        }
+        if (word.id == me.id) {
+            if (word.incarnation > me.incarnation || word.incarnation == me.incarnation && word.state != State.ALIVE) {
+                claimed(word, who);
+            }
+            return;
+        }
+        Member m = members.get(word.id);
+        if (m != null && !m.known() && word.known() && word.incarnation == m.incarnation) {
+            adopt(m, word);
+            presume(m);
+        }
+        if (m == null) {
+            if (word.state == State.DEAD || word.state == State.LEFT) {
+                return;
+            }
+            m = new Member(word.id);
+            m.state = State.LEFT;
+            members.put(m.id, m);
+            adopt(m, word);
+            presume(m);
+            become(m, State.ALIVE, "by word of " + who);
+            return;
+        }
+        if (!Member.later(word.incarnation, word.state, m.incarnation, m.state == State.SUSPECT ? State.ALIVE : m.state)
+                || word.state == State.SUSPECT && word.incarnation == m.incarnation) {
+            return;
+        }
+        boolean deadByPage = paged && word.state == State.DEAD && word.incarnation == m.incarnation
+                && (m.state == State.ALIVE || m.state == State.SUSPECT);
+        boolean heardJustNow = word.state == State.DEAD && word.incarnation == m.incarnation && nowUs - m.heardUs < DEAF_US;
+        if (deadByPage || heardJustNow) {
+            // An old page, or a quarrel: it hears of it, and says itself whether it lives.
+            if (m.slot >= 0) {
+                ByteBuffer b = ByteBuffer.allocate(Member.BYTES);
+                word.write(b);
+                host.send(m.slot, letter().add(UPDATES, b).bytes(self.taken()));
+            }
+            return;
+        }
+        // Suspicions are not told: one that is says no more than that it lives.
+        State now = word.state == State.SUSPECT ? State.ALIVE : word.state;
+        adopt(m, word);
+        presume(m);
+        become(m, now, "by word of " + who);
+        tell(m);
+    }
+
+    private static void adopt(Member m, Member word) {
+        m.incarnation = word.incarnation;
+        m.zone = word.zone;
+        m.number = word.number;
+        m.version = word.version;
+        m.parts = word.parts;
+    }
+
+    /** Where nothing else is known, it is reached at the place that it says it has: its first datagram tells better. */
+    private void presume(Member m) {
+        if (m.slot < 0 && m.number < slots.length && slots[m.number] == null) {
+            m.slot = m.number;
+            slots[m.number] = m;
+        }
+    }
+
+    /** Word on ourselves that is not so. */
+    private void claimed(Member word, String who) {
+        if (word.state == State.ALIVE && nowUs - startedUs >= JOIN_US) {
+            claims.removeIf(at -> nowUs - at > CLAIMS_US);
+            claims.add(nowUs);
+            if (claims.size() > MOST_CLAIMS) {
+                goQuiet("another process of this name goes on claiming it, by word of " + who);
+                return;
+            }
+        }
+        refute(word.incarnation, who);
+    }
+
+    private void refute(long incarnation, String who) {
+        me.incarnation = Math.min((1L << 48) - 1, incarnation + 1);
+        me.sinceUs = nowUs;
+        host.note("refutes what " + who + " says of it");
+        tell(me);
+    }
+
+    // ---- changes ------------------------------------------------------------------------------------
+
+    private void become(Member m, State state, String why) {
+        boolean was = m.state == State.ALIVE || m.state == State.SUSPECT;
+        // One that is new here was in no state before.
+        boolean gone = !was && m.sinceUs != 0;
+        if (m.state != state && (state != State.SUSPECT && m.state != State.SUSPECT || state == State.DEAD || state == State.LEFT)) {
+            host.note(m.name() + " is " + state.name().toLowerCase(java.util.Locale.ROOT) + ": " + why);
+        }
+        if (m.state != state) {
+            m.sinceUs = nowUs;
+            m.why = why;
+        }
+        m.state = state;
+        boolean is = state == State.ALIVE || state == State.SUSPECT;
+        if (is && !was) {
+            ring.put(place(m.id), m);
+        } else if (!is) {
+            ring.remove(place(m.id));
+            accusations.remove(m.id);
+        }
+        if (state == State.ALIVE) {
+            Accusation a = accusations.remove(m.id);
+            if (a != null) {
+                a.askers.forEach(slot -> sendSeen(slot, m.id));
+            }
+        }
+        changed = true;
+        if (!is || gone) {
+            tell(m);
+        } else if (!was) {
+            tellInPassing(m);
+        }
+    }
+
+    private void tell(Member m) {
+        int log = 32 - Integer.numberOfLeadingZeros(Math.max(2, members.size()));
+        others.remove(m.id);
+        urgent.put(m.id, new Update(m, TOLD * log));
+        fresh = true;
+    }
+
+    private void tellInPassing(Member m) {
+        if (m.known() && !urgent.containsKey(m.id)) {
+            others.put(m.id, new Update(m, 32 - Integer.numberOfLeadingZeros(Math.max(2, members.size()))));
+        }
+    }
+
+    /** Fills what room is left with changes. */
+    private Envelope withUpdates(Envelope e) {
+        int most = Math.min(e.room() / Member.BYTES, PAGE);
+        if (most <= 0 || urgent.isEmpty() && others.isEmpty()) {
+            return e;
+        }
+        ByteBuffer b = ByteBuffer.allocate(most * Member.BYTES);
+        next(urgent, b);
+        next(others, b);
+        return e.add(UPDATES, b);
+    }
+
+    /** The first go to the end of the line, or out of it. */
+    private static void next(Map<Long, Update> line, ByteBuffer b) {
+        List<Update> first = new ArrayList<>();
+        for (Iterator<Update> i = line.values().iterator(); i.hasNext() && b.hasRemaining(); ) {
+            Update u = i.next();
+            u.of.write(b);
+            i.remove();
+            first.add(u);
+        }
+        for (Update u : first) {
+            if (--u.left > 0) {
+                line.put(u.of.id, u);
+            }
+        }
+    }
+
+    /** News does not wait for the next probe. */
+    private void eager() {
+        fresh = false;
+        for (Member m : some(EAGER, null)) {
+            if (urgent.isEmpty()) {
+                return;
+            }
+            host.send(m.slot, withUpdates(letter()).bytes(self.taken()));
+        }
+    }
+
+    /** So many of those here that can be reached, at random, without one. */
+    private List<Member> some(int n, Member but) {
+        List<Member> some = new ArrayList<>(n);
+        for (int tries = 0; tries < 4 * n && some.size() < n; tries++) {
+            Member m = slots.length == 0 ? null : slots[random.nextInt(slots.length)];
+            if (m != null && m != me && m != but && m.state == State.ALIVE && !some.contains(m)) {
+                some.add(m);
+            }
+        }
+        return some;
+    }
+
+    private ByteBuffer about(Member m) {
+        ByteBuffer b = ByteBuffer.allocate(12);
+        Envelope.put48(b, m.id);
+        Envelope.put48(b, m.incarnation);
+        return b;
+    }
+
+    private Envelope letter() {
+        return Envelope.from(me.id, me.incarnation);
+    }
+
+    /** Its place in the ring that all share: the id, well mixed (Stafford's variant 13). */
+    private static long place(long id) {
+        long z = (id ^ id >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+
+    /** The process leaves of its own will: told to several, since some word is lost. Nothing follows. */
+    public void leave(long now) {
+        advance(now);
+        if (quiet) {
+            return;
+        }
+        me.state = State.LEFT;
+        ByteBuffer b = ByteBuffer.allocate(Member.BYTES);
+        me.write(b);
+        for (Member m : some(2 * EAGER, null)) {
+            ByteBuffer copy = ByteBuffer.allocate(Member.BYTES).put(b.array());
+            host.send(m.slot, letter().add(UPDATES, copy).bytes(self.taken()));
+        }
+        quiet = true;
+        host.note("has told that it leaves");
+    }
+
+    private View look(View before) {
+        int here = 0;
+        int gone = 0;
+        int[] zones = new int[Math.max(1, self.zones())];
+        // Whom it has not heard of for so long it can't call dead, nor count.
+        boolean alone = nowUs - Math.max(startedUs, heardUs) > ALONE_US;
+        if (alone) {
+            here = 1;
+            zones[Math.min(zones.length - 1, me.zone)]++;
+        }
+        if (!quiet && !alone) {
+            for (Member m : members.values()) {
+                if (m.state == State.LEFT) {
+                    gone += m.slot >= 0 ? 1 : 0;
+                } else if (m.state != State.DEAD) {
+                    here++;
+                    zones[Math.min(zones.length - 1, m.zone)]++;
+                }
+            }
+            for (int i = 0; i < slots.length; i++) {
+                here += slots[i] == null && nowUs - oldWordUs[i] < OLD_WORD_US ? 1 : 0;
+            }
+        }
+        int expected = Math.max(1, slots.length - gone);
+        View.Standing standing = here <= 1 && expected > 1 ? View.Standing.NOBODY
+                : 2 * here > expected ? View.Standing.MAJORITY : View.Standing.MINORITY;
+        boolean same = before != null && before.standing() == standing;
+        return new View(expected, here, Arrays.stream(zones).boxed().toList(), standing, same ? before.sinceUs() : nowUs);
+    }
+}
