The sidecar hosts its membership, tells the module who is here, and shows it to operators

Need: the view has to live where the UDP address and the timers are, and the module has to hear of it as it hears of the list.

Change: FleetPlane on the event loop, off unless the configuration has "fleet": {"members": true}; a mistake there is one line that names the place. Datagrams as long as the module's word are the module's, all others the plane's. A leave by SIGTERM is told. `members` on the second address.

--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -72,6 +72,13 @@
     /** A load report; a value that the site does not report is negative. */
     record LoadReport(double inFlight, double queued, double utilisation) {}
 
+    /** Whether a sidecar sees most of the fleet, a part that may be cut off, or none but itself. */
+    enum Standing { MAJORITY, MINORITY, NOBODY }
+
+    /** Word of the fleet plane: {@code here} sidecars, itself included, by zone in {@code byZone}. From {@code untilUs} on it
+     * counts as never told. */
+    record Fleet(int here, List<Integer> byZone, Standing standing, long untilUs) {}
+
     interface Actions {
         void send(String request, String upstream, long untilUs);
 
@@ -123,4 +130,7 @@
     void onPeer(long now, int peer, byte[] message);
 
     void onTimer(long now, String mark);
+
+    /** Who is here, as the peers have it; never told where no fleet plane runs. */
+    void onFleet(long now, Fleet fleet);
 }
--- a/src/main/java/rushproxy/PeerWord.java
+++ b/src/main/java/rushproxy/PeerWord.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 
 /** What one sidecar tells another, and its bytes: plain data, used by {@link Policy}. */
-final class PeerWord {
+public final class PeerWord {
     /** Mean rate a second of the fleet's sidecars, apart by zone. */
     final double[] rates;
     /** Of each kind the slowness and the number of answers behind it. */
@@ -21,7 +21,12 @@
     }
 
     private int length() {
-        return 2 * rates.length + 3 * slow.length + 4;
+        return length(rates.length, slow.length);
+    }
+
+    /** It has no version and is known by its length alone: nothing else that peers send may be as long. */
+    public static int length(int zones, int kinds) {
+        return 2 * zones + 3 * kinds + 4;
     }
 
     byte[] bytes() {
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -210,7 +210,7 @@
     private List<Server> members(long now) {
         zonePart = zoneParts(now);
         if (!subset) return ready;
-        double arc = SHARERS * ready.size() * ownRate / Math.max(1e-9, fleetRate());
+        double arc = SHARERS * ready.size() * ownRate / Math.max(1e-9, fleetRate(now));
         wantedMembers = Math.max(Math.max(FEWEST, arc), 0.9 * wantedMembers);
         // Where idle connections are dropped, no more than are used often enough.
         double hot = idleLimit < Long.MAX_VALUE ? Math.max(1, ownRate * idleLimit / 2e6) : wantedMembers;
@@ -348,9 +348,23 @@
     }
 
     /** The mean of the streams heard of, own one included, times their number. */
-    private double fleetRate() {
+    private double fleetRate(long now) {
         double mean = Arrays.stream(zoneRate).sum();
-        return cfg.balancers() * (mean > 0 ? mean : ownRate);
+        return sidecars(now) * (mean > 0 ? mean : ownRate);
+    }
+
+    private Fleet fleet;
+
+    @Override
+    public void onFleet(long now, Fleet told) {
+        fleet = told;
+    }
+
+    /** Those whose streams add up: in a majority the ones here, else all. Whom a minority does not see may be cut
+     * off from it alone, and send on. A cold server's budget is not shared anew by this: {@link #coldRoom}. */
+    int sidecars(long now) {
+        boolean told = fleet != null && now < fleet.untilUs() && fleet.standing() == Standing.MAJORITY;
+        return told ? Math.max(1, Math.min(cfg.balancers(), fleet.here())) : cfg.balancers();
     }
 
     // ---- split ----------------------------------------------------------------------------------
@@ -427,7 +441,7 @@
             k[i] = groups.get(i).size();
             mu[i] = 1e6 * first.kind.cores * warmth(first, now) / (slow / k[i] * meanWork);
         }
-        double[] p = split(k, mu, fleetRate() * members.size() / Math.max(1, ready.size()));
+        double[] p = split(k, mu, fleetRate(now) * members.size() / Math.max(1, ready.size()));
         for (int i = 0; i < k.length; i++) {
             for (Server s : groups.get(i)) {
                 // The floor only matters when all servers with a share are full.
--- a/src/main/java/rushproxy/sidecar/AdminServer.java
+++ b/src/main/java/rushproxy/sidecar/AdminServer.java
@@ -40,6 +40,9 @@
         void cordon(String id, Consumer<String> done);
 
         void uncordon(String id, Consumer<String> done);
+
+        /** Who is here, in one line of JSON; null where no view is kept. */
+        String members();
     }
 
     private final EventLoop loop;
@@ -77,7 +80,8 @@
                 new StringDecoder(StandardCharsets.UTF_8), new Caller());
     }
 
-    private void call(String line, Consumer<String> done) {
+    /** {@code done} hears what is wrong, {@code tells} what was asked for. */
+    private void call(String line, Consumer<String> done, Consumer<String> tells) {
         String[] words = line.split(" ", -1);
         boolean named = words.length == 2 && !words[1].isEmpty();
         switch (words.length == 1 || named ? words[0] + "/" + words.length : "") {
@@ -92,6 +96,14 @@
             }
             case "cordon/2" -> calls.cordon(words[1], done);
             case "uncordon/2" -> calls.uncordon(words[1], done);
+            case "members/1" -> {
+                String members = calls.members();
+                if (members == null) {
+                    done.accept("keeps no view of members");
+                } else {
+                    tells.accept(members);
+                }
+            }
             default -> done.accept("no such call");
         }
     }
@@ -110,7 +122,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, String line) {
             if (!called) {
                 called = true;
-                call(line, no -> answer(ctx, no));
+                call(line, no -> answer(ctx, no == null ? "ACK" : "NAK " + no), told -> answer(ctx, "ACK " + told));
             }
         }
 
@@ -134,13 +146,13 @@
         private void refuse(ChannelHandlerContext ctx, String why) {
             if (!called) {
                 called = true;
-                answer(ctx, why);
+                answer(ctx, "NAK " + why);
             }
         }
 
-        private void answer(ChannelHandlerContext ctx, String no) {
+        private void answer(ChannelHandlerContext ctx, String line) {
             patience.cancel(false);
-            ctx.writeAndFlush(Unpooled.copiedBuffer(no == null ? "ACK\n" : "NAK " + no + "\n", StandardCharsets.UTF_8))
+            ctx.writeAndFlush(Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8))
                     .addListener(ChannelFutureListener.CLOSE);
         }
     }
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -12,12 +12,15 @@
 import rushproxy.wire.SettingsReader;
 import rushproxy.wire.WireException;
 
-/** What a sidecar is told at its start. {@code inherits}: the clients' socket is descriptor 0. {@code admin}, {@code kept} (the folder for what outlives the process),
- * {@code peerListen} and {@code peersAll} are null where there are none. */
+/**
+ * What a sidecar is told at its start. {@code inherits}: the clients' socket is descriptor 0. {@code admin}, {@code kept}
+ * (the folder for what outlives the process), {@code peerListen} and {@code peersAll} are null where there are none.
+ * {@code members}: it keeps a view of who is here.
+ */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin, boolean inherits,
               Path kept, long seed, int sockets, int memoryMb,
               InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-              UpstreamList known, Settings settings, long dialTimeoutUs) {
+              UpstreamList known, Settings settings, long dialTimeoutUs, boolean members) {
 
     /** A configuration that no sidecar can start with; the message is one line and names the field. */
     static final class Broken extends Exception {
@@ -64,7 +67,26 @@
                 kept(environment, name),
                 seed(json.text("seed")), sockets, memoryMb,
                 optional(json, "peer_listen"), peers, optional(json, "peers_all"),
-                known(json), settings, reader.dialTimeoutUs());
+                known(json), settings, reader.dialTimeoutUs(), members(json, settings, peers));
+    }
+
+    /** The parts of the fleet plane that are on: none where there is no {@code fleet}. */
+    private static boolean members(Json json, Settings settings, List<InetSocketAddress> peers) {
+        if (!json.has("fleet")) {
+            return false;
+        }
+        Json fleet = json.object("fleet");
+        for (String name : fleet.names()) {
+            if (!name.equals("members")) {
+                throw new IllegalArgumentException("'fleet." + name + "' is unknown");
+            }
+        }
+        boolean members = fleet.has("members") && fleet.flag("members");
+        if (members && (!json.has("peer_listen") || settings.me() < 0 || settings.me() >= peers.size())) {
+            throw new IllegalArgumentException("'fleet.members' needs 'peer_listen' and 'peers' with this sidecar's number, "
+                    + settings.me() + ", among them");
+        }
+        return members;
     }
 
     private static UpstreamList known(Json json) {
--- a/src/main/java/rushproxy/sidecar/Json.java
+++ b/src/main/java/rushproxy/sidecar/Json.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** Reads JSON objects field by field; a field of the wrong kind is named in the exception. */
@@ -27,6 +28,10 @@
         }
     }
 
+    Set<String> names() {
+        return fields.keySet();
+    }
+
     boolean has(String name) {
         return fields.get(name) != null;
     }
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -29,6 +29,16 @@
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Channel channel;
     private boolean refused;
+    /** Null where the fleet plane is off: then whatever comes is the module's. */
+    private Fleet fleet;
+    private int wordLength;
+
+    /** Takes all datagrams but the module's own, which are known by their length, and hears of those. */
+    interface Fleet {
+        void letter(int from, byte[] message);
+
+        void word(int from);
+    }
 
     Peers(Clock clock, Decisions decisions, List<InetSocketAddress> peers, InetSocketAddress all) {
         this.clock = clock;
@@ -59,6 +69,11 @@
                 });
     }
 
+    void hand(Fleet fleet, int wordLength) {
+        this.fleet = fleet;
+        this.wordLength = wordLength;
+    }
+
     /** To one peer, or to all where the number is -1. What can't be sent is lost, as any datagram may be. */
     void tell(int peer, byte[] message) {
         InetSocketAddress to = peer == -1 ? all : peer >= 0 && peer < peers.size() ? peers.get(peer) : null;
@@ -75,6 +90,13 @@
                 return;
             }
             byte[] message = ByteBufUtil.getBytes(packet.content());
+            if (fleet != null && message.length != wordLength) {
+                fleet.letter(number, message);
+                return;
+            }
+            if (fleet != null) {
+                fleet.word(number);
+            }
             decisions.call(m -> m.onPeer(clock.now(), number, message), () -> { });
         }
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -47,6 +47,8 @@
     private final Requests requests;
     private final Discovery discovery;
     private final Peers peers;
+    /** Null where no part of it is on. */
+    private final FleetPlane fleet;
     private final ClientServer clients;
     /** Null where no second address is named: nobody could call anything out, or back. */
     private final CordonStore cordons;
@@ -80,6 +82,7 @@
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 settings.rules().askEveryUs(), !settings.discoveryOnRequest());
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
+        fleet = config.members() ? new FleetPlane(loop, clock, peers, decisions, config) : null;
         cordons = config.admin() == null ? null : new CordonStore(config.kept(), settings.rules().rampUs() / 1000,
                 now -> loop.execute(() -> mark(now)));
         clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady,
@@ -163,6 +166,9 @@
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
         }
+        if (fleet != null) {
+            loop.execute(fleet::start);
+        }
         if (inherited == null) {
             listening = clients.listen(config.listen());
         } else {
@@ -226,6 +232,9 @@
         loop.execute(() -> {
             long sinceUs = clock.now();
             Log.line("is to leave; " + held());
+            if (fleet != null) {
+                fleet.leave();
+            }
             clients.stop(() -> {
                 Log.line("leaves after " + (clock.now() - sinceUs) / 1000 + " ms");
                 stopped.run();
@@ -292,6 +301,11 @@
             put(id, false, done);
         }
 
+        @Override
+        public String members() {
+            return fleet == null ? null : fleet.view();
+        }
+
         private void put(String id, boolean out, Consumer<String> done) {
             if (upstreams.knows(id) || marks.containsKey(id)) {
                 cordons.put(id, out, no -> loop.execute(() -> done.accept(no)));
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -218,6 +218,11 @@
             told.add("peer " + peer + " " + message.length);
         }
 
+        @Override
+        public void onFleet(long now, Fleet fleet) {
+            told.add("fleet " + fleet.here() + " " + fleet.standing());
+        }
+
         @Override
         public void onTimer(long now, String mark) {
             told.add("timer " + mark);
