Members on a simulated network: the hard cases by seed, and what membership costs

The class that the sidecar hosts, with virtual time: delays, loss, duplicates, reordering, cuts one way and both, stalls of accuser and accused, kills, restarts, replacements, two processes of one name, lists that differ, clocks that jump, the version before, spoilt and false datagrams.

--- /dev/null
+++ b/src/test/java/rushproxy/fleet/member/MembershipTest.java
@@ -0,0 +1,377 @@
+package rushproxy.fleet.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import rushproxy.fleet.Envelope;
+import rushproxy.lab.sim.MemberFigures;
+import rushproxy.lab.sim.MemberSim;
+import rushproxy.lab.sim.MemberSim.Node;
+
+/** The hard cases of membership, on a simulated network with written time. */
+class MembershipTest {
+    private static final long S = 1_000_000;
+    /** Bounds that docs/MEMBERSHIP.md states. */
+    private static final long DEAD_BY = 4 * S;
+    private static final long HEALED_BY = 20 * S;
+
+    private static MemberSim fleet(int n, long seed, double loss) {
+        MemberSim sim = new MemberSim(seed).hosts(n).network(loss, 0.05, 300, 40_000);
+        sim.startAll();
+        sim.until(10 * S);
+        assertTrue(sim.agree(), "they never found each other");
+        return sim;
+    }
+
+    private static void wholeAgain(MemberSim sim, long withinUs) {
+        long until = sim.us() + withinUs;
+        while (!sim.agree() && sim.us() < until) {
+            sim.until(sim.us() + 100_000);
+        }
+        assertTrue(sim.agree(), () -> "not whole: " + sim.nodes().stream().map(n -> n.name + " sees "
+                + (n.up() ? n.membership().view() : "-")).toList());
+    }
+
+    private static boolean noted(Node n, String text) {
+        return n.notes.stream().anyMatch(l -> l.contains(text));
+    }
+
+    @Test
+    void aDeathIsSeenByAllAndTheOthersLive() {
+        MemberSim sim = fleet(12, 1, 0.1);
+        sim.kill(sim.node(5));
+        sim.until(sim.us() + DEAD_BY);
+        assertEquals(11, sim.seenAs(sim.node(5), Member.State.DEAD));
+        wholeAgain(sim, S);
+        assertTrue(noted(sim.node(0), "n5 is dead: "), sim.node(0).notes.toString());
+    }
+
+    /** Each of many seeds: somebody is killed, somebody stalls, a tenth of all is lost; nobody who lives is called dead. */
+    @Test
+    void overManySeedsNobodyWhoLivesIsCalledDead() {
+        for (long seed = 1; seed <= 1_000; seed++) {
+            MemberSim sim = new MemberSim(seed).hosts(6).network(0.1, 0.05, 300, 40_000);
+            sim.startAll();
+            sim.until(5 * S);
+            SplittableRandom random = new SplittableRandom(seed);
+            sim.kill(sim.node(0));
+            for (int i = 1; i < 6; i++) {
+                Node n = sim.node(i);
+                sim.later(random.nextLong(3 * S), () -> sim.stall(n, 200_000 + random.nextLong(1_300_000)));
+            }
+            sim.until(13 * S);
+            long of = seed;
+            for (int i = 1; i < 6; i++) {
+                assertEquals(0, sim.seenAs(sim.node(i), Member.State.DEAD), () -> "seed " + of);
+            }
+            assertEquals(5, sim.seenAs(sim.node(0), Member.State.DEAD), () -> "seed " + of);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {200_000, 800_000, 1_500_000})
+    void aStallOfTheAccusedIsNoDeath(long us) {
+        MemberSim sim = fleet(8, 2, 0.1);
+        for (int i = 0; i < 10; i++) {
+            sim.stall(sim.node(3), us);
+            sim.until(sim.us() + 3 * S);
+            assertEquals(0, sim.seenAs(sim.node(3), Member.State.DEAD));
+        }
+    }
+
+    /** It reads nothing, its probes run out, and everybody seems silent: it must doubt itself. */
+    @Test
+    void aStallOfTheAccuserKillsNobody() {
+        MemberSim sim = fleet(8, 3, 0);
+        for (long us = 200_000; us <= 5 * S; us += 400_000) {
+            sim.stall(sim.node(2), us);
+            sim.until(sim.us() + us + S);
+            for (Node other : sim.nodes()) {
+                assertFalse(MemberSim.state(sim.node(2), other) == Member.State.DEAD, other.name + " after " + us);
+            }
+        }
+    }
+
+    /** SIGSTOP for 10 s: dead to the others, and itself again within a moment of its return. */
+    @Test
+    void whoWasStoppedForLongIsDeadAndThenBack() {
+        MemberSim sim = fleet(8, 4, 0.1);
+        sim.stall(sim.node(6), 10 * S);
+        sim.until(sim.us() + 6 * S);
+        assertEquals(7, sim.seenAs(sim.node(6), Member.State.DEAD));
+        sim.until(sim.us() + 4 * S);
+        wholeAgain(sim, HEALED_BY);
+    }
+
+    /** n0 hears n1, n1 does not hear n0: the others hear both, and witnesses speak for either. */
+    @Test
+    void aLinkThatIsCutOneWayKillsNobody() {
+        MemberSim sim = fleet(8, 5, 0.05);
+        sim.cut((from, to) -> from.number == 0 && to.number == 1);
+        sim.until(sim.us() + 60 * S);
+        assertEquals(0, sim.seenAs(sim.node(0), Member.State.DEAD));
+        assertEquals(0, sim.seenAs(sim.node(1), Member.State.DEAD));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3})
+    void halvesAndThirdsThatWereCutApartFindEachOtherAgain(int parts) {
+        MemberSim sim = fleet(12, 6, 0.1);
+        sim.cut((from, to) -> from.number % parts != to.number % parts);
+        sim.until(sim.us() + 12 * S);
+        for (Node n : sim.nodes()) {
+            assertEquals(View.Standing.MINORITY, n.membership().view().standing());
+            assertEquals(12 / parts, n.membership().view().here());
+        }
+        sim.cut((from, to) -> false);
+        wholeAgain(sim, HEALED_BY);
+        sim.nodes().forEach(n -> assertEquals(View.Standing.MAJORITY, n.membership().view().standing()));
+    }
+
+    @Test
+    void whoIsAloneKnowsIt() {
+        MemberSim sim = fleet(5, 7, 0);
+        sim.cut((from, to) -> from.number == 4 || to.number == 4);
+        sim.until(sim.us() + 15 * S);
+        // It hears nobody, so it accuses nobody: it still counts them, and they do not count it.
+        assertEquals(4, sim.seenAs(sim.node(4), Member.State.DEAD));
+        assertEquals(View.Standing.MAJORITY, sim.node(0).membership().view().standing());
+        assertEquals(View.Standing.NOBODY, sim.node(4).membership().view().standing());
+    }
+
+    @Test
+    void sevenInTenKilledAtOnceAndBackWithNewIncarnations() {
+        MemberSim sim = fleet(10, 8, 0.1);
+        for (int i = 0; i < 7; i++) {
+            Node n = sim.node(i);
+            sim.kill(n);
+            sim.later(2 * S + i * 100_000, () -> sim.start(n));
+        }
+        sim.until(sim.us() + 3 * S);
+        wholeAgain(sim, HEALED_BY);
+    }
+
+    @Test
+    void sevenInTenKilledForGoodAreFoundOut() {
+        MemberSim sim = fleet(20, 9, 0.1);
+        for (int i = 0; i < 14; i++) {
+            sim.kill(sim.node(i));
+        }
+        sim.until(sim.us() + 8 * S);
+        wholeAgain(sim, S);
+        assertEquals(View.Standing.MINORITY, sim.node(19).membership().view().standing());
+    }
+
+    @Test
+    void aLeaveIsNoDeathAndMakesNobodyAMinority() {
+        MemberSim sim = fleet(5, 10, 0);
+        for (int i = 0; i < 3; i++) {
+            Node n = sim.node(i);
+            n.membership().leave(1_700_000_000_000_000L + sim.us());
+            sim.until(sim.us() + 100_000);
+            sim.kill(n);
+        }
+        sim.until(sim.us() + S);
+        assertEquals(2, sim.seenAs(sim.node(0), Member.State.LEFT));
+        assertEquals(View.Standing.MAJORITY, sim.node(3).membership().view().standing());
+        assertEquals(2, sim.node(3).membership().view().expected());
+        // It is back: a new process is no longer one that has left.
+        sim.start(sim.node(0));
+        sim.until(sim.us() + 3 * S);
+        assertEquals(2, sim.seenAs(sim.node(0), Member.State.ALIVE));
+    }
+
+    /** The address goes over to the new process; the old one hears nothing, speaks on for a while and leaves. */
+    @Test
+    void aReplacementIsOneMemberAndTheOlderSaysNothingAgainstIt() {
+        MemberSim sim = fleet(6, 11, 0);
+        Node node = sim.node(2);
+        Membership old = node.membership();
+        sim.start(node);
+        for (int i = 0; i < 40; i++) {
+            old.onTick(1_700_000_000_000_000L + sim.us());
+            sim.until(sim.us() + 100_000);
+            for (Node n : sim.nodes()) {
+                assertFalse(MemberSim.state(n, node) == Member.State.DEAD || MemberSim.state(n, node) == Member.State.LEFT,
+                        "at " + n.name);
+                assertTrue(n.membership().view().here() <= 6, n.name + " counts both");
+            }
+        }
+        old.leave(1_700_000_000_000_000L + sim.us());
+        sim.until(sim.us() + 2 * S);
+        assertEquals(5, sim.seenAs(node, Member.State.ALIVE));
+        wholeAgain(sim, S);
+    }
+
+    /** One name at two places: the later stays, the earlier goes quiet, both have said so, and then it is calm. */
+    @Test
+    void twoProcessesOfOneNameDoNotFlap() {
+        MemberSim sim = new MemberSim(12).network(0, 0, 300, 2_000);
+        for (String name : new String[] {"n0", "n1", "n2", "n3"}) {
+            sim.host(name, 0, 1, 2, 3, 4);
+        }
+        Node twin = sim.host("n1", 0, 1, 2, 3, 4);
+        for (int i = 0; i < 4; i++) {
+            sim.start(sim.node(i));
+        }
+        sim.until(5 * S);
+        sim.start(twin);
+        sim.until(60 * S);
+        assertTrue(noted(sim.node(1), "another process of this name"), sim.node(1).notes.toString());
+        assertTrue(noted(twin, "another process of this name"), twin.notes.toString());
+        assertTrue(sim.node(1).membership().isQuiet() && !twin.membership().isQuiet());
+        int before = sim.node(0).notes.size();
+        sim.until(120 * S);
+        assertEquals(before, sim.node(0).notes.size(), sim.node(0).notes.toString());
+        assertEquals(4, sim.node(0).membership().view().here());
+    }
+
+    /** Lists of 5, 6 and 7 names in other orders: each sees those whom it can, and none is taken for another. */
+    @Test
+    void listsThatDifferAreLearnedFromWhoAnswers() {
+        MemberSim sim = new MemberSim(13).network(0.05, 0, 300, 20_000);
+        sim.host("n0", 0, 1, 2, 3, 4, 5, 6);
+        sim.host("n1", 6, 5, 4, 3, 2, 1, 0);
+        sim.host("n2", 2, 0, 1, 3, 4);
+        sim.host("n3", 3, 2, 1, 0, 4, 5);
+        sim.host("n4", 0, 1, 2, 3, 4, 5, 6);
+        sim.host("n5", 5, 0, 1, 2, 3, 4);
+        sim.host("n6", 0, 1, 2, 3, 4, 5, 6);
+        sim.startAll();
+        sim.until(60 * S);
+        for (Node n : sim.nodes()) {
+            for (Node of : sim.nodes()) {
+                if (n != of && MemberSim.state(n, of) != null) {
+                    assertEquals(Member.State.ALIVE, MemberSim.state(n, of), n.name + " of " + of.name);
+                }
+            }
+        }
+        assertEquals(7, sim.node(0).membership().view().here());
+        sim.kill(sim.node(4));
+        sim.until(sim.us() + 2 * DEAD_BY);
+        assertEquals(Member.State.DEAD, MemberSim.state(sim.node(0), sim.node(4)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5000000", "-5000000", "3600000000", "-3600000000"})
+    void aClockThatJumpsKillsNobody(long us) {
+        MemberSim sim = fleet(6, 14, 0.05);
+        sim.jump(sim.node(2), us);
+        sim.until(sim.us() + 15 * S);
+        for (Node n : sim.nodes()) {
+            assertEquals(0, sim.seenAs(n, Member.State.DEAD), n.name);
+        }
+    }
+
+    /** A process that starts with a clock far behind, after one that ran ahead, is itself again all the same. */
+    @Test
+    void aRestartWithAnEarlierClockIsBelieved() {
+        MemberSim sim = fleet(6, 15, 0);
+        sim.kill(sim.node(1));
+        sim.until(sim.us() + DEAD_BY);
+        sim.jump(sim.node(1), -600 * S);
+        sim.start(sim.node(1));
+        sim.until(sim.us() + 3 * S);
+        assertEquals(5, sim.seenAs(sim.node(1), Member.State.ALIVE));
+    }
+
+    /** The program before says its word and no more: it counts as here, and nobody calls it dead. */
+    @Test
+    void aSidecarOfTheVersionBeforeCountsAsHere() {
+        MemberSim sim = new MemberSim(16).hosts(3);
+        sim.start(sim.node(0));
+        sim.start(sim.node(1));
+        for (int i = 0; i < 40; i++) {
+            sim.node(0).membership().onOldWord(1_700_000_000_000_000L + sim.us(), 2);
+            sim.until(sim.us() + 500_000);
+        }
+        assertEquals(3, sim.node(0).membership().view().here());
+        sim.until(sim.us() + 12 * S);
+        assertEquals(2, sim.node(0).membership().view().here(), "it has been silent for long");
+    }
+
+    /** Bytes spoilt, cut off or made up, from a known address: nothing is thrown, and nobody is called dead by it. */
+    @Test
+    void spoiltDatagramsChangeNothing() {
+        MemberSim sim = fleet(5, 17, 0);
+        SplittableRandom random = new SplittableRandom(17);
+        Envelope good = Envelope.from(Envelope.id("n1"), sim.node(1).membership().self().incarnation());
+        byte[] whole = good.add(6, ByteBuffer.allocate(36).put(new byte[36])).bytes(-1);
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = Arrays.copyOf(whole, random.nextInt(2) == 0 ? whole.length : random.nextInt(whole.length));
+            for (int flips = random.nextInt(4) + (bytes.length == whole.length ? 1 : 0); flips > 0 && bytes.length > 0; flips--) {
+                bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
+            }
+            sim.deliver(sim.node(1), sim.node(0), bytes);
+        }
+        sim.until(sim.us() + 2 * S);
+        wholeAgain(sim, S);
+    }
+
+    /** Well made, and of what can't be true: an incarnation of next year, a state that there is not, a zone that there is not. */
+    @Test
+    void whatCantBeTrueIsNotTaken() {
+        MemberSim sim = fleet(5, 18, 0);
+        Node n0 = sim.node(0);
+        long last = (1L << 48) - 1;
+        long now = sim.node(2).membership().self().incarnation();
+        for (long[] lie : new long[][] {{last, 2, 0}, {now, 9, 0}, {now, 2, 77}}) {
+            ByteBuffer b = ByteBuffer.allocate(Member.BYTES);
+            Envelope.put48(b, Envelope.id("n2"));
+            Envelope.put48(b, lie[0]);
+            b.put((byte) lie[1]).put((byte) lie[2]).putShort((short) 2).put((byte) 1).put((byte) 0);
+            sim.deliver(sim.node(1), n0, Envelope.from(Envelope.id("n1"), sim.node(1).membership().self().incarnation())
+                    .add(6, b).bytes(-1));
+            assertEquals(Member.State.ALIVE, MemberSim.state(n0, sim.node(2)));
+            assertEquals(now, n0.membership().member(Envelope.id("n2")).incarnation());
+        }
+        sim.deliver(sim.node(1), n0, Envelope.from(Envelope.id("n9"), last).bytes(-1));
+        assertNull(n0.membership().member(Envelope.id("n9")));
+    }
+
+    /** A false word of a death is refuted by the one whom it calls dead. */
+    @Test
+    void aFalseDeathIsRefuted() {
+        MemberSim sim = fleet(6, 19, 0.1);
+        long incarnation = sim.node(3).membership().self().incarnation();
+        ByteBuffer b = ByteBuffer.allocate(Member.BYTES);
+        Envelope.put48(b, Envelope.id("n3"));
+        Envelope.put48(b, incarnation + 5);
+        b.put((byte) Member.State.DEAD.ordinal()).put((byte) 0).putShort((short) 3).put((byte) 1).put((byte) 0);
+        sim.deliver(sim.node(1), sim.node(0), Envelope.from(Envelope.id("n1"), sim.node(1).membership().self().incarnation())
+                .add(6, b).bytes(-1));
+        assertEquals(Member.State.DEAD, MemberSim.state(sim.node(0), sim.node(3)));
+        sim.until(sim.us() + 2 * S);
+        wholeAgain(sim, HEALED_BY);
+        assertEquals(incarnation + 6, sim.node(3).membership().self().incarnation());
+    }
+
+    /** No length of the program before's is ever sent, and an envelope never passes for whole when it is not. */
+    @Test
+    void anEnvelopeNeverHasTheLengthThatIsTaken() {
+        for (int section = 0; section < 200; section++) {
+            Envelope e = Envelope.from(5, 6).add(200, ByteBuffer.allocate(section).put(new byte[section]));
+            int length = e.bytes(-1).length;
+            Envelope again = Envelope.from(5, 6).add(200, ByteBuffer.allocate(section).put(new byte[section]));
+            byte[] padded = again.bytes(length);
+            assertEquals(length + 1, padded.length);
+            assertEquals(1, Envelope.read(padded).sections().size());
+        }
+    }
+
+    @Test
+    void whatItCostsDoesNotGrowWithTheFleet() {
+        double small = MemberFigures.measure(10, 0, false, 0, 1).bytesPerS();
+        double large = MemberFigures.measure(120, 0, false, 0, 1).bytesPerS();
+        assertTrue(large < 1.1 * small && large < 700, small + " and " + large + " bytes a second");
+    }
+}
