--- a/src/test/java/rushproxy/lab/LabRig.java
+++ b/src/test/java/rushproxy/lab/LabRig.java
@@ -27,6 +27,11 @@
 
     /** Little traffic that a busy machine carries too; lateness voids nothing here. */
     static Scenario scenario(int nodes, double lengthS, String... faults) throws Exception {
+        return scenario(nodes, lengthS, "", faults);
+    }
+
+    /** {@code fleet}: more lines of that table. */
+    static Scenario scenario(int nodes, double lengthS, String fleet, String[] faults) throws Exception {
         return ScenarioReader.parse("test", """
                 name = "test"
                 length_s = %s
@@ -34,6 +39,7 @@
                 [fleet]
                 nodes = %d
                 zones = ["a", "b"]
+                %s
                 [[servers]]
                 count = 4
                 zones = ["a", "b"]
@@ -63,7 +69,7 @@
                 fall_s = 1
                 [lateness]
                 most = 1
-                """.formatted(lengthS, nodes) + String.join("\n", faults), Map.of());
+                """.formatted(lengthS, nodes, fleet) + String.join("\n", faults), Map.of());
     }
 
     static String fault(double atS, String what, String more) {
