--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -360,8 +360,8 @@
         fleet = told;
     }
 
-    /** Those whose streams add up: in a majority the ones here, else all. Whom a minority does not see may be cut
-     * off from it alone, and send on. A cold server's budget is not shared anew by this: {@link #coldRoom}. */
+    /** Those whose streams add up: in a majority the ones here, else all. Whom a minority does not see may be
+     * cut off from it alone, and send on. A cold server's budget is not shared anew by this. */
     int sidecars(long now) {
         boolean told = fleet != null && now < fleet.untilUs() && fleet.standing() == Standing.MAJORITY;
         return told ? Math.max(1, Math.min(cfg.balancers(), fleet.here())) : cfg.balancers();
