A stop keeps its log: signals are taken by the sidecar, not by the runtime's own end

The stop ran in a shutdown hook; java.util.logging takes its handlers down in a hook of its own beside it. Which connections a stop closed could not be followed.

Change: SIGTERM and SIGINT are handled by the sidecar, which halts when it is empty; a second signal changes nothing. Test: the last two lines of a process told to end; failed before the change.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -59,6 +60,7 @@
     private final Pulse pulse = new Pulse();
     private long worstLagUs;
     private long beats;
+    private boolean leaving;
 
     /** Makes the module that decides; its actions may be used from then on. */
     interface Module {
@@ -124,17 +126,11 @@
         if (Signal.handle(new Signal("HUP"), signal -> sidecar.reload(environment)) == SignalHandler.SIG_IGN) {
             Log.warn("was started with SIGHUP ignored: it will not reload");
         }
-        CountDownLatch empty = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            sidecar.stop(empty::countDown);
-            try {
-                empty.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+        // Not a hook of the runtime's end: by then its logging has been taken down, and the last lines with it.
+        for (String signal : List.of("TERM", "INT")) {
             // A stop that was asked for and went well is no failure, whatever signal asked.
-            Runtime.getRuntime().halt(0);
-        }));
+            Signal.handle(new Signal(signal), s -> sidecar.stop(() -> Runtime.getRuntime().halt(0)));
+        }
         sidecar.rehearse();
         Log.line(config.name() + " serves on " + sidecar.listening());
         new CountDownLatch(1).await();
@@ -239,6 +235,11 @@
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
         loop.execute(() -> {
+            // Told again it changes nothing: the time runs from the first call.
+            if (leaving) {
+                return;
+            }
+            leaving = true;
             long sinceUs = clock.now();
             Log.line("is to leave; " + held());
             if (fleet != null) {
--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -118,5 +118,8 @@
         p.destroy();
         assertTrue(p.waitFor(60, TimeUnit.SECONDS));
         assertEquals(0, p.exitValue(), log().toString());
+        List<String> log = log();
+        assertTrue(log.get(log.size() - 2).contains(" is to leave"), log.toString());
+        assertTrue(log.get(log.size() - 1).contains(" leaves after "), log.toString());
     }
 }
