Discovery: each way to miss news has a bound, kept as a sum of the watch's own times

Ruled out: the module, requests under way, the agent, which answered the next call in 5 ms.

Change: a watch waits 2 s, is given up 0.5 s later, and what follows does not wait; neither does the first call of a process, the one after a reset, a refusal, a list broken off, or a new address. The watch goes on by itself also where the module asks. Clients are told to come after the first call. Sums are in the class's comment. Way not taken: two watches side by side, which would double the calls of a fleet for what one brief wait gives.

Four new tests of DiscoveryTest, each failed with the class as it was.

--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -22,22 +22,34 @@
 import rushproxy.Balancer.Upstream;
 
 /**
- * The watch on discovery: one call after the other without a gap, as soon as the module has asked for it. A call
- * that fails in any way is told to the module, which decides when to ask again; the list it has still holds.
+ * The watch on discovery: one call after the other without a gap, from the first one that the module asks for, or from the
+ * start where lists are pushed. A call that fails is told to the module if it waits for it; the list it has still holds.
+ *
+ * <p>What discovery's agent has counts as told, so each way to miss it has a bound, which is a sum of the times below
+ * (rules on sockets; the grace for sends is half a second):
+ * <ul>
+ * <li>a watch that falls silent counts 6 s later, or 2 s after its wait: {@code WAIT + SILENT}, and a call that does not wait;
+ * <li>one that is reset, refused or broken off within a list, the start of a process, and another address after SIGHUP
+ *     (which counts 4 s later): at most {@code 2 PACE}, and a call that does not wait;
+ * <li>a call that does not wait and is not answered is made again after {@code NOW}, then twice that, up to {@code MOST_NOW}:
+ *     so that while discovery is down nearly always one is out, which its agent answers at the return.
+ * </ul>
  */
 final class Discovery {
     private static final String PATH = "/registry/instances";
-    /** A list of some thousand upstreams; more is no list. */
-    private static final int MAX_ANSWER = 1 << 20;
+    /** A list of some thousands of upstreams, indented too; more is no list. Held in memory only while it comes. */
+    private static final int MAX_ANSWER = 4 << 20;
     private static final int CONNECT_MS = 1_000;
-    /** Discovery keeps a call for the whole list in its queue for seconds. */
-    private static final long WHOLE_MS = 4_000;
-    /** Changes count as told 2 s after a watch's wait is over: one that is silent then is asked again before. */
-    private static final long SILENT_MS = 1_500;
-    private static final long MOST_WAIT_MS = 20_000;
-    private static final long AGAIN_MS = 1_000;
+    private static final long WAIT_MS = 2_000;
+    private static final long SILENT_MS = 500;
+    private static final long NOW_MS = 400;
+    private static final long MOST_NOW_MS = 1_600;
     /** A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause. */
     private static final long PACE_MS = 100;
+    /** Answers that make no sense are asked for ever more slowly, up to this many times {@link #PACE_MS}. */
+    private static final int MOST_PACES = 16;
+    /** The longest time from a watch's call to the answer of the one after it, where the watch fell silent at once. */
+    static final long LEARNT_AFTER_MS = WAIT_MS + SILENT_MS + 2 * PACE_MS + NOW_MS;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -51,14 +63,23 @@
     private boolean doubt;
     /** The module has asked and waits for an answer, be it one without changes. */
     private boolean asked;
+    /** The call before was answered, so this one may wait for news. */
+    private boolean watching;
+    /** Calls in a row that failed, and answers in a row that made no sense. */
+    private int failures;
+    private int senseless;
     private Channel channel;
     private Future<?> timeout;
+    /** The next call, where one is due later; null while none is. */
+    private Future<?> next;
     /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
     private long call;
     private long calls;
     private long begunUs;
     /** Where lists are pushed the module asks for nothing: the watch is this class's own. */
     private final boolean pushed;
+    /** Told once, when the first call is over; null before it is wanted and after. */
+    private Runnable heard;
 
     Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, InetSocketAddress address,
               long generation, long askEveryUs, boolean pushed) {
@@ -69,27 +90,38 @@
         this.upstreams = upstreams;
         this.address = address;
         this.generation = generation;
-        waitMs = askEveryUs <= 0 ? MOST_WAIT_MS : Math.min(MOST_WAIT_MS, askEveryUs / 1000);
+        waitMs = askEveryUs <= 0 ? WAIT_MS : Math.min(WAIT_MS, askEveryUs / 1000);
         bootstrap = Dialling.whole(loop, CONNECT_MS, MAX_ANSWER, Handler::new);
     }
 
     void start() {
         if (pushed) {
-            subscribe();
+            goOn();
         }
     }
 
+    /** The module asks. A watch that is open, or about to be, answers it. */
     void subscribe() {
         asked = !pushed;
         goOn();
     }
 
+    /** {@code then} runs when the first call has been answered or has failed: at once where nothing was ever asked. */
+    void whenHeard(Runnable then) {
+        if (calls > 1 || call == 0) {
+            then.run();
+        } else {
+            heard = then;
+        }
+    }
+
     /** Discovery has another address from now on; what was asked at the old one is asked there at once. */
     void moveTo(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
         address = to;
+        watching = false;
         boolean out = call != 0;
         if (out) {
             end();
@@ -104,12 +136,35 @@
         }
     }
 
+    /** The next call: as soon as the pace allows, and later where calls fail. */
+    private void goOn() {
+        if (call != 0 || next != null) {
+            return;
+        }
+        long restMs = 0;
+        if (calls > 0) {
+            long paceMs = PACE_MS << Math.min(senseless, Integer.numberOfTrailingZeros(MOST_PACES));
+            // Jittered, so that sidecars that failed together do not ask together again.
+            long jitterMs = failures == 0 ? 0 : ThreadLocalRandom.current().nextLong(PACE_MS);
+            restMs = paceMs + jitterMs - (clock.now() - begunUs) / 1000;
+        }
+        if (restMs <= 0) {
+            begin();
+        } else {
+            next = loop.schedule(() -> {
+                next = null;
+                begin();
+            }, restMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void begin() {
         long number = ++calls;
         call = number;
         begunUs = clock.now();
-        timeout = loop.schedule(() -> failed(number, "no answer"), doubt ? WHOLE_MS : waitMs + SILENT_MS,
-                TimeUnit.MILLISECONDS);
+        long patienceMs = watching && !doubt ? waitMs + SILENT_MS
+                : Math.min(MOST_NOW_MS, NOW_MS << Math.min(failures, 8));
+        timeout = loop.schedule(() -> failed(number, "no answer"), patienceMs, TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             write(number);
             return;
@@ -126,7 +181,7 @@
     }
 
     private void write(long number) {
-        String uri = doubt ? PATH : PATH + "?index=" + generation + "&wait=" + waitMs;
+        String uri = doubt ? PATH : PATH + "?index=" + generation + "&wait=" + (watching ? waitMs : 0);
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
         request.headers().set("Host", "discovery");
         channel.writeAndFlush(request).addListener(f -> {
@@ -144,20 +199,16 @@
         // What may still come on it answers a call that is over.
         channel.close();
         channel = null;
-        asked = false;
-        Log.warn("a call to discovery failed: " + why);
-        if (pushed) {
-            again();
-        } else {
-            // The module asks again, ever later; without a working one nobody would.
-            decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), this::again);
+        boolean told = asked || watching;
+        asked = watching = false;
+        if (failures++ == 0) {
+            Log.warn("a call to discovery failed: " + why + "; the list before holds");
         }
-    }
-
-    /** Jittered, so that sidecars that failed together do not ask together again. */
-    private void again() {
-        loop.schedule(this::subscribe, AGAIN_MS / 2 + ThreadLocalRandom.current().nextLong(AGAIN_MS),
-                TimeUnit.MILLISECONDS);
+        if (!pushed && told) {
+            decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), () -> { });
+        }
+        goOn();
+        over();
     }
 
     private void end() {
@@ -165,6 +216,14 @@
         timeout.cancel(false);
     }
 
+    private void over() {
+        if (heard != null) {
+            Runnable then = heard;
+            heard = null;
+            then.run();
+        }
+    }
+
     private void answered(FullHttpResponse response) {
         UpstreamList list;
         try {
@@ -179,11 +238,17 @@
             }
         } catch (RuntimeException e) {
             doubt = true;
+            senseless++;
             failed(call, "its answer is no list: " + e.getMessage());
             return;
         }
         end();
+        if (failures > 0) {
+            Log.line("discovery answers again, after " + failures + " calls that failed");
+        }
         doubt = false;
+        watching = true;
+        failures = senseless = 0;
         generation = list.generation();
         if (!HttpUtil.isKeepAlive(response)) {
             channel.close();
@@ -195,18 +260,8 @@
             List<Upstream> entries = list.entries().stream().map(UpstreamList.Entry::upstream).toList();
             decisions.call(m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries), () -> { });
         }
-        long restMs = PACE_MS - (clock.now() - begunUs) / 1000;
-        if (restMs <= 0) {
-            goOn();
-        } else {
-            loop.schedule(this::goOn, restMs, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void goOn() {
-        if (call == 0) {
-            begin();
-        }
+        goOn();
+        over();
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpResponse> {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -211,13 +211,14 @@
             clients.take(inherited);
             listening = config.listen();
         }
-        loop.execute(() -> {
+        // What discovery has counts as told from the first moment: its first answer goes before the first client.
+        loop.execute(() -> discovery.whenHeard(() -> {
             if (fleet == null) {
                 clients.rehearsing(false);
             } else {
                 fleet.whenWarm(() -> clients.rehearsing(false));
             }
-        });
+        }));
     }
 
     EventLoop loop() {
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -106,4 +106,116 @@
             assertEquals("list DELTA u0=READY", rig.await("list"), "told of a call it has not made, or of no change");
         }
     }
+
+    private static long waits(String path) {
+        return Long.parseLong(path.substring(path.indexOf("wait=") + 5));
+    }
+
+    private static Rig pushed(Peer.Script discovery) throws Exception {
+        Rig rig = new Rig(discovery);
+        rig.settings = rig.settings.replace("on_request", "pushed");
+        rig.asks = false;
+        rig.upstream((m, line) -> { });
+        rig.start();
+        rig.await("list CACHED");
+        return rig;
+    }
+
+    /**
+     * What a silent watch misses counts 6 s after it fell silent, or 2 s after its wait is over. So it waits briefly, is given
+     * up within half a second of that, and what follows does not wait: news is there, or the call is made again at once.
+     */
+    @Test
+    void aWatchThatFallsSilentIsOpenedAnewBeforeItsNewsCounts() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = pushed((m, line) -> {
+            switch (calls.incrementAndGet()) {
+                case 1 -> line.answer("200 OK", "", Rig.list(41, false));
+                case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
+                default -> { }
+            }
+        })) {
+            assertEquals("list DELTA u0=DRAINING", rig.await("list"));
+            assertEquals(0, waits(rig.discovery.next().path()), "of a new process all counts at once");
+            assertTrue(waits(rig.discovery.next().path()) <= 2_000);
+            assertEquals(0, waits(rig.discovery.next().path()), "after silence nothing is waited for");
+            assertTrue(Discovery.LEARNT_AFTER_MS + 500 <= 6_000, "with the grace for sends");
+            assertTrue(Discovery.LEARNT_AFTER_MS <= 2_000 + 2_000, "2 s after the wait of the silent watch");
+        }
+    }
+
+    /** Each way in which a watch can break is followed by a call that does not wait, on a connection of its own. */
+    @Test
+    void aWatchThatBreaksIsFollowedByACallThatDoesNotWait() throws Exception {
+        java.util.Map<String, Peer.Script> breaks = java.util.Map.of(
+                "reset", (m, line) -> line.reset(),
+                "reset within a list", (m, line) -> {
+                    line.raw("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"generation\":43,\"reset\":tr");
+                    line.reset();
+                },
+                "closed", (m, line) -> line.socket().close(),
+                "refused", (m, line) -> line.answer("503 Down", "", ""));
+        for (java.util.Map.Entry<String, Peer.Script> broken : breaks.entrySet()) {
+            AtomicInteger calls = new AtomicInteger();
+            try (Rig rig = pushed((m, line) -> {
+                switch (calls.incrementAndGet()) {
+                    case 1 -> line.answer("200 OK", "", Rig.list(41, false));
+                    case 2 -> broken.getValue().handle(m, line);
+                    case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
+                    default -> { }
+                }
+            })) {
+                assertEquals("list DELTA u0=DRAINING", rig.await("list"), broken.getKey());
+                rig.discovery.next();
+                rig.discovery.next();
+                String path = rig.discovery.next().path();
+                assertEquals("/registry/instances?index=41&wait=0", path, broken.getKey());
+            }
+        }
+    }
+
+    /** While discovery is down nearly always a call is out, and none that would be given up late. */
+    @Test
+    void whileDiscoveryIsSilentItIsCalledAgainAndAgain() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = pushed((m, line) -> {
+            int call = calls.incrementAndGet();
+            if (call == 1 || call == 6) {
+                line.answer("200 OK", "", Rig.list(call + 40, false));
+            } else if (call == 5) {
+                line.answer("200 OK", "", Rig.list(45, false, UP.replace("Ready", "Terminating")));
+            }
+        })) {
+            assertEquals("list DELTA u0=DRAINING", rig.await("list"));
+            rig.discovery.next();
+            assertTrue(waits(rig.discovery.next().path()) > 0);
+            for (int i = 3; i <= 5; i++) {
+                assertEquals(0, waits(rig.discovery.next().path()));
+            }
+            assertTrue(waits(rig.discovery.next().path()) > 0, "answered, it is a watch again");
+            assertTrue(rig.discovery.accepted.size() >= 4, "what is silent gets no second call");
+        }
+    }
+
+    /** Where the module asks, the sidecar goes on by itself as well: the module's own pauses have no bound here. */
+    @Test
+    void aWatchThatTheModuleAskedForGoesOnWithoutIt() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = new Rig((m, line) -> {
+            switch (calls.incrementAndGet()) {
+                case 1 -> line.answer("200 OK", "", Rig.list(41, false));
+                case 2 -> line.reset();
+                case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
+                default -> { }
+            }
+        })) {
+            rig.upstream((m, line) -> { });
+            rig.asksOnce = true;
+            rig.start();
+            rig.await("list CACHED");
+            assertEquals("list DELTA ", rig.await("list"));
+            assertEquals("list FAILED ", rig.await("list"));
+            assertEquals("list DELTA u0=DRAINING", rig.await("list"));
+        }
+    }
 }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -49,6 +49,8 @@
     String settings = SETTINGS;
     /** Whether the module asks for a watch. */
     boolean asks = true;
+    /** Not again after a failure. */
+    boolean asksOnce;
     int sockets = 1024;
     /** The folder for what outlives the process. */
     Path kept;
@@ -169,7 +171,7 @@
         @Override
         public void onList(long now, ListKind kind, List<Upstream> entries) {
             told.add("list " + kind + " " + String.join(",", entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
-            if (asks && (kind == ListKind.CACHED || kind == ListKind.FAILED)) {
+            if (asks && (kind == ListKind.CACHED || kind == ListKind.FAILED && !asksOnce)) {
                 actions.subscribe();
             }
         }
