Signals are taken from the first moment: a reload during the start no longer ends the process

Cause: SIGHUP was handled after the start only (Sidecar.serve, Signal.handle after sidecar.start()); until then the Java runtime ends on it. A process that restarts while a new configuration is sent out would have been a crash.

Change: the three signals are taken before the configuration is read. A reload that comes before there is a sidecar is done when there is one; an end before that ends at once, since nothing is held. Test: a process held in the reading of its configuration by a pipe is told to reload; it died without the change (exit within 0.5 s), and moves its watch with it. What comes before the program's first line is still the runtime's own.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -96,6 +96,9 @@
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
     public static int serve(Map<String, String> environment) throws InterruptedException {
+        // Before all else: without handlers of its own the Java runtime ends on these, and a reload that comes now is meant.
+        Signals signals = new Signals(environment);
+        boolean reloads = signals.take();
         Config config;
         try {
             config = Config.read(environment);
@@ -122,21 +125,59 @@
             Log.event(Log.Level.ERROR, "can't start: " + e);
             return 1;
         }
-        // Without a handler of its own the Java runtime ends on this signal.
-        if (Signal.handle(new Signal("HUP"), signal -> sidecar.reload(environment)) == SignalHandler.SIG_IGN) {
+        if (!reloads) {
             Log.warn("was started with SIGHUP ignored: it will not reload");
         }
-        // Not a hook of the runtime's end: by then its logging has been taken down, and the last lines with it.
-        for (String signal : List.of("TERM", "INT")) {
-            // A stop that was asked for and went well is no failure, whatever signal asked.
-            Signal.handle(new Signal(signal), s -> sidecar.stop(() -> Runtime.getRuntime().halt(0)));
-        }
+        signals.started(sidecar);
         sidecar.rehearse();
         Log.line(config.name() + " serves on " + sidecar.listening());
         new CountDownLatch(1).await();
         return 0;
     }
 
+    /** What the platform asks of the process, from its first moment on. */
+    private static final class Signals {
+        private final Map<String, String> environment;
+        /** Null while there is none yet. */
+        private Sidecar sidecar;
+        private boolean reload;
+
+        Signals(Map<String, String> environment) {
+            this.environment = environment;
+        }
+
+        /** False where a reload can't be asked for: the runtime leaves a signal ignored that was so at its start. */
+        boolean take() {
+            // Not a hook of the runtime's end: by then its logging has been taken down, and the last lines with it.
+            for (String end : List.of("TERM", "INT")) {
+                Signal.handle(new Signal(end), s -> end());
+            }
+            return Signal.handle(new Signal("HUP"), s -> reload()) != SignalHandler.SIG_IGN;
+        }
+
+        synchronized void started(Sidecar now) {
+            sidecar = now;
+            if (reload) {
+                now.reload(environment);
+            }
+        }
+
+        private synchronized void end() {
+            // A stop that was asked for and went well is no failure, whatever signal asked; before the start nothing is held.
+            if (sidecar == null) {
+                Runtime.getRuntime().halt(0);
+            }
+            sidecar.stop(() -> Runtime.getRuntime().halt(0));
+        }
+
+        private synchronized void reload() {
+            reload = true;
+            if (sidecar != null) {
+                sidecar.reload(environment);
+            }
+        }
+    }
+
     /** The configuration was replaced: of all that it says only where discovery is may change while running. */
     private void reload(Map<String, String> environment) {
         // The file tells of the change; what the environment said at the start is old.
--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -122,4 +122,37 @@
         assertTrue(log.get(log.size() - 2).contains(" is to leave"), log.toString());
         assertTrue(log.get(log.size() - 1).contains(" leaves after "), log.toString());
     }
+
+    /** A reload that comes before there is anything to reload is done as soon as there is; it does not end the process. */
+    @Test
+    void askedToReloadWhileItStartsItDoesSoAndLives() throws Exception {
+        Path file = folder.resolve("config.json");
+        assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "rushproxy.Main", "serve");
+        builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        builder.redirectError(folder.resolve("log").toFile());
+        Process p = builder.start();
+        try (ServerSocket moved = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            moved.setSoTimeout(60_000);
+            // Opened for writing only once it is opened for reading: the process is at its configuration.
+            try (java.io.OutputStream first = Files.newOutputStream(file)) {
+                hangUp(p);
+                // Handled by now, or it would have ended the process by now: it waits for the rest of the file.
+                assertTrue(!p.waitFor(500, TimeUnit.MILLISECONDS), log().toString());
+                Files.writeString(folder.resolve("next.json"), CONFIG.replace("on_request", "pushed")
+                        .replace("127.0.0.1:9", "127.0.0.1:" + moved.getLocalPort()));
+                // What is open stays the pipe; what is read next is this.
+                Files.move(folder.resolve("next.json"), file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+                first.write(CONFIG.replace("on_request", "pushed").getBytes(StandardCharsets.US_ASCII));
+            }
+            try (Socket fresh = moved.accept()) {
+                assertTrue(p.isAlive(), log().toString());
+            }
+        } finally {
+            p.destroy();
+            p.waitFor();
+        }
+    }
 }
