Shared state: room for lists of over a thousand servers and processes

Need: the operators allow no cap under 1,024 on lists of servers or processes in any part; their trial has 120 processes and some hundreds of servers. The table of verdicts held 512 entries in all, five witnesses of 102 servers; that of counts 512 entries and 64 writers; a lender of a limit had 256 borrowers; the store of cordons took 1,000 files.

Change: 6,144 entries of verdicts, 8,192 of counts with 2,048 writers, 4,096 borrowers, 4,096 cordons. All are bounds on what may come, nothing is laid out ahead.

--- a/src/main/java/rushproxy/fleet/shared/Limits.java
+++ b/src/main/java/rushproxy/fleet/shared/Limits.java
@@ -47,8 +47,8 @@
     private static final long RENEW_US = 1_300_000;
     /** Who had nothing to lend is not asked for so long. */
     private static final long NOTHING_US = 1_000_000;
-    /** Borrowers of one lender, far more than ask. */
-    private static final int MOST_LEASES = 256;
+    /** Borrowers of one lender, more than a fleet has processes: a bound on what liars can fill. */
+    private static final int MOST_LEASES = 4_096;
 
     private static final int ASK = 30;
     private static final int LEND = 31;
--- a/src/main/java/rushproxy/fleet/shared/Table.java
+++ b/src/main/java/rushproxy/fleet/shared/Table.java
@@ -16,12 +16,12 @@
     /** What is taken back is remembered for so long: a lease for what has one, a day for what has none. */
     static final long GRAVE_MS = 86_400_000;
 
-    /** What is known of servers. Three witnesses tell as much as a hundred; two more may be wrong, or leave. */
-    public static final Table VERDICTS = new Table(1, "verdicts", true, false, 512, 5, 8, 15_000);
+    /** What is known of servers. Three witnesses tell as much as a hundred; two more may be wrong, or leave. Room for some 1,200 servers. */
+    public static final Table VERDICTS = new Table(1, "verdicts", true, false, 6_144, 5, 8, 15_000);
     /** The operators' fleet-wide limits: few, and they stay. */
     public static final Table LIMITS = new Table(2, "limits", false, false, 64, 1, 48, 0);
-    /** Counters by writer and incarnation; a quiet one is forgotten after a quarter of an hour. */
-    public static final Table COUNTS = new Table(3, "counts", true, false, 512, 64, 24, 900_000);
+    /** Counters by writer and incarnation, of 2,048 processes four each; a quiet one is forgotten after a quarter of an hour. */
+    public static final Table COUNTS = new Table(3, "counts", true, false, 8_192, 2_048, 24, 900_000);
 
     /** What releases order: by epoch of the controller, then by its steps. Forgotten a day after its last step. */
     public static final Table ORDERS = new Table(4, "orders", false, true, 16, 1, 96, GRAVE_MS);
--- a/src/main/java/rushproxy/sidecar/CordonStore.java
+++ b/src/main/java/rushproxy/sidecar/CordonStore.java
@@ -31,7 +31,7 @@
     /** A call at the other process counts here within the grace of half a second, also after a late look. */
     private static final long LOOK_MS = 100;
     /** Far more than are called out at once; a folder that holds more is not this program's. */
-    private static final int MOST_FILES = 1_000;
+    private static final int MOST_FILES = 4_096;
     private static final int MOST_BYTES = 2_000;
 
     /** Whether the upstream is left out, and since when it is so. */
--- a/src/test/java/rushproxy/fleet/shared/LimitsTest.java
+++ b/src/test/java/rushproxy/fleet/shared/LimitsTest.java
@@ -10,6 +10,9 @@
 import org.junit.jupiter.api.Test;
 import rushproxy.Balancer.Scope;
 import rushproxy.Balancer.Share;
+import rushproxy.fleet.Envelope;
+import rushproxy.fleet.Group;
+import rushproxy.fleet.Host;
 import rushproxy.lab.sim.SharedFigures;
 import rushproxy.lab.sim.SharedSim;
 
@@ -128,4 +131,56 @@
             assertTrue(l.most() <= 1 + 1e-9 && l.unused() < 0.15 && l.bytes() < 800, l.toString());
         }
     }
+
+    /** No borrower of a large fleet is turned away for their number alone. */
+    @Test
+    void oneLendsToMoreThanAThousand() {
+        int fleet = 1_100;
+        List<Integer> lentTo = new java.util.ArrayList<>();
+        Host host = new Host() {
+            @Override
+            public void send(int peer, byte[] datagram) {
+                java.nio.ByteBuffer b = java.nio.ByteBuffer.wrap(Envelope.read(datagram).sections().get(0).bytes());
+                Envelope.get48(b);
+                b.getShort();
+                if (b.getFloat() > 0) {
+                    lentTo.add(peer);
+                }
+            }
+
+            @Override
+            public void note(String event) { }
+        };
+        Group group = new Group() {
+            @Override
+            public int size() {
+                return fleet;
+            }
+
+            @Override
+            public int one(int part, java.util.SplittableRandom random) {
+                return -1;
+            }
+
+            @Override
+            public boolean here(long member) {
+                return true;
+            }
+
+            @Override
+            public String name(long member) {
+                return "" + member;
+            }
+        };
+        Store store = new Store(1, 2, -1, List.of(Table.LIMITS), 0, 1, group, host);
+        Limits lender = new Limits(1, fleet, 2, -1, store, List.of(ALL), 0, 1, group, host);
+        long now = 2 * Limits.LEASE_US;
+        for (int i = 1; i < fleet; i++) {
+            java.nio.ByteBuffer ask = java.nio.ByteBuffer.allocate(16);
+            Envelope.put48(ask, Envelope.id("all"));
+            ask.putShort((short) 1).putFloat((float) (MOST / fleet / fleet / 2)).putFloat((float) MOST);
+            lender.onLetter(now, i, Envelope.read(Envelope.from(1_000 + i, 1).add(30, ask).bytes(-1)));
+        }
+        assertEquals(fleet - 1, lentTo.size());
+    }
 }
--- a/src/test/java/rushproxy/fleet/shared/StoreTest.java
+++ b/src/test/java/rushproxy/fleet/shared/StoreTest.java
@@ -250,4 +250,25 @@
             assertEquals(105, counts[i].total(sim.node(i).clock(), "asked"), "n" + i);
         }
     }
+
+    /** Of each of a list of 1,024 servers three know something, and 1,024 processes count: nothing is left out for want of room. */
+    @Test
+    void aListOfAThousandServersHasRoom() {
+        SharedSim sim = fleet(11, 3, 0);
+        for (SharedSim.Node n : sim.nodes()) {
+            for (int server = 1; server <= 1_024; server++) {
+                n.store().put(n.clock(), Table.VERDICTS, server, value(server));
+            }
+        }
+        sim.until(sim.us() + S);
+        for (SharedSim.Node n : sim.nodes()) {
+            int own = 0;
+            for (int server = 1; server <= 1_024; server++) {
+                own += n.store().read(n.clock(), Table.VERDICTS, server, n.id) == null ? 0 : 1;
+            }
+            assertEquals(1_024, own, n.notes.toString());
+        }
+        assertTrue(Table.VERDICTS.most() >= 1_024 * Table.VERDICTS.mostPerKey(), "all witnesses of all servers");
+        assertTrue(Table.COUNTS.mostPerKey() >= 1_024 && Table.COUNTS.most() >= 1_024, "a counter of each process");
+    }
 }
