Tests: lists of thousands of servers, indented and in changes, too long and spoilt

Need: no cap under 1,024 on lists, indented ones and those limited by bytes included. What is too long or spoilt leaves the list before in force.

--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -218,4 +218,43 @@
             assertEquals("list DELTA u0=DRAINING", rig.await("list"));
         }
     }
+
+    private static String many(int from, int to, String state) {
+        return java.util.stream.IntStream.range(from, to).mapToObj(i -> Rig.entry("s" + i, "127.0.0.1:" + (1_000 + i), state, 0))
+                .collect(java.util.stream.Collectors.joining(","));
+    }
+
+    /** As discovery may write it: each value on a line of its own. */
+    private static String indented(String json) {
+        return json.replace("{", "{\n            ").replace(",\"", ",\n            \"").replace("}", "\n        }");
+    }
+
+    /** Whole, indented, in changes; then one that is too long and one that is spoilt, after which the list before holds. */
+    @Test
+    void thousandsOfServersAreTakenAndWhatIsTooLongLeavesThemInForce() throws Exception {
+        int servers = 10_000;
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = pushed((m, line) -> {
+            switch (calls.incrementAndGet()) {
+                case 1 -> line.answer("200 OK", "", indented(Rig.list(42, true, many(0, servers, "Ready"))));
+                case 2 -> line.answer("200 OK", "", Rig.list(43, false, many(0, 1_024, "Terminating")));
+                case 3 -> line.answer("200 OK", "", Rig.list(44, true, many(0, 40_000, "Ready")));
+                case 4 -> line.answer("200 OK", "", "{\"generation\":45,\"reset\":true,\"instances\":[" + many(0, 1_024, "Ready"));
+                case 5 -> line.answer("200 OK", "", Rig.list(46, true, many(5, 6, "Ready")));
+                default -> { }
+            }
+        })) {
+            assertEquals(servers, rig.await("list FULL").split("=READY", -1).length - 1);
+            String changes = rig.await("list");
+            assertEquals(1_024, changes.split("=DRAINING", -1).length - 1, changes.substring(0, 20));
+            // The two answers that are no lists told the module nothing.
+            assertEquals("list FULL s5=READY", rig.await("list"));
+            String[] paths = new String[5];
+            for (int i = 0; i < paths.length; i++) {
+                paths[i] = rig.discovery.next().path();
+            }
+            assertTrue(paths[3].contains("index=43&wait=0"), "after the one too long: " + paths[3]);
+            assertEquals("/registry/instances", paths[4], "after the spoilt one");
+        }
+    }
 }
