--- a/src/main/java/rushproxy/lab/Lab.java
+++ b/src/main/java/rushproxy/lab/Lab.java
@@ -32,6 +32,7 @@
 import rushproxy.lab.report.Report;
 import rushproxy.lab.report.Summary;
 import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.scenario.ScenarioReader;
 import rushproxy.lab.world.Addresses;
 import rushproxy.lab.world.Observation;
 import rushproxy.lab.world.Observations;
@@ -106,7 +107,22 @@
         }
     }
 
+    /** Each pair of sidecar and server, and of sidecars, has a listening socket here, so that each can be cut by itself. */
+    static void room(int sidecars, int servers, long descriptors) throws IOException {
+        long needed = (long) sidecars * servers + (long) sidecars * sidecars + 4L * sidecars + 512;
+        if (needed > descriptors) {
+            throw new IOException("fleet.nodes, servers: " + sidecars + " sidecars and " + servers + " servers need " + needed
+                    + " descriptors here, and " + descriptors + " may be open");
+        }
+    }
+
+    private static long descriptors() {
+        return java.lang.management.ManagementFactory.getOperatingSystemMXBean()
+                instanceof com.sun.management.UnixOperatingSystemMXBean unix ? unix.getMaxFileDescriptorCount() : Long.MAX_VALUE;
+    }
+
     private Summary play() throws IOException, InterruptedException {
+        room(scenario.fleet().nodes(), ScenarioReader.serverNames(scenario).size(), descriptors());
         String failure = null;
         Histogram sends = new Histogram(3);
         Histogram beats = new Histogram(3);
