--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -155,4 +155,27 @@
             p.waitFor();
         }
     }
+
+    /** A list of 1,024 servers, indented, and 1,024 peers that are members, in a quarter of the heap that the platform gives. */
+    @Test
+    void aLargeFleetFitsIntoTheMemoryOfOneSidecar() throws Exception {
+        StringBuilder servers = new StringBuilder();
+        StringBuilder peers = new StringBuilder();
+        for (int i = 0; i < 1_024; i++) {
+            servers.append(i == 0 ? "" : ",").append("{\n    \"instanceId\": \"s").append(i).append("\",\n    \"hostPort\": \"127.0.0.1:")
+                    .append(20_000 + i).append("\",\n    \"zone\": \"z\",\n    \"machineType\": \"k\",\n    \"cell\": 1,\n    \"lifecycle\": ")
+                    .append("\"Ready\",\n    \"weight\": 1.0,\n    \"startedAtMs\": 0\n  }");
+            peers.append(i == 0 ? "" : ",").append("\"127.0.0.1:").append(30_000 + i).append('"');
+        }
+        String config = CONFIG.replace("\"instances\":[]", "\"instances\":[" + servers + "]").replace("\"balancers\":1", "\"balancers\":1024")
+                .replace("\"peer_listen\"", "\"fleet\":{\"members\":true,\"shared\":true},\"peers\":[" + peers + "],\"peer_listen\"");
+        Process p = start(config, "exec \"$0\" -XX:+UseSerialGC -Xmx16m -XX:MaxDirectMemorySize=40m \"$@\"");
+        try {
+            awaitLog(p, " serves on ");
+            assertTrue(log().stream().noneMatch(l -> l.contains("OutOfMemory") || l.contains("failed: java")), log().toString());
+        } finally {
+            p.destroy();
+            p.waitFor();
+        }
+    }
 }
