Laboratory: what a killed process held is excused up to its end, not up to the order

Cause: MembersIT.killsAreFoundOutAndTheKilledAreBack failed once on four busy cores: two requests 'lost' at 3.015 and 3.059 s of a kill at 3 s. The order is noted, then a program is started that sends the signal (Node.signal); requests that came in between were asked more than 1 ms after the order, and counted as lost (OneAnswer.killed).

Change: the kill lasts from the order to the exit that is noted for it. Way not taken: to kill by the runtime's own call, which narrows the gap and leaves it.

--- a/src/main/java/rushproxy/lab/check/OneAnswer.java
+++ b/src/main/java/rushproxy/lab/check/OneAnswer.java
@@ -21,7 +21,8 @@
     /** When a node was killed, and when it was stopped and went on. */
     private static final class Life {
         private final List<long[]> stalls = new ArrayList<>();
-        private final List<Long> kills = new ArrayList<>();
+        /** From the order to kill it to its end: on a busy machine the signal takes its time, and requests come meanwhile. */
+        private final List<long[]> kills = new ArrayList<>();
         private final List<Long> terms = new ArrayList<>();
 
         boolean stalled(long fromUs, long toUs) {
@@ -30,9 +31,9 @@
 
         /** Killed between the two, with no word of the stop long before the request. */
         boolean killed(long askedUs, long endUs) {
-            boolean killed = kills.stream().anyMatch(k -> k >= askedUs - 1_000 && k <= endUs + 1_000);
+            boolean killed = kills.stream().anyMatch(k -> k[1] >= askedUs - 1_000 && k[0] <= endUs + 1_000);
             return killed && terms.stream().noneMatch(t -> t <= askedUs - TERM_US
-                    && kills.stream().anyMatch(k -> k >= t && k <= endUs + 1_000));
+                    && kills.stream().anyMatch(k -> k[0] >= t && k[0] <= endUs + 1_000));
         }
     }
 
@@ -86,11 +87,16 @@
         for (Observation o : run.of(What.NODE)) {
             Life life = lives.computeIfAbsent(o.node(), n -> new Life());
             switch (o.text()) {
-                case "kill" -> life.kills.add(o.us());
+                case "kill" -> life.kills.add(new long[] {o.us(), o.us()});
                 case "term" -> life.terms.add(o.us());
                 case "stop" -> stopped.put(o.node(), o.us());
                 case "cont" -> life.stalls.add(new long[] {stopped.getOrDefault(o.node(), o.us()), o.us()});
-                default -> { }
+                default -> {
+                    if (o.text().startsWith("exit") && !life.kills.isEmpty()) {
+                        long[] last = life.kills.get(life.kills.size() - 1);
+                        last[1] = last[1] == last[0] ? o.us() : last[1];
+                    }
+                }
             }
         }
         stopped.forEach((node, us) -> lives.get(node).stalls.add(new long[] {us, us}));
