Departures: an attempt whose connection still comes up ends with its request

Need: a client that closes its connection has gone, and nothing may be begun for it 0.1 s later.

Change: what ends a request withdraws its attempts of which no byte has been handed to a connection. They are told as NOT_SENT, which is no fault of the upstream's, and their connections are closed at once.

Ruled out: attempts on connections that are up are written in the turn of the decision, and Requests.send looks again whether the request is over.

Result: DepartureTest lets a connection come up a second after the client has gone; without the change both its tests find "GET" sent, with it nothing.

--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -280,6 +280,8 @@
         if (x.overdue != null) {
             x.overdue.cancel(false);
         }
+        // A connection may still be coming up for one: whoever has gone, or has been answered, is sent nothing more for.
+        List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
         forgetIfSettled(x);
     }
 
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -71,6 +71,8 @@
         private Target target;
         private Channel channel;
         private Future<?> timeout;
+        /** Its first byte has been handed to a connection. */
+        private boolean started;
         private boolean written;
         private boolean ended;
         /** Its body goes on coming while it is sent. */
@@ -156,6 +158,17 @@
             abandon(Outcome.CANCELLED);
         }
 
+        /** Nobody wants its answer any more: what has not begun to be sent is not sent. */
+        void withdraw() {
+            if (!started && !ended) {
+                // Told first: the end of a connection that is still coming up would be told as the upstream's failure.
+                end(Outcome.NOT_SENT, null, null);
+                if (channel != null) {
+                    channel.close();
+                }
+            }
+        }
+
         /** The hinge of all outcomes: without its last byte written a request has never run. */
         void broke() {
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
@@ -386,6 +399,7 @@
     }
 
     private void write(Call call) {
+        call.started = true;
         HttpRequest head = call.message.apply(call.untilUs - clock.now());
         head.headers().set(HttpHeaderNames.HOST, "api.internal");
         connection(call.channel).begin(call, this::release);
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/DepartureTest.java
@@ -0,0 +1,103 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A client that closes its connection has gone: nothing is begun for it any more. */
+@Timeout(60)
+class DepartureTest {
+    /** An upstream whose connections come up only when the test lets them: its backlog is full until then. */
+    private static final class SlowDoor implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        private final List<Socket> filling = new ArrayList<>();
+
+        SlowDoor() throws Exception {
+            for (boolean full = false; !full; ) {
+                Socket s = new Socket();
+                filling.add(s);
+                try {
+                    s.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 150);
+                } catch (java.net.SocketTimeoutException e) {
+                    full = true;
+                }
+            }
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** What the first connection sends that was not opened here; empty where it sends nothing before its end. */
+        String firstSent() throws Exception {
+            for (Socket s : filling) {
+                s.close();
+            }
+            // A connection that found no room is tried again after a second.
+            server.setSoTimeout(1_800);
+            try {
+                while (true) {
+                    Socket s = server.accept();
+                    s.setSoTimeout(1_800);
+                    String sent = new String(s.getInputStream().readNBytes(3));
+                    if (!sent.isEmpty()) {
+                        return sent;
+                    }
+                }
+            } catch (java.net.SocketTimeoutException e) {
+                return "";
+            }
+        }
+
+        @Override
+        public void close() throws Exception {
+            server.close();
+        }
+    }
+
+    /** The connection for its attempt comes up a second after the client has gone. */
+    @Test
+    void nothingIsSentWhenTheConnectionComesUpAfterTheClientHasGone() throws Exception {
+        try (SlowDoor door = new SlowDoor(); Rig rig = new Rig((m, line) -> { })) {
+            rig.discovery.script = (m, line) -> line.answer("200 OK", "",
+                    Rig.list(50, true, Rig.entry("u0", door.address(), "Ready", 0)));
+            rig.upstream((m, line) -> { });
+            rig.start();
+            rig.await("list FULL u0=READY");
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a1", 20_000));
+                rig.await("request a1");
+            }
+            assertEquals("expired a1", rig.await("expired"));
+            assertEquals("", door.firstSent());
+        }
+    }
+
+    /** A class may allow a second copy: once one has served, the other is not begun. */
+    @Test
+    void aCopyWhoseConnectionStillComesUpIsNotSentOnceAnotherHasServed() throws Exception {
+        try (SlowDoor door = new SlowDoor(); Rig rig = new Rig((m, line) -> { })) {
+            Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+            rig.discovery.script = (m, line) -> line.answer("200 OK", "", Rig.list(50, true,
+                    Rig.entry("u0", door.address(), "Ready", 0), Rig.entry("u1", up.address(), "Ready", 0)));
+            rig.onRequest = (now, r, out) -> {
+                out.send(r.id(), "u0", 0);
+                out.send(r.id(), "u1", 0);
+            };
+            rig.start();
+            rig.await("list FULL u0=READY,u1=READY");
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a1", 20_000));
+                assertEquals("served", client.answer().body());
+            }
+            assertEquals("", door.firstSent());
+        }
+    }
+}
