Recurring work of the event loop outlives a time that fails

Seen: in a trial with no descriptor left for some seconds every request was refused from then on, for good: "the news never came, but 'HTTP/1.1 503'", and no line of the 5 s tally came any more. The beat had failed once (the tally's words need a class that could not be read without a descriptor), and the loop drops periodic work at its first exception. Without the beat the loop counts as ever later (Pulse), so each request's time is over when it is read.

Ruled out: discovery (it answered again), upstreams (none was asked).

At fault: Sidecar.start, ClientServer.start, Upstreams' constructor, FleetPlane.start.

--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -117,7 +117,7 @@
     }
 
     void start() {
-        loop.scheduleWithFixedDelay(this::closeUnfinished, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        Recurring.every(loop, SWEEP_MS, this::closeUnfinished);
     }
 
     private ServerBootstrap accepting() {
--- a/src/main/java/rushproxy/sidecar/FleetPlane.java
+++ b/src/main/java/rushproxy/sidecar/FleetPlane.java
@@ -100,7 +100,7 @@
             snapshotUs = clock.now() + SNAPSHOT_US;
         }
         peers.hand(this, taken);
-        ticks = loop.scheduleAtFixedRate(this::tick, Membership.TICK_US, Membership.TICK_US, TimeUnit.MICROSECONDS);
+        ticks = Recurring.every(loop, Membership.TICK_US / 1000, this::tick);
     }
 
     private void tick() {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -220,7 +220,7 @@
         if (config.admin() != null) {
             administered = new AdminServer(loop, new Operators()).listen(config.admin());
         }
-        loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
+        Recurring.every(loop, BEAT_MS, this::beat);
     }
 
     /** What makes the event loop late makes every answer late: too little of the core, a pause, or a fault here. */
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -215,7 +215,7 @@
         this.maxConnections = maxConnections;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
         bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), () -> new UpstreamConnection(budget));
-        sweep = loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweep = Recurring.every(loop, SWEEP_MS, this::dropIdle);
     }
 
     /** Connections to what drained, went or is now another process are of no more use. */
