A socket that can't be opened is told on the loop, and discovery is called again

Seen (trial, 200 descriptors, clients take all of them): "An exception was thrown by Discovery$$Lambda.operationComplete(): IllegalStateException: channel not registered to an event loop", after which discovery was not called again, and "Too many open files" 5 times a second.

Cause: where not even a socket can be opened, Netty tells it on a thread of its own, of a channel that belongs to no loop. Discovery closed that channel within its failure, which threw before the next call was planned (Discovery.begin, failed); the outcome of an attempt went into the module from that thread, and counted against the upstream (Upstreams.connect).

Change: Dialling.connect tells it on the loop and gives no channel; for an attempt it is NOT_SENT, as at the cap.

Ruled out: the caps themselves.

Result: the second test of DescriptorsTest failed before ("the news never came"), and passes now.

--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -78,6 +80,8 @@
     /** When the stop last closed a connection between requests. */
     private long closedUs;
     private boolean rehearsing;
+    /** The last that knocked could not be let in. */
+    private boolean stuck;
     /** When the drain was asked for; 0 while there is none. */
     private long drainAtUs;
     private boolean drainLooked;
@@ -125,6 +129,12 @@
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        notAccepted(ctx.channel(), cause);
+                    }
+                })
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -133,7 +143,17 @@
                 });
     }
 
+    /** For want of descriptors, most likely. They wait in the backlog, and the next sweep looks again. */
+    private void notAccepted(Channel from, Throwable cause) {
+        from.config().setAutoRead(false);
+        if (!stuck) {
+            stuck = true;
+            Log.warn("clients can't be let in: " + cause.getMessage());
+        }
+    }
+
     private void accepted(Channel channel) {
+        stuck = false;
         acceptedUs = clock.now();
         ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, pulse);
         connections.add(connection);
--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/sidecar/Dialling.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -9,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -28,6 +30,27 @@
                 new AnswerDecoder(), handler.get())));
     }
 
+    /** How a connection came up, or did not: told once, on the loop. */
+    interface Dialled {
+        /** {@code failure} is null where it is up. */
+        void told(Throwable failure);
+    }
+
+    /**
+     * Connects. Null where not even a socket could be opened, for want of descriptors: that is told on the loop like any other
+     * failure, but there is no connection, not even one to be closed.
+     */
+    static Channel connect(Bootstrap by, EventLoop loop, InetSocketAddress to, Dialled dialled) {
+        ChannelFuture connecting = by.connect(to);
+        if (connecting.isDone() && !connecting.channel().isRegistered()) {
+            // It belongs to no loop, and would be told on a thread of nobody's.
+            loop.execute(() -> dialled.told(connecting.cause()));
+            return null;
+        }
+        connecting.addListener(f -> dialled.told(f.cause()));
+        return connecting.channel();
+    }
+
     private static Bootstrap dialling(EventLoop loop, int connectMs, Consumer<Channel> init) {
         return new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -169,13 +168,11 @@
             write(number);
             return;
         }
-        ChannelFuture connecting = bootstrap.connect(address);
-        channel = connecting.channel();
-        connecting.addListener(f -> {
-            if (f.isSuccess() && call == number) {
-                write(number);
-            } else if (!f.isSuccess()) {
+        channel = Dialling.connect(bootstrap, loop, address, failure -> {
+            if (failure != null) {
                 failed(number, "no connection");
+            } else if (call == number) {
+                write(number);
             }
         });
     }
@@ -197,8 +194,10 @@
         }
         end();
         // What may still come on it answers a call that is over.
-        channel.close();
-        channel = null;
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
         boolean told = asked || watching;
         asked = watching = false;
         if (failures++ == 0) {
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -362,18 +361,18 @@
             return;
         }
         connections++;
-        ChannelFuture connecting = bootstrap.connect(call.target.address);
-        call.channel = connecting.channel();
-        connecting.addListener(f -> {
-            // One that could not even be opened, for want of descriptors, never closes: it must not count for ever.
-            if (f.isSuccess()) {
+        call.channel = Dialling.connect(bootstrap, loop, call.target.address, failure -> {
+            if (failure == null) {
                 call.channel.closeFuture().addListener(closed -> connections--);
             } else {
                 connections--;
             }
-            if (call.ended) {
+            if (call.channel == null) {
+                // The want of descriptors is this process's own, and no fault of the upstream's.
+                call.end(Outcome.NOT_SENT, null, null);
+            } else if (call.ended) {
                 call.channel.close();
-            } else if (!f.isSuccess()) {
+            } else if (failure != null) {
                 call.broke();
             } else if (!mayBegin(call) || clock.now() >= call.untilUs) {
                 // The list changed or time ran out while the connection came up: nothing may be sent any more.
