Repeats: the module is asked again when a connection that took its time is up

Upstreams.connect looked only at the list and at the deadline again.

Change: Balancer.mayBegin, asked in the moment of sending: is the request still open, its server still ready, the window still open for each earlier attempt that may have run. Where not, the attempt is NOT_SENT.

Sends on connections that are up are written within the decision's own turn.

Result: PolicyTest (a window that closes between decision and sending) and DepartureTest (the module says no once the connection is up), which fails with the question taken out.

--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -169,6 +169,12 @@
 
     void onRequest(long now, Request request);
 
+    /**
+     * Whether an attempt may still begin, its connection having taken its time: asked at the moment of sending, since
+     * lists change and the windows of repeats close meanwhile. It acts on nothing. Where it says no the outcome is NOT_SENT.
+     */
+    boolean mayBegin(long now, String request, int attempt);
+
     /** The last byte of a partial request has been written: only now can the upstream begin. */
     void onSent(long now, String request, int attempt);
 
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -403,7 +403,6 @@
                 }
                 case COLD -> s.startedAt = Math.max(s.startedAt, now - (long) (v.factor() * 1e6));
                 case DROPS_IDLE -> limitIdle(now, (long) (v.factor() * 1_000));
-                default -> { }
             }
         }
     }
@@ -747,10 +746,9 @@
     }
 
     private void sweepLater() {
-        if (!holdTimer && !waiting.isEmpty()) {
-            holdTimer = true;
-            out.timer("hold", SWEEP_US);
-        }
+        if (holdTimer || waiting.isEmpty()) return;
+        holdTimer = true;
+        out.timer("hold", SWEEP_US);
     }
 
     /** Sends what waits, in order, while there is room; with {@code sweep} gives up what is too late. */
@@ -795,6 +793,16 @@
         return coldRoom(now, s, r.work);
     }
 
+    /** A connection that took its time may have outlasted the window of what ran before. */
+    @Override
+    public boolean mayBegin(long now, String id, int number) {
+        Req r = open.get(id);
+        if (r == null || r.over || number >= r.attempts.size()) return false;
+        Server s = r.attempts.get(number).server;
+        return s.ready && r.attempts.stream().limit(number)
+                .allMatch(a -> !a.mayHaveRun || repeatable(r.spec, a, s, now));
+    }
+
     private static boolean repeatable(RequestClass c, Attempt earlier, Server s, long now) {
         if (c.semantics() == Semantics.SAFE) return true;
         if (c.semantics() == Semantics.UNSAFE || now - earlier.sentAt >= c.windowUs()) return false;
@@ -897,10 +905,8 @@
         r.over = true;
         for (Quota q : r.quotas) q.inFlight--;
         r.quotas = List.of();
-        if (r.waiting) {
-            waiting.remove(r);
-            r.waiting = false;
-        }
+        if (r.waiting) waiting.remove(r);
+        r.waiting = false;
         if (r.attempts.stream().allMatch(a -> a.ended)) open.remove(r.request.id());
     }
 
@@ -1001,7 +1007,6 @@
                     countAsFull(s, now);
                 }
             }
-            default -> { }
         }
     }
 
@@ -1020,13 +1025,12 @@
 
     private void failed(long now, Server s, int weight, Evidence kind) {
         s.failures += weight;
-        if (s.failures >= EJECT_AFTER && now >= s.ejectedUntil) {
-            s.failedAt = now;
-            out.evidence(s.id, kind, s.failures);
-            s.failures = 0;
-            s.ejectedUntil = now + Math.min(EJECT_MOST_US, EJECT_US << Math.min(s.ejections, 10));
-            s.ejections++;
-        }
+        if (s.failures < EJECT_AFTER || now < s.ejectedUntil) return;
+        s.failedAt = now;
+        out.evidence(s.id, kind, s.failures);
+        s.failures = 0;
+        s.ejectedUntil = now + Math.min(EJECT_MOST_US, EJECT_US << Math.min(s.ejections, 10));
+        s.ejections++;
     }
 
     @Override
@@ -1077,7 +1081,6 @@
             }
             case "tell" -> tell(now);
             case "ask" -> ask();
-            default -> { }
         }
     }
 
@@ -1086,10 +1089,9 @@
     private long askDelay = ASK_FIRST_US;
 
     private void ask() {
-        if (!asking && !subscribed) {
-            asking = true;
-            out.subscribe();
-        }
+        if (asking || subscribed) return;
+        asking = true;
+        out.subscribe();
     }
 
     private void listAnswered(long now, ListKind kind) {
--- a/src/main/java/rushproxy/sidecar/Decisions.java
+++ b/src/main/java/rushproxy/sidecar/Decisions.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import rushproxy.Balancer;
 
 /**
@@ -37,6 +38,16 @@
         }
     }
 
+    /** A question that changes nothing, and may be asked while an action is carried out; no where the module fails. */
+    boolean ask(Predicate<Balancer> question) {
+        try {
+            return question.test(module);
+        } catch (RuntimeException e) {
+            Log.trouble("the module failed", e);
+            return false;
+        }
+    }
+
     private void run() {
         running = true;
         try {
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -150,6 +150,11 @@
                         return x.answer.piece(piece);
                     }
 
+                    @Override
+                    public boolean mayBegin(Upstreams.Call c) {
+                        return decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number));
+                    }
+
                     @Override
                     public void sent(Upstreams.Call c) {
                         if (x.request.partial()) {
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -51,6 +51,11 @@
             return true;
         }
 
+        /** Whether it is still to be sent, now that it could be. */
+        default boolean mayBegin(Call call) {
+            return true;
+        }
+
         /** The last byte of the message has been written. */
         default void sent(Call call) {
         }
@@ -374,9 +379,11 @@
                 call.channel.close();
             } else if (failure != null) {
                 call.broke();
-            } else if (!mayBegin(call) || clock.now() >= call.untilUs) {
-                // The list changed or time ran out while the connection came up: nothing may be sent any more.
-                call.abandon(!mayBegin(call) ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED);
+            } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
+                // The list changed, or a window closed, while the connection came up.
+                call.withdraw();
+            } else if (clock.now() >= call.untilUs) {
+                call.abandon(Outcome.CONNECT_FAILED);
             } else {
                 write(call);
             }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -167,6 +167,23 @@
         assertTrue(late.take("refuse").isEmpty());
     }
 
+    /** A connection takes time to come up: what was in the window at the decision may be out of it at the sending. */
+    @Test
+    void aRepeatBeginsOnlyWhileItsWindowIsOpen() {
+        Rig rig = new Rig();
+        rig.semantics = Semantics.KEYED;
+        rig.windowUs = 50_000;
+        rig.start().list(A, B).request("r");
+        assertTrue(rig.policy.mayBegin(rig.now + 100_000, "r", 0), "a first attempt repeats nothing");
+        rig.after(45_000).outcome("r", 0, rig.sentTo("r", 0), Outcome.ERROR, 10_000);
+        assertNotNull(rig.sentTo("r", 1));
+        assertTrue(rig.policy.mayBegin(rig.now + 4_000, "r", 1));
+        assertFalse(rig.policy.mayBegin(rig.now + 5_000, "r", 1));
+        assertFalse(rig.policy.mayBegin(rig.now, "other", 0));
+        rig.policy.onExpired(rig.now, "r");
+        assertFalse(rig.policy.mayBegin(rig.now, "r", 1), "its client has gone");
+    }
+
     /** Retry advice is for what has not run; a safe request that may have run has failed. */
     @Test
     void whatMayHaveRunIsFailedAndNotRefused() {
--- a/src/test/java/rushproxy/sidecar/DepartureTest.java
+++ b/src/test/java/rushproxy/sidecar/DepartureTest.java
@@ -80,6 +80,23 @@
         }
     }
 
+    /** The module is asked again once the connection is up: the window of a repeat may have closed meanwhile. */
+    @Test
+    void theModuleHasTheLastWordOnceTheConnectionIsUp() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+            rig.mayBegin = false;
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a1", 20_000));
+                assertEquals("outcome a1 0 NOT_SENT false -", rig.await("outcome"));
+                assertEquals(502, client.status());
+                assertEquals(-1, up.accepted.take().getInputStream().read());
+                assertEquals(0, up.messages.size());
+            }
+        }
+    }
+
     /** A class may allow a second copy: once one has served, the other is not begun. */
     @Test
     void aCopyWhoseConnectionStillComesUpIsNotSentOnceAnotherHasServed() throws Exception {
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -43,6 +43,8 @@
             out.fail(id);
         }
     };
+    /** What the module says when a connection is up at last. */
+    volatile boolean mayBegin = true;
     Sidecar sidecar;
     String peerFields = "";
     String adminFields = "";
@@ -200,6 +202,11 @@
             told.add("begins " + request + " " + attempt);
         }
 
+        @Override
+        public boolean mayBegin(long now, String request, int attempt) {
+            return mayBegin;
+        }
+
         @Override
         public void onSent(long now, String request, int attempt) {
             told.add("sent " + request + " " + attempt);
