Upstreams: a connection rests 20 ms after an answer before it is used again

The connection was free at once (Upstreams.release, takeIdle takes the one used last), and a head that comes while another call is out is that call's answer: turned away once, it "proves" of the next request, which runs, that it never ran.

Change: a connection is taken again no earlier than 20 ms after its answer; what comes meanwhile ends it, as before.

Ruled out by reading: answers before the request's last byte, half lines and bytes in the read of the answer (UpstreamConnection) end the connection already.

Tests: UpstreamsTest sends the second answer when the next call arrives; it fails with the rest taken out ("u REJECTED"). One test of OutcomesTest took reuse without a rest for granted: it now waits for twice the rest before its second call, and asks for the same.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -77,7 +77,7 @@
         // Those who only come to stay are on the clients' side. What that does not use upstreams may have.
         int free = Math.max(2 * LEAST_PER_SIDE, config.sockets() - OWN_DESCRIPTORS);
         int ofClients = free - Math.max(LEAST_PER_SIDE, free / 4);
-        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(),
+        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
                 () -> free - Math.min(ofClients, clients().open()),
                 budget);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -31,6 +32,11 @@
 final class Upstreams {
     /** Idle connections are dropped this much before an upstream may drop them: a request then can't cross it. */
     private static final long IDLE_MARGIN_US = 2_000_000;
+    /**
+     * A second answer may come some milliseconds after the first (the standing check's page, join). To whatever call is out
+     * by then it would be the answer; on a connection that rests it is one that nobody asked for, and ends it.
+     */
+    static final long REST_US = 20_000;
     private static final long SWEEP_MS = 1_000;
 
     /** What a call brings. */
@@ -205,6 +211,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final long idleUs;
+    private final long restUs;
     private final IntSupplier maxConnections;
     private final Bootstrap bootstrap;
     private final Map<String, Target> targets = new HashMap<>();
@@ -213,9 +220,12 @@
     private final Future<?> sweep;
     private int connections;
 
-    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, IntSupplier maxConnections, Budget budget) {
+    /** {@code restUs}: connections are used again no earlier than this after an answer. */
+    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long restUs, long dialTimeoutUs, IntSupplier maxConnections,
+              Budget budget) {
         this.loop = loop;
         this.clock = clock;
+        this.restUs = restUs;
         this.maxConnections = maxConnections;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
         bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), () -> new UpstreamConnection(budget));
@@ -343,11 +353,15 @@
 
     /** The most recently used first, so that the others grow old enough to be dropped. */
     private Channel takeIdle(Target t, long now) {
-        for (Channel c; (c = t.idle.pollFirst()) != null; ) {
-            if (usable(c, now)) {
+        for (Iterator<Channel> i = t.idle.iterator(); i.hasNext(); ) {
+            Channel c = i.next();
+            if (!usable(c, now)) {
+                i.remove();
+                c.close();
+            } else if (now - connection(c).idleSinceUs >= restUs) {
+                i.remove();
                 return c;
             }
-            c.close();
         }
         return null;
     }
--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -125,9 +125,11 @@
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
                 assertEquals(200, client.status());
+                rig.await("outcome a1");
+                // Before it has rested another one is opened.
+                Thread.sleep(2 * Upstreams.REST_US / 1000);
                 up.script = (m, line) -> line.reset();
                 client.send(Rig.get("a2", 20_000));
-                rig.await("outcome a1");
                 assertEquals("outcome a2 0 RESET false -", rig.await("outcome"));
                 assertEquals(502, client.status());
                 assertEquals(2, up.messages.size());
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -31,7 +31,11 @@
     }
 
     private Upstreams upstreams(long idleUs, int most) throws Exception {
-        return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, () -> most, new Budget(1 << 20))).get();
+        return upstreams(idleUs, 0, most);
+    }
+
+    private Upstreams upstreams(long idleUs, long restUs, int most) throws Exception {
+        return loop.submit(() -> new Upstreams(loop, clock, idleUs, restUs, 2_000_000, () -> most, new Budget(1 << 20))).get();
     }
 
     private static UpstreamList list(boolean whole, String... entries) {
@@ -106,6 +110,46 @@
         }
     }
 
+    /** The second answer comes once the next call is out: it must not be taken for that call's. */
+    @Test
+    void anAnswerThatComesTwiceIsNotTheNextCalls() throws Exception {
+        Peer.Line[] first = new Peer.Line[1];
+        try (Peer up = new Peer((m, line) -> {
+            if (first[0] == null) {
+                first[0] = line;
+                line.answer("503 Busy", "X-Turned-Away: 1\r\n", "");
+            } else {
+                first[0].answer("503 Busy", "X-Turned-Away: 1\r\n", "");
+                if (line.socket() != first[0].socket()) {
+                    line.answer("200 OK", "", "served");
+                }
+            }
+        })) {
+            Upstreams upstreams = upstreams(15_000_000, 10_000_000, 100);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.start(call("u")));
+            assertEquals("u REJECTED", outcome());
+            loop.execute(() -> upstreams.start(call("u")));
+            assertEquals("u OK", outcome());
+            assertEquals(-1, up.accepted.take().getInputStream().read(), "what brought an answer too many is used again");
+        }
+    }
+
+    /** Once it has rested it is as good as before. */
+    @Test
+    void aConnectionThatHasRestedIsUsedAgain() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "served"))) {
+            Upstreams upstreams = upstreams(15_000_000, 1, 100);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
+            for (int i = 0; i < 3; i++) {
+                loop.execute(() -> upstreams.start(call("u")));
+                assertEquals("u OK", outcome());
+                Thread.sleep(2);
+            }
+            assertEquals(1, up.accepted.size());
+        }
+    }
+
     /** Descriptors are few: at the cap an idle connection elsewhere makes room, and without one nothing is sent. */
     @Test
     void connectionsStayWithinTheirCap() throws Exception {
