A loop that was held up looks at its sockets before it begins an attempt

Need: after a hold-up of the event loop the sockets hold what happened meanwhile: requests, departures of the clients that sent them, news of drains. Found by reading: a request was sent on in the turn that read it, though its client's end lay right behind it, or the drain of its upstream in the next socket; both count as known by then.

Change: Requests.begin puts an attempt off by a timer of 1 ms where the loop is behind its beat by 20 ms or more: a timer runs after another look at the sockets. The beat that finds a hold-up clears it only after that look too; it used to run before the sockets were read, and what lay there counted as fresh (Sidecar.beat).

Ruled out: an idle upstream connection that ended meanwhile (the same look finds it).

Tests: DepartureTest holds the loop up for 0.2 s, with a request and its client's end, and with a request and a drain, in the sockets; without the change both find the request sent, with it neither.

--- a/src/main/java/rushproxy/sidecar/Pulse.java
+++ b/src/main/java/rushproxy/sidecar/Pulse.java
@@ -6,6 +6,10 @@
  */
 final class Pulse {
     static final long BEAT_US = 50_000;
+    /** Behind by this much after a beat, the loop may be the last to know who has gone and what drains: for 70 ms at most. */
+    static final long LATE_US = 20_000;
+    /** A timer of the loop's runs after its sockets have been looked at once more, however short it is. */
+    static final long LOOK_MS = 1;
 
     private long beatAtUs;
 
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -22,6 +22,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
+    private final Pulse pulse;
     private Watch watch = (upstream, requestClass, outcome, tookUs) -> { };
     private final Decisions decisions;
     private final Upstreams upstreams;
@@ -37,9 +38,10 @@
     private int broken;
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
-    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, int maxAttempts) {
+    Requests(EventLoop loop, Clock clock, Pulse pulse, Decisions decisions, Upstreams upstreams, int maxAttempts) {
         this.loop = loop;
         this.clock = clock;
+        this.pulse = pulse;
         this.decisions = decisions;
         this.upstreams = upstreams;
         this.maxAttempts = maxAttempts;
@@ -166,7 +168,20 @@
         if (moot) {
             call.end(Outcome.NOT_SENT, null, null);
         } else {
+            begin(call);
+        }
+    }
+
+    /** After a hold-up what lies in the sockets goes first: it may say that this must not be sent any more. */
+    private void begin(Upstreams.Call call) {
+        if (pulse.behindUs(clock.now()) < Pulse.LATE_US) {
             upstreams.start(call);
+        } else {
+            loop.schedule(() -> {
+                if (!call.ended()) {
+                    begin(call);
+                }
+            }, Pulse.LOOK_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -80,7 +80,7 @@
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
                 () -> free - Math.min(ofClients, clients().open()),
                 budget);
-        requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
+        requests = new Requests(loop, clock, pulse, decisions, upstreams, settings.limits().maxAttempts());
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 settings.rules().askEveryUs(), !settings.discoveryOnRequest());
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
@@ -226,8 +226,14 @@
     /** What makes the event loop late makes every answer late: too little of the core, a pause, or a fault here. */
     private void beat() {
         long now = clock.now();
-        worstLagUs = Math.max(worstLagUs, pulse.behindUs(now));
-        pulse.beat(now);
+        long behindUs = pulse.behindUs(now);
+        worstLagUs = Math.max(worstLagUs, behindUs);
+        if (behindUs < Pulse.LATE_US) {
+            pulse.beat(now);
+        } else {
+            // What lay in the sockets meanwhile is read only now, and is as old as the hold-up.
+            loop.schedule(() -> pulse.beat(clock.now()), Pulse.LOOK_MS, TimeUnit.MILLISECONDS);
+        }
         if (++beats % BEATS == 0) {
             requests.tally((words, fields) ->
                     Log.event(Log.Level.INFO, "in " + BEATS * BEAT_MS / 1000 + " s " + words + "; " + held(), fields));
--- a/src/test/java/rushproxy/sidecar/DepartureTest.java
+++ b/src/test/java/rushproxy/sidecar/DepartureTest.java
@@ -8,6 +8,9 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -97,6 +100,80 @@
         }
     }
 
+    /** What lies in the sockets when a held-up loop goes on, in one turn or in two. */
+    private interface Meanwhile {
+        void happens() throws Exception;
+    }
+
+    private static void heldUp(Rig rig, Meanwhile meanwhile) throws Exception {
+        // Nothing is late before the first beat.
+        Thread.sleep(2 * Pulse.BEAT_US / 1000);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        rig.sidecar.loop().execute(() -> {
+            held.countDown();
+            try {
+                goOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        meanwhile.happens();
+        Thread.sleep(4 * Pulse.BEAT_US / 1000);
+        goOn.countDown();
+    }
+
+    /** Its request and its departure lie there together, and the request is read first. */
+    @Test
+    void nothingIsSentForAClientThatLeftWhileTheLoopWasHeldUp() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a0", 20_000));
+                assertEquals(200, client.status());
+                heldUp(rig, () -> {
+                    client.send(Rig.get("a1", 20_000));
+                    client.close();
+                });
+                rig.await("request a1");
+                rig.await("expired a1");
+                assertEquals(1, up.messages.size());
+            }
+        }
+    }
+
+    /** The news that an upstream drains lies there as well: the order in which sockets are read must not matter. */
+    @Test
+    void nothingIsSentToAnUpstreamWhoseDrainLiesUnreadWhileTheLoopWasHeldUp() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            BlockingQueue<Peer.Line> watches = new LinkedBlockingQueue<>();
+            try (Rig rig = new Rig((m, line) -> {
+                if (m.path().contains("wait=0")) {
+                    line.answer("200 OK", "", Rig.list(41, false));
+                } else {
+                    watches.add(line);
+                }
+            })) {
+                Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+                rig.start();
+                Peer.Line watch = watches.take();
+                try (Peer.Client client = rig.client()) {
+                    client.send(Rig.get("a0", 20_000));
+                    assertEquals(200, client.status());
+                    heldUp(rig, () -> {
+                        client.send(Rig.get("a1", 20_000));
+                        watch.answer("200 OK", "", Rig.list(42, false, Rig.entry("u0", up.address(), "Terminating", 0)));
+                    });
+                    rig.await("outcome a0");
+                    assertEquals("outcome a1 0 NOT_SENT false -", rig.await("outcome"));
+                    assertEquals(1, up.messages.size());
+                }
+            }
+        }
+    }
+
     /** A class may allow a second copy: once one has served, the other is not begun. */
     @Test
     void aCopyWhoseConnectionStillComesUpIsNotSentOnceAnotherHasServed() throws Exception {
