Tests: crossings that were found sound: stop twice, half a body at a stop, resets and half-closes of clients

Need: the table of crossings (docs/incidents/acceptance.md) names four that no test forced.

Change: ShutdownTest sends the rest of a body after the stop, and asks for the stop twice; DepartureTest ends a client's side by a reset and by a half-close while its request is held.

--- a/src/test/java/rushproxy/sidecar/DepartureTest.java
+++ b/src/test/java/rushproxy/sidecar/DepartureTest.java
@@ -65,6 +65,30 @@
         }
     }
 
+    /** In whichever way it ends its side: the request it waits for is over at once. */
+    @Test
+    void aResetAndAHalfCloseAreDeparturesToo() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.onRequest = (now, r, out) -> { };
+            rig.start();
+            try (Peer.Client resets = rig.client()) {
+                resets.send(Rig.get("a1", 3_000));
+                rig.await("request a1");
+                resets.socket.setSoLinger(true, 0);
+            }
+            assertEquals("expired a1", rig.await("expired"));
+            try (Peer.Client halfCloses = rig.client()) {
+                halfCloses.send(Rig.get("a2", 3_000));
+                rig.await("request a2");
+                halfCloses.socket.shutdownOutput();
+                // Its end, not an answer: the time of the request is not over by far.
+                assertEquals(null, halfCloses.answer());
+                assertEquals("expired a2", rig.await("expired"));
+            }
+        }
+    }
+
     /** The connection for its attempt comes up a second after the client has gone. */
     @Test
     void nothingIsSentWhenTheConnectionComesUpAfterTheClientHasGone() throws Exception {
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -155,6 +155,42 @@
         }
     }
 
+    /** A body that is still coming belongs to a request that was begun before the stop. */
+    @Test
+    void theRestOfABodyIsTakenAfterTheStopWasAskedFor() throws Exception {
+        try (Rig rig = rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", m.body()));
+            rig.start();
+            CountDownLatch stopped = new CountDownLatch(1);
+            try (Peer.Client half = rig.client(); Peer.Client other = rig.client()) {
+                half.send(Rig.get("half", 30_000).replace("GET", "POST").replace("\r\n\r\n", "\r\nContent-Length: 6\r\n\r\nabc"));
+                // Answered on the same loop: what was sent before has been read.
+                other.send(Rig.get("other", 30_000));
+                assertEquals("", other.answer().body());
+                rig.sidecar.stop(stopped::countDown);
+                other.send(Rig.get("again", 30_000));
+                assertEquals("", other.answer().body());
+                half.send("def");
+                assertEquals("abcdef", half.answer().body());
+            }
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** The platform may ask again: the time runs from the first call, and the end comes once. */
+    @Test
+    void askedTwiceItStopsOnce() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.start();
+            CountDownLatch stopped = new CountDownLatch(1);
+            CountDownLatch again = new CountDownLatch(1);
+            rig.sidecar.stop(stopped::countDown);
+            rig.sidecar.stop(again::countDown);
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+            assertTrue(!again.await(300, TimeUnit.MILLISECONDS), "it ended twice");
+        }
+    }
+
     /** Half a request whose client has fallen silent holds up the stop no longer than a client would wait. */
     @Test
     void aClientThatFellSilentDoesNotKeepTheSidecarFromEnding() throws Exception {
