Upstreams: a call waits for a connection that rests instead of opening another

A call right after an answer found only the connection that rests, and opened one more.

UpstreamsTest: the second answer now comes while the next call waits, and a call right after an answer opens no connection; the one before this was rewritten for that, as strict.

--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -35,7 +35,7 @@
     /**
      * A second answer may come some milliseconds after the first (the standing check's page, join; 1 to 3 ms in plays, and twice
      * that is waited for). To whatever call is out by then it would be the answer; on a connection that rests it is one that
-     * nobody asked for, and ends it. Each millisecond more opens connections for calls that find only such as rest.
+     * nobody asked for, and ends it.
      */
     static final long REST_US = 6_000;
     private static final long SWEEP_MS = 1_000;
@@ -332,8 +332,26 @@
         }
         due(call, call.untilUs);
         Channel channel = takeIdle(call.target, now);
-        if (channel != null) {
-            call.channel = channel;
+        if (channel == null) {
+            connect(call);
+            return;
+        }
+        call.channel = channel;
+        long restsUs = connection(channel).idleSinceUs + restUs - now;
+        if (restsUs <= 0) {
+            write(call);
+        } else {
+            loop.schedule(() -> rested(call), restsUs, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** The rest of its connection is over, or what came meanwhile has ended it. */
+    private void rested(Call call) {
+        if (call.ended) {
+            call.channel.close();
+        } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
+            call.withdraw();
+        } else if (call.channel.isActive()) {
             write(call);
         } else {
             connect(call);
@@ -352,8 +370,12 @@
         call.timeout = loop.schedule(call::timedOut, untilUs - clock.now(), TimeUnit.MICROSECONDS);
     }
 
-    /** The most recently used first, so that the others grow old enough to be dropped. */
+    /**
+     * The most recently used of those that have rested, so that the others grow old enough to be dropped; else the one whose
+     * rest ends first, which is sooner there than a new one.
+     */
     private Channel takeIdle(Target t, long now) {
+        Channel rests = null;
         for (Iterator<Channel> i = t.idle.iterator(); i.hasNext(); ) {
             Channel c = i.next();
             if (!usable(c, now)) {
@@ -362,9 +384,12 @@
             } else if (now - connection(c).idleSinceUs >= restUs) {
                 i.remove();
                 return c;
+            } else {
+                rests = c;
             }
         }
-        return null;
+        t.idle.remove(rests);
+        return rests;
     }
 
     private boolean usable(Channel c, long now) {
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -110,7 +110,7 @@
         }
     }
 
-    /** The second answer comes once the next call is out: it must not be taken for that call's. */
+    /** The second answer comes once the next call waits for the connection: it must not be taken for that call's. */
     @Test
     void anAnswerThatComesTwiceIsNotTheNextCalls() throws Exception {
         Peer.Line[] first = new Peer.Line[1];
@@ -118,23 +118,35 @@
             if (first[0] == null) {
                 first[0] = line;
                 line.answer("503 Busy", "X-Turned-Away: 1\r\n", "");
-            } else {
-                first[0].answer("503 Busy", "X-Turned-Away: 1\r\n", "");
-                if (line.socket() != first[0].socket()) {
-                    line.answer("200 OK", "", "served");
-                }
+            } else if (line.socket() != first[0].socket()) {
+                line.answer("200 OK", "", "served");
             }
         })) {
-            Upstreams upstreams = upstreams(15_000_000, 10_000_000, 100);
+            Upstreams upstreams = upstreams(15_000_000, 1_000_000, 100);
             loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
             loop.execute(() -> upstreams.start(call("u")));
             assertEquals("u REJECTED", outcome());
-            loop.execute(() -> upstreams.start(call("u")));
+            loop.submit(() -> upstreams.start(call("u"))).get();
+            first[0].answer("503 Busy", "X-Turned-Away: 1\r\n", "");
             assertEquals("u OK", outcome());
             assertEquals(-1, up.accepted.take().getInputStream().read(), "what brought an answer too many is used again");
         }
     }
 
+    /** A call that finds only connections that rest waits for the first of them: another would cost more. */
+    @Test
+    void aCallWaitsForAConnectionThatRests() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "served"))) {
+            Upstreams upstreams = upstreams(15_000_000, 100_000, 100);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
+            for (int i = 0; i < 3; i++) {
+                loop.execute(() -> upstreams.start(call("u")));
+                assertEquals("u OK", outcome());
+            }
+            assertEquals(1, up.accepted.size());
+        }
+    }
+
     /** Once it has rested it is as good as before. */
     @Test
     void aConnectionThatHasRestedIsUsedAgain() throws Exception {
