Tests: one way to hold the event loop up, and one body for calls on a resting connection

Need: DepartureTest held the loop up by the lines of RequestLifeTest, and two tests of UpstreamsTest were alike but for two numbers.

Change: Rig.holdUp and UpstreamsTest.threeCallsUseOneConnection. What is asked is the same.

--- a/src/test/java/rushproxy/sidecar/DepartureTest.java
+++ b/src/test/java/rushproxy/sidecar/DepartureTest.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -124,30 +123,6 @@
         }
     }
 
-    /** What lies in the sockets when a held-up loop goes on, in one turn or in two. */
-    private interface Meanwhile {
-        void happens() throws Exception;
-    }
-
-    private static void heldUp(Rig rig, Meanwhile meanwhile) throws Exception {
-        // Nothing is late before the first beat.
-        Thread.sleep(2 * Pulse.BEAT_US / 1000);
-        CountDownLatch held = new CountDownLatch(1);
-        CountDownLatch goOn = new CountDownLatch(1);
-        rig.sidecar.loop().execute(() -> {
-            held.countDown();
-            try {
-                goOn.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        held.await();
-        meanwhile.happens();
-        Thread.sleep(4 * Pulse.BEAT_US / 1000);
-        goOn.countDown();
-    }
-
     /** Its request and its departure lie there together, and the request is read first. */
     @Test
     void nothingIsSentForAClientThatLeftWhileTheLoopWasHeldUp() throws Exception {
@@ -157,7 +132,7 @@
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a0", 20_000));
                 assertEquals(200, client.status());
-                heldUp(rig, () -> {
+                rig.holdUp(200, () -> {
                     client.send(Rig.get("a1", 20_000));
                     client.close();
                 });
@@ -186,7 +161,7 @@
                 try (Peer.Client client = rig.client()) {
                     client.send(Rig.get("a0", 20_000));
                     assertEquals(200, client.status());
-                    heldUp(rig, () -> {
+                    rig.holdUp(200, () -> {
                         client.send(Rig.get("a1", 20_000));
                         watch.answer("200 OK", "", Rig.list(42, false, Rig.entry("u0", up.address(), "Terminating", 0)));
                     });
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import rushproxy.Balancer.Outcome;
@@ -69,29 +68,16 @@
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a0", 20_000));
                 assertEquals(503, client.status());
-                // A connection is new, and what comes on it taken for as old, until the beat has come again.
-                Thread.sleep(2 * Pulse.BEAT_US / 1000);
-                CountDownLatch goOn = new CountDownLatch(1);
-                CountDownLatch held = new CountDownLatch(1);
-                rig.sidecar.loop().execute(() -> {
-                    held.countDown();
-                    try {
-                        goOn.await();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
+                Peer.Client[] fresh = new Peer.Client[1];
+                rig.holdUp(500, () -> {
+                    client.send(Rig.get("a1", 300));
+                    fresh[0] = rig.client().send(Rig.get("a2", 300));
                 });
-                held.await();
-                client.send(Rig.get("a1", 300));
-                try (Peer.Client fresh = rig.client()) {
-                    fresh.send(Rig.get("a2", 300));
-                    Thread.sleep(500);
-                    goOn.countDown();
-                    assertEquals("request a1 1", rig.await("request a1"));
-                    assertEquals("request a2 1", rig.await("request a2"));
-                    assertEquals(503, client.status());
-                    assertEquals(503, fresh.status());
-                }
+                assertEquals("request a1 1", rig.await("request a1"));
+                assertEquals("request a2 1", rig.await("request a2"));
+                assertEquals(503, client.status());
+                assertEquals(503, fresh[0].status());
+                fresh[0].close();
             }
         }
     }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer;
@@ -148,6 +149,34 @@
                 + remainingMs + "\r\n\r\n";
     }
 
+    /** What comes to lie in the sockets while the event loop is held up. */
+    interface Meanwhile {
+        void happens() throws Exception;
+    }
+
+    /** Holds the event loop up: it goes on {@code ms} after {@code meanwhile} has happened, by when its beat is late. */
+    void holdUp(long ms, Meanwhile meanwhile) throws Exception {
+        // Nothing is late before the first beat, and a connection counts as new until the next.
+        Thread.sleep(2 * Pulse.BEAT_US / 1000);
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        sidecar.loop().execute(() -> {
+            held.countDown();
+            try {
+                goOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        try {
+            meanwhile.happens();
+            Thread.sleep(ms);
+        } finally {
+            goOn.countDown();
+        }
+    }
+
     /** Waits until the module was told something that starts so. */
     String await(String start) throws InterruptedException {
         for (String line; (line = told.poll(20, TimeUnit.SECONDS)) != null; ) {
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -136,27 +136,23 @@
     /** A call that finds only connections that rest waits for the first of them: another would cost more. */
     @Test
     void aCallWaitsForAConnectionThatRests() throws Exception {
-        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "served"))) {
-            Upstreams upstreams = upstreams(15_000_000, 100_000, 100);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
-            for (int i = 0; i < 3; i++) {
-                loop.execute(() -> upstreams.start(call("u")));
-                assertEquals("u OK", outcome());
-            }
-            assertEquals(1, up.accepted.size());
-        }
+        threeCallsUseOneConnection(100_000, 0);
     }
 
     /** Once it has rested it is as good as before. */
     @Test
     void aConnectionThatHasRestedIsUsedAgain() throws Exception {
+        threeCallsUseOneConnection(1, 2);
+    }
+
+    private void threeCallsUseOneConnection(long restUs, long pauseMs) throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "served"))) {
-            Upstreams upstreams = upstreams(15_000_000, 1, 100);
+            Upstreams upstreams = upstreams(15_000_000, restUs, 100);
             loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
             for (int i = 0; i < 3; i++) {
                 loop.execute(() -> upstreams.start(call("u")));
                 assertEquals("u OK", outcome());
-                Thread.sleep(2);
+                Thread.sleep(pauseMs);
             }
             assertEquals(1, up.accepted.size());
         }
