Log: the debug level tells a request's times at its stages

Change: each request keeps when its connection opened, its first and last byte were read, its first attempt began, its answer was handed on and was with the kernel; one line at its end, at the debug level alone. BALANCER_LOG_LEVEL in the environment goes before the file's level, so that a play can be looked at without another configuration.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -62,6 +62,8 @@
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
+    /** When the head that was decoded last sent its first byte. */
+    private long headSinceUs;
     private long activeUs;
     private final long openedUs;
     /** Since when what was read last may have lain there. */
@@ -79,6 +81,8 @@
     private long lingerSinceUs;
     private HttpRequest head;
     private Body body;
+    /** When its first byte was read. */
+    private long firstByteUs;
     private long bodySinceUs;
     private long pieceUs;
     private long bodyBytes;
@@ -126,6 +130,9 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         HttpObject part = (HttpObject) message;
+        if (part instanceof HttpRequest) {
+            headSinceUs = readingSinceUs == 0 ? activeUs : readingSinceUs;
+        }
         if (part instanceof LastHttpContent) {
             readingSinceUs = 0;
             proven |= part.decoderResult().isSuccess();
@@ -177,6 +184,7 @@
         head = m;
         body = null;
         bodySinceUs = pieceUs = clock.now();
+        firstByteUs = headSinceUs;
         bodyBytes = size = 0;
         last = !HttpUtil.isKeepAlive(m);
         if (!m.decoderResult().isSuccess() || !RequestDecoder.framed(m)) {
@@ -288,8 +296,10 @@
         Request request = new Request(h.get(Headers.TXN), key(h.get(HttpHeaderNames.COOKIE)),
                 "1".equals(h.get(Headers.RESENT)), false, Math.max(0, whole(h.get(Headers.ESTIMATE))),
                 Math.max(1, deadline - clock.now()), h.get(Headers.TENANT), h.get(Headers.CLASS), !body.complete());
+        RequestTimes times = new RequestTimes(openedUs, firstByteUs, body.complete() ? clock.now() : 0, atUs,
+                atUs + whole(h.get(Headers.REMAINING)) * 1000);
         current = new Exchange(request, head.method(), head.uri(), h.get(Headers.IDEMPOTENCY_KEY), body, deadline,
-                new Answer());
+                new Answer(), times);
         requests.take(current);
     }
 
@@ -315,6 +325,7 @@
         if (current != null) {
             Exchange gone = current;
             current = null;
+            log(gone, "given up");
             requests.left(gone);
         }
     }
@@ -361,12 +372,13 @@
         @Override
         public void ends() {
             resume = null;
-            over(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            over(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), "streamed");
         }
 
         @Override
         public void breaks() {
             resume = null;
+            log(current, "broken off");
             current = null;
             if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
                 channel.config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0);
@@ -407,7 +419,7 @@
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
         }
-        over(channel.writeAndFlush(response));
+        over(channel.writeAndFlush(response), "answered " + status.code());
     }
 
     /** What the client still sends of a request that has been answered may be long: nothing follows on it. */
@@ -425,7 +437,16 @@
                 || HttpUtil.getContentLength(head, 0L) > 0;
     }
 
-    private void over(ChannelFuture written) {
+    private void log(Exchange x, String end) {
+        x.times.log(x.request.id(), end, x.attempts.size(), clock.now());
+    }
+
+    private void over(ChannelFuture written, String end) {
+        if (current != null) {
+            Exchange x = current;
+            x.times.answered(clock.now());
+            written.addListener(f -> log(x, f.isSuccess() ? end : "not written"));
+        }
         current = null;
         answered = true;
         activeUs = clock.now();
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -74,13 +74,17 @@
                 kept(environment, name),
                 seed(json.text("seed")), sockets, memoryMb,
                 optional(json, "peer_listen"), peers, optional(json, "peers_all"),
-                known(json), settings, reader.dialTimeoutUs(), fleet(json, settings, peers), log(json, name));
+                known(json), settings, reader.dialTimeoutUs(), fleet(json, settings, peers), log(json, environment, name));
     }
 
-    /** {@code "log": {"form": "json", "level": "warn"}}; the words alone where there is no such table. */
-    private static Log.Style log(Json json, String name) {
+    /**
+     * {@code "log": {"form": "json", "level": "warn"}}; the words alone where there is no such table. The level of the
+     * environment, if it names one, goes first.
+     */
+    private static Log.Style log(Json json, Map<String, String> environment, String name) {
+        String level = environment.getOrDefault("BALANCER_LOG_LEVEL", "");
         if (!json.has("log")) {
-            return new Log.Style(Log.Form.PLAIN, Log.Level.INFO, name);
+            return new Log.Style(Log.Form.PLAIN, word("BALANCER_LOG_LEVEL", Log.Level.class, level.isEmpty() ? "info" : level), name);
         }
         Json log = json.object("log");
         for (String key : log.names()) {
@@ -89,7 +93,8 @@
             }
         }
         return new Log.Style(word("log.form", Log.Form.class, log.textOr("form", "plain")),
-                word("log.level", Log.Level.class, log.textOr("level", "info")), name);
+                level.isEmpty() ? word("log.level", Log.Level.class, log.textOr("level", "info"))
+                        : word("BALANCER_LOG_LEVEL", Log.Level.class, level), name);
     }
 
     private static <E extends Enum<E>> E word(String field, Class<E> words, String text) {
--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -40,6 +40,7 @@
     /** Module time by which the final answer must be on its way; none while the request is still coming. */
     long deadlineUs;
     final Answer answer;
+    final RequestTimes times;
     final List<Upstreams.Call> attempts = new ArrayList<>(1);
     Future<?> overdue;
     boolean over;
@@ -47,7 +48,7 @@
     Upstreams.Call passing;
 
     Exchange(Request request, HttpMethod method, String uri, String idempotencyKey, Body body, long deadlineUs,
-             Answer answer) {
+             Answer answer, RequestTimes times) {
         this.request = request;
         this.method = method;
         this.uri = uri;
@@ -55,6 +56,7 @@
         this.body = body;
         this.deadlineUs = deadlineUs;
         this.answer = answer;
+        this.times = times;
     }
 
     boolean settled() {
--- a/src/main/java/rushproxy/sidecar/Log.java
+++ b/src/main/java/rushproxy/sidecar/Log.java
@@ -9,7 +9,7 @@
 import java.util.logging.Logger;
 
 /**
- * Lines to standard error for what an operator should know; nothing for a single request. Of three forms by the
+ * Lines to standard error for what an operator should know; on a single request only at the debug level. Of three forms by the
  * configuration's {@code log} table: {@code plain}, the words alone; {@code text}, with time, level, node and fields;
  * {@code json}, an object a line. Written by the runtime's own logging (java.util.logging), to which Netty's goes too.
  */
@@ -67,6 +67,11 @@
         OURS.setLevel(style.least.theirs);
     }
 
+    /** Whether lines of the debug level are written. */
+    static boolean debugs() {
+        return OURS.isLoggable(Level.DEBUG.theirs);
+    }
+
     static void line(String text) {
         event(Level.INFO, text);
     }
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -165,6 +165,7 @@
                     }
                 });
         x.attempts.add(call);
+        x.times.attempted(now);
         if (moot) {
             call.end(Outcome.NOT_SENT, null, null);
         } else {
--- a/src/test/java/rushproxy/sidecar/LogTest.java
+++ b/src/test/java/rushproxy/sidecar/LogTest.java
@@ -40,6 +40,17 @@
         assertEquals("t\tu", read.get("s"));
     }
 
+    /** An operator looks at one process's requests without another configuration. */
+    @Test
+    void theEnvironmentsLevelGoesFirst() throws Exception {
+        String json = "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":{\"generation\":1,"
+                + "\"reset\":true,\"instances\":[]},\"log\":{\"level\":\"warn\"},\"settings\":" + Rig.SETTINGS + "}";
+        assertEquals(Level.DEBUG, Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "debug")).log().least());
+        assertEquals(Level.WARN, Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "")).log().least());
+        assertTrue(assertThrows(Config.Broken.class, () -> Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "loud"))).getMessage()
+                .contains("BALANCER_LOG_LEVEL"));
+    }
+
     @Test
     void itsTableIsReadStrictly() throws Exception {
         String rest = "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":{\"generation\":1,\"reset\":true,"
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -95,14 +95,20 @@
     }
 
     static Config config(String json) throws IOException, Config.Broken {
-        return config(json, null);
+        return config(json, Map.of());
     }
 
     static Config config(String json, Path kept) throws IOException, Config.Broken {
+        return config(json, Map.of("TMPDIR", kept == null ? "" : kept.toString()));
+    }
+
+    static Config config(String json, Map<String, String> environment) throws IOException, Config.Broken {
         Path file = Files.createTempFile("config", ".json");
         try {
             Files.writeString(file, json);
-            return Config.read(Map.of("BALANCER_CONFIG", file.toString(), "TMPDIR", kept == null ? "" : kept.toString()));
+            Map<String, String> all = new java.util.HashMap<>(environment);
+            all.put("BALANCER_CONFIG", file.toString());
+            return Config.read(all);
         } finally {
             Files.delete(file);
         }
