A client's connection ends its output first, and is closed once the client has ended too

Over bytes that lie unread, or that come later, a close is a reset, and what a slow client has not fetched of its answer is lost with it: after an answer with Connection: close, after bad input, at idle closes of a stop and a drain, and when an answer broke off with parts of it still to be written (ClientConnection.over, turn, breaks, closeIfQuiet; CLOSE listeners and channel.close()). A connection also counted as quiet while its answer's end still waited here. Change: LingeringClose ends the output, reads on and discards (32 MiB and 1 s at most), then closes. One in eight of the clients' places may wait so; where the place is wanted it goes at once. An answer that a client does not take for 20 s ends its connection.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -2,12 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -31,6 +31,7 @@
 import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer.Request;
 
 /** One connection of the application: its requests in turn, each answered once, whole or so that the client can tell. */
@@ -49,10 +50,12 @@
     private static final long STUCK_US = 10_000_000;
     /** Room for a body is waited for so long; a refusal says that nothing was sent. */
     private static final long ROOM_US = 1_000_000;
-    /** After an answer that came before the end of its request the rest is read for so long, or the answer is lost. */
-    private static final long LINGER_US = 1_000_000;
+    /** A client that takes nothing of its answer for so long is no longer there to read it. */
+    private static final long UNREAD_US = 20_000_000;
+    /** What the client has been given of an answer that broke off waits for the client to take it so long. */
+    private static final long BROKEN_US = 1_000_000;
 
-    private final Channel channel;
+    private final SocketChannel channel;
     private final Clock clock;
     private final Requests requests;
     private final Set<String> classes;
@@ -76,9 +79,14 @@
     /** Its end has not come yet. */
     private boolean receiving;
     private boolean answered;
+    /** The kernel has the last byte of its answer. */
+    private boolean written;
     /** No other request follows on this connection. */
     private boolean last;
-    private long lingerSinceUs;
+    /** The output has ended, and all that still comes is discarded. */
+    private boolean lingers;
+    /** An answer may still be on its way to the client. */
+    private boolean anyAnswer;
     private HttpRequest head;
     private Body body;
     /** When its first byte was read. */
@@ -96,7 +104,7 @@
 
     private record Arrival(HttpObject part, long atUs) {}
 
-    ClientConnection(Channel channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
+    ClientConnection(SocketChannel channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
                      Budget budget, Pulse pulse) {
         this.channel = channel;
         this.clock = clock;
@@ -180,7 +188,7 @@
 
     private void begin(HttpRequest m) {
         busy = receiving = true;
-        answered = false;
+        answered = written = false;
         head = m;
         body = null;
         bodySinceUs = pieceUs = clock.now();
@@ -315,8 +323,8 @@
         if (!answered) {
             abort();
             reject(HttpResponseStatus.BAD_REQUEST);
-        } else if (lingerSinceUs == 0) {
-            close();
+        } else {
+            end();
         }
     }
 
@@ -381,9 +389,16 @@
             log(current, "broken off");
             current = null;
             if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-                channel.config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0);
+                // The end of the connection would be the end of the answer.
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+                return;
             }
-            channel.close();
+            var stuck = channel.eventLoop().schedule(ClientConnection.this::close, BROKEN_US, TimeUnit.MICROSECONDS);
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+                stuck.cancel(false);
+                end();
+            });
         }
     }
 
@@ -424,6 +439,7 @@
 
     /** What the client still sends of a request that has been answered may be long: nothing follows on it. */
     private void closeOrKeep(HttpResponse response) {
+        anyAnswer = true;
         last |= !server.goesOn() || receiving && bodyComes();
         if (last) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -450,27 +466,20 @@
         current = null;
         answered = true;
         activeUs = clock.now();
-        if (!receiving) {
+        written.addListener(f -> {
+            this.written = true;
             if (last) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            } else {
+                end();
+            } else if (!receiving) {
                 // Not from within: an answer may come while the one before is still being handled.
                 channel.eventLoop().execute(this::turn);
             }
-        } else if (last) {
-            // Closed now, what the client is still sending would be met by a reset, and its answer be lost with it.
-            lingerSinceUs = clock.now();
-            channel.config().setAutoRead(true);
-        }
+        });
     }
 
     /** The request in hand is over, both ways. */
     private void turn() {
-        if (!busy || receiving || !answered) {
-            return;
-        }
-        if (last) {
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        if (!busy || receiving || !answered || !written || last) {
             return;
         }
         busy = false;
@@ -499,12 +508,12 @@
 
     /** Between requests: nothing is held, and no part of the next one has come. */
     boolean quiet() {
-        return !busy && ahead.isEmpty() && readingSinceUs == 0;
+        return !busy && ahead.isEmpty() && readingSinceUs == 0 && !lingers;
     }
 
     /** A whole request has come, and its answer is not wholly with the kernel yet. */
     boolean owes() {
-        return busy && !receiving;
+        return busy && !receiving && !lingers;
     }
 
     long activeUs() {
@@ -514,9 +523,9 @@
     /** Half a request is waited for as long as its client may still wait for the answer, not for ever. True where it closes. */
     boolean closeIfQuiet(long sinceUs, long halfSinceUs) {
         boolean untaken = !busy || receiving && current == null && !answered;
-        boolean closes = activeUs < (quiet() ? sinceUs : halfSinceUs) && untaken && ahead.isEmpty();
+        boolean closes = activeUs < (quiet() ? sinceUs : halfSinceUs) && untaken && ahead.isEmpty() && !lingers;
         if (closes) {
-            close();
+            end();
         }
         return closes;
     }
@@ -526,19 +535,20 @@
      * one. A new peer's wait begins with its connection.
      */
     void closeIfUnfinished(long now, long patienceUs, long firstPatienceUs) {
-        if (lingerSinceUs > 0) {
-            if (now - lingerSinceUs >= LINGER_US) {
+        if (lingers) {
+            return;
+        }
+        if (busy) {
+            if (answered && !written && now - activeUs >= UNREAD_US) {
                 close();
-            }
-        } else if (busy) {
-            if (receiving && !answered && body != null) {
+            } else if (receiving && !answered && body != null) {
                 lookAtBody(now);
             }
         } else if (ahead.isEmpty()) {
             boolean late = !proven ? now - openedUs >= firstPatienceUs
                     : readingSinceUs != 0 && now - readingSinceUs >= patienceUs;
             if (late) {
-                close();
+                end();
             }
         }
     }
@@ -565,10 +575,31 @@
         boolean slow = sinceUs >= BODY_STARTS_US
                 && bodyBytes < BODY_BYTES_PER_S * (sinceUs - BODY_STARTS_US) / 1_000_000 + 1;
         if (slow || now - pieceUs >= BODY_RESTS_US) {
+            end();
+        }
+    }
+
+    /** Ends the connection so that its client still gets what it has been answered; nothing may be waiting to be written. */
+    private void end() {
+        if (lingers) {
+            return;
+        }
+        if (!anyAnswer) {
             close();
+            return;
         }
+        lingers = true;
+        release();
+        server.lingers(this);
+        LingeringClose.begin(channel, Math.min(LingeringClose.MOST_US, server.openUntilUs() - clock.now()));
+    }
+
+    /** Whether the output has ended, and only the client's end is waited for. */
+    boolean lingers() {
+        return lingers;
     }
 
+    /** Gives its descriptor back at once. */
     void close() {
         channel.close();
     }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -8,10 +8,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -51,6 +53,9 @@
     /** At 4 s no connection may be idle or hold a request younger than 2 s: from here on none is left to bring one. */
     private static final long DRAIN_ALL_US = 1_600_000;
     private static final long DRAIN_DUE_US = 3_700_000;
+    private static final long DRAIN_CLOSED_US = 3_900_000;
+    /** At most this part of the clients' connections may be waiting for their clients' end. */
+    private static final int LINGERING_PART = 8;
 
     /** A peer that has sent nothing, or not the rest of a request, for this long gets a close: due within 3 s. */
     private static final long PATIENCE_US = 2_500_000;
@@ -70,6 +75,8 @@
     /** No client waits longer than this for an answer. */
     private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
+    /** Those of them whose output has ended, the oldest first. */
+    private final ArrayDeque<ClientConnection> lingering = new ArrayDeque<>();
     private Channel listener;
     /** The listener is another's too: leaving it is not closing it. */
     private boolean shared;
@@ -138,7 +145,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        accepted(channel);
+                        accepted((SocketChannel) channel);
                     }
                 });
     }
@@ -152,15 +159,13 @@
         }
     }
 
-    private void accepted(Channel channel) {
+    private void accepted(SocketChannel channel) {
         stuck = false;
         acceptedUs = clock.now();
         ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, pulse);
         connections.add(connection);
         if (connections.size() >= maxConnections.getAsInt()) {
-            // One between requests makes room: its client opens another where it needs one.
-            connections.stream().filter(c -> c != connection && c.quiet())
-                    .min(Comparator.comparingLong(ClientConnection::activeUs)).ifPresent(ClientConnection::close);
+            makeRoom(connection);
         }
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
         // The listener as the connection knows it: the first one may come before the bind has been told here.
@@ -168,11 +173,40 @@
         accepting.setAutoRead(hasRoom());
         channel.closeFuture().addListener(f -> {
             connections.remove(connection);
+            lingering.remove(connection);
             accepting.setAutoRead(hasRoom());
         });
         channel.pipeline().addLast(connection.arrivals(), new RequestDecoder(), new HttpResponseEncoder(), connection);
     }
 
+    /** One that only waits for its client's end goes, else one between requests: its client opens another where it needs one. */
+    private void makeRoom(ClientConnection goesIn) {
+        ClientConnection lingers = lingering.poll();
+        if (lingers != null) {
+            lingers.close();
+            return;
+        }
+        connections.stream().filter(c -> c != goesIn && c.quiet())
+                .min(Comparator.comparingLong(ClientConnection::activeUs)).ifPresent(ClientConnection::close);
+    }
+
+    /** Its output has ended. No more than a few wait so at once, and none where its descriptor is wanted. */
+    void lingers(ClientConnection connection) {
+        lingering.add(connection);
+        int most = connections.size() >= maxConnections.getAsInt() ? 0 : Math.max(1, maxConnections.getAsInt() / LINGERING_PART);
+        while (lingering.size() > most) {
+            lingering.poll().close();
+        }
+    }
+
+    /** When every connection has to be closed, whatever is still waited for. */
+    long openUntilUs() {
+        if (stopAtUs > 0) {
+            return killedAtUs + STAY_US;
+        }
+        return drainAtUs > 0 ? Math.max(clock.now(), drainAtUs + DRAIN_CLOSED_US) : Long.MAX_VALUE;
+    }
+
     private boolean hasRoom() {
         return connections.size() < maxConnections.getAsInt() && !(shared && stopAtUs > 0);
     }
--- a/src/test/java/rushproxy/sidecar/Peer.java
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -133,7 +133,11 @@
         final Socket socket;
 
         Client(InetSocketAddress to) throws IOException {
-            socket = new Socket(to.getAddress(), to.getPort());
+            this(new Socket(to.getAddress(), to.getPort()));
+        }
+
+        Client(Socket socket) throws IOException {
+            this.socket = socket;
             socket.setSoTimeout(20_000);
         }
 
