A client's end is seen while what it sent waits, and sockets are looked at before each attempt

After a wait for room in memory the last byte and the end came in one turn of the loop, and the attempt began between them. Change: ClientInput reads on and keeps up to 64 KiB for the decoder out of the memory for bodies; where it can't read for 80 ms, what waits is refused (failed, if an attempt may have run) and nothing of that connection is begun any more. Each attempt, and each one whose connection came up, begins after one more look at all sockets (SocketLook) in place of a guess by the beat. Result: five tests of DepartureTest, all seen to fail on the program before: two saw no end for 20 s and more, two no refusal, one sent a request for a client that had gone.

--- a/src/main/java/rushproxy/sidecar/Body.java
+++ b/src/main/java/rushproxy/sidecar/Body.java
@@ -18,7 +18,8 @@
 
     /** What the client said: -1 where it sends chunks. */
     final long length;
-    private final Channel client;
+    /** Runs whenever what is wanted of the client may have changed. */
+    private final Runnable regulate;
     private ByteBuf kept;
     private boolean complete;
     /** The connection it flows to. */
@@ -26,8 +27,8 @@
     private Runnable written;
     private long stuckSinceUs;
 
-    Body(Channel client, long length) {
-        this.client = client;
+    Body(Runnable regulate, long length) {
+        this.regulate = regulate;
         this.length = length;
         kept = length == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.buffer((int) (length < 0 ? FIRST : Math.min(length, KEPT)));
     }
@@ -101,16 +102,20 @@
 
     /** The client is read while there is room for what it sends; once all is here, to see whether it leaves. */
     void look() {
-        boolean stuck = to != null && !complete && !to.isWritable();
-        if (!stuck) {
+        if (!stuck()) {
             stuckSinceUs = 0;
         }
-        client.config().setAutoRead(!stuck && !full());
+        regulate.run();
+    }
+
+    /** The upstream takes no more of it for now. */
+    boolean stuck() {
+        return to != null && !complete && !to.isWritable();
     }
 
     /** Since when the upstream has taken nothing; 0 where it does. {@code now} is noted where it has just begun. */
     long stuckSince(long now) {
-        if (stuckSinceUs == 0 && to != null && !complete && !to.isWritable()) {
+        if (stuckSinceUs == 0 && stuck()) {
             stuckSinceUs = now;
         }
         return stuckSinceUs;
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -35,7 +35,7 @@
 import rushproxy.Balancer.Request;
 
 /** One connection of the application: its requests in turn, each answered once, whole or so that the client can tell. */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientInput.Listener {
     /** An answer leaves this long before its client gives up, so that it is there in time on a busy core. */
     private static final long MARGIN_US = 15_000;
     /** Parts of requests sent ahead of their turn before no more is read. */
@@ -61,7 +61,7 @@
     private final Set<String> classes;
     private final ClientServer server;
     private final Budget budget;
-    private final Pulse pulse;
+    private final ClientInput input;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
@@ -85,6 +85,8 @@
     private boolean last;
     /** The output has ended, and all that still comes is discarded. */
     private boolean lingers;
+    /** What comes on this connection is refused, since its client can't be watched any more. */
+    private boolean refuses;
     /** An answer may still be on its way to the client. */
     private boolean anyAnswer;
     private HttpRequest head;
@@ -112,27 +114,43 @@
         this.classes = classes;
         this.server = server;
         this.budget = budget;
-        this.pulse = pulse;
+        input = new ClientInput(clock, pulse, budget, this);
         activeUs = openedUs = clock.now();
-        sentUs = openedUs - pulse.behindUs(openedUs);
-    }
-
-    /** Stands before the decoder: half a request is no quiet. */
-    ChannelInboundHandler arrivals() {
-        return new ChannelInboundHandlerAdapter() {
-            @Override
-            public void channelRead(ChannelHandlerContext ctx, Object message) {
-                activeUs = clock.now();
-                // What comes with a new connection is read a turn of the loop later, and may be as old as that.
-                if (activeUs - openedUs >= Pulse.BEAT_US) {
-                    sentUs = activeUs - pulse.behindUs(activeUs);
-                }
-                if (readingSinceUs == 0) {
-                    readingSinceUs = activeUs;
-                }
-                ctx.fireChannelRead(message);
-            }
-        };
+    }
+
+    /** Stands before the decoder. */
+    ClientInput input() {
+        return input;
+    }
+
+    /** Half a request is no quiet. */
+    @Override
+    public void arrived(long sinceUs) {
+        activeUs = clock.now();
+        sentUs = sinceUs;
+        if (readingSinceUs == 0) {
+            readingSinceUs = activeUs;
+        }
+    }
+
+    /** What has been read is answered, without an attempt that could begin after its client's end; then the connection ends. */
+    @Override
+    public void unwatched() {
+        if (lingers || current != null && !current.body.whole()) {
+            // What flows to an upstream has begun, and begins no second time.
+            return;
+        }
+        input.stop();
+        refuses = true;
+        if (current != null) {
+            requests.unwatched(current);
+        }
+    }
+
+    /** The decoder gets no more than there is room for; the socket is read for as long as it may tell of the client's end. */
+    private void regulate() {
+        input.regulate(ahead.size() >= MOST_AHEAD || body != null && body.full(),
+                asking != null || body != null && body.stuck());
     }
 
     @Override
@@ -148,7 +166,7 @@
         if (busy && !receiving || !ahead.isEmpty()) {
             ahead.add(new Arrival(part, sentUs));
             if (ahead.size() >= MOST_AHEAD) {
-                channel.config().setAutoRead(false);
+                regulate();
             }
         } else {
             handle(part, sentUs);
@@ -162,9 +180,7 @@
                 Arrival arrival = ahead.poll();
                 handle(arrival.part, arrival.atUs);
             }
-            if (ahead.size() < MOST_AHEAD && (body == null || body.complete())) {
-                channel.config().setAutoRead(true);
-            }
+            regulate();
         }
     }
 
@@ -230,12 +246,11 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        body = new Body(channel, length);
+        body = new Body(this::regulate, length);
         if (length == 0) {
             return;
         }
         // Until there is room for it no more is read; what the client is asked for it may send.
-        channel.config().setAutoRead(false);
         asking = budget.ask(body.keeps(), () -> {
             asking = null;
             reserved = body.keeps();
@@ -249,6 +264,7 @@
         if (reserved > 0) {
             asking = null;
         }
+        regulate();
     }
 
     private void go(HttpContent content, long atUs) {
@@ -299,6 +315,10 @@
     }
 
     private void take(long atUs) {
+        if (refuses) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
+        }
         HttpHeaders h = head.headers();
         long deadline = deadline(atUs);
         Request request = new Request(h.get(Headers.TXN), key(h.get(HttpHeaderNames.COOKIE)),
@@ -485,6 +505,9 @@
         busy = false;
         body = null;
         next();
+        if (refuses && !busy && ahead.isEmpty() && input.isEmpty()) {
+            end();
+        }
     }
 
     private void release() {
@@ -589,6 +612,7 @@
             return;
         }
         lingers = true;
+        input.discard();
         release();
         server.lingers(this);
         LingeringClose.begin(channel, Math.min(LingeringClose.MOST_US, server.openUntilUs() - clock.now()));
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -0,0 +1,169 @@
+package rushproxy.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What a client sends, between its socket and the decoder. While the decoder is to take nothing the socket is read all the
+ * same, up to a bound, since a client's end lies behind its bytes: nothing may be begun for a client that has gone. Where
+ * the bound is met reading stops, and {@link Listener#unwatched} says so in time.
+ */
+final class ClientInput extends ChannelInboundHandlerAdapter {
+    /** Bytes of one connection that wait for the decoder; over all connections they come out of the {@link Budget}. */
+    static final int MOST_KEPT = 64 * 1024;
+    /** An attempt may begin 100 ms after its client's end; that is not seen while nothing is read. */
+    private static final long UNWATCHED_MS = 80;
+
+    interface Listener {
+        /** Bytes come that may have lain there since {@code sentUs}. */
+        void arrived(long sentUs);
+
+        /** For 80 ms nothing could be read: whether the client is still there can't be known. */
+        void unwatched();
+    }
+
+    private record Kept(ByteBuf bytes, long sentUs) {}
+
+    private final Clock clock;
+    private final Pulse pulse;
+    private final Budget budget;
+    private final Listener listener;
+    private final long openedUs;
+    private final ArrayDeque<Kept> kept = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private int keptBytes;
+    /** Since when what is read may have lain there. */
+    private long sentUs;
+    private boolean held;
+    private boolean paused;
+    /** No more may be kept until the decoder has taken what is. */
+    private boolean full;
+    /** Counts the times at which it became full, for the look that follows each. */
+    private int fills;
+    private boolean passing;
+    /** Nothing is read any more. */
+    private boolean stopped;
+
+    ClientInput(Clock clock, Pulse pulse, Budget budget, Listener listener) {
+        this.clock = clock;
+        this.pulse = pulse;
+        this.budget = budget;
+        this.listener = listener;
+        openedUs = clock.now();
+        sentUs = openedUs - pulse.behindUs(openedUs);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        long now = clock.now();
+        // What comes with a new connection is read a turn of the loop later, and may be as old as that.
+        if (now - openedUs >= Pulse.BEAT_US) {
+            sentUs = now - pulse.behindUs(now);
+        }
+        ByteBuf bytes = (ByteBuf) message;
+        if (held || passing || !kept.isEmpty()) {
+            keep(bytes);
+        } else {
+            pass(new Kept(bytes, sentUs));
+        }
+    }
+
+    private void keep(ByteBuf bytes) {
+        kept.add(new Kept(bytes, sentUs));
+        // What has been read is kept whatever the bound says: it can be given back to nobody.
+        boolean granted = budget.take(bytes.capacity());
+        keptBytes += granted ? bytes.capacity() : 0;
+        if (!granted || keptBytes >= MOST_KEPT) {
+            full = true;
+            int fill = ++fills;
+            context.executor().schedule(() -> {
+                if (full && fill == fills && context.channel().isActive()) {
+                    listener.unwatched();
+                }
+            }, UNWATCHED_MS, TimeUnit.MILLISECONDS);
+            look();
+        }
+    }
+
+    private void pass(Kept next) {
+        passing = true;
+        try {
+            listener.arrived(next.sentUs);
+            context.fireChannelRead(next.bytes);
+        } finally {
+            passing = false;
+        }
+    }
+
+    /**
+     * {@code hold}: the decoder takes nothing, and what comes is kept for it. {@code pause}: nothing is read. What is kept
+     * goes to the decoder once neither holds.
+     */
+    void regulate(boolean hold, boolean pause) {
+        held = hold;
+        paused = pause;
+        if (!passing) {
+            release();
+        } else if (!kept.isEmpty()) {
+            context.executor().execute(this::release);
+        }
+    }
+
+    private void release() {
+        boolean any = !kept.isEmpty();
+        while (!held && !paused && !kept.isEmpty()) {
+            pass(kept.poll());
+        }
+        if (any && kept.isEmpty()) {
+            giveBack();
+            full = false;
+            context.fireChannelReadComplete();
+        }
+        look();
+    }
+
+    private void look() {
+        context.channel().config().setAutoRead(!paused && !full && !stopped);
+    }
+
+    /** What is kept is the last of it: nothing more is read. */
+    void stop() {
+        stopped = true;
+        look();
+    }
+
+    /** Whether anything waits for the decoder. */
+    boolean isEmpty() {
+        return kept.isEmpty();
+    }
+
+    private void giveBack() {
+        int back = keptBytes;
+        keptBytes = 0;
+        if (back > 0) {
+            budget.give(back);
+        }
+    }
+
+    /** What waits is nobody's any more. */
+    void discard() {
+        for (Kept k; (k = kept.poll()) != null; ) {
+            k.bytes.release();
+        }
+        giveBack();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        discard();
+        ctx.fireChannelInactive();
+    }
+}
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -176,7 +176,7 @@
             lingering.remove(connection);
             accepting.setAutoRead(hasRoom());
         });
-        channel.pipeline().addLast(connection.arrivals(), new RequestDecoder(), new HttpResponseEncoder(), connection);
+        channel.pipeline().addLast(connection.input(), new RequestDecoder(), new HttpResponseEncoder(), connection);
     }
 
     /** One that only waits for its client's end goes, else one between requests: its client opens another where it needs one. */
--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -44,6 +44,8 @@
     final List<Upstreams.Call> attempts = new ArrayList<>(1);
     Future<?> overdue;
     boolean over;
+    /** Whether its client is still there can't be seen any more. */
+    boolean unwatched;
     /** The attempt whose answer the client is getting in pieces. */
     Upstreams.Call passing;
 
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -22,7 +22,6 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Pulse pulse;
     private Watch watch = (upstream, requestClass, outcome, tookUs) -> { };
     private final Decisions decisions;
     private final Upstreams upstreams;
@@ -38,10 +37,9 @@
     private int broken;
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
-    Requests(EventLoop loop, Clock clock, Pulse pulse, Decisions decisions, Upstreams upstreams, int maxAttempts) {
+    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, int maxAttempts) {
         this.loop = loop;
         this.clock = clock;
-        this.pulse = pulse;
         this.decisions = decisions;
         this.upstreams = upstreams;
         this.maxAttempts = maxAttempts;
@@ -134,7 +132,7 @@
         long now = clock.now();
         long until = !x.body.complete() ? now + UPLOAD_US : untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
         // Of a body that has begun to flow the beginning is gone.
-        boolean moot = x.over || number >= maxAttempts || until <= now || !x.body.whole();
+        boolean moot = x.over || number >= maxAttempts || until <= now || !x.body.whole() || x.unwatched;
         Upstreams.Call call = new Upstreams.Call(upstream, until, false, left -> message(x, left), x.body,
                 new Upstreams.Result() {
                     @Override
@@ -154,7 +152,7 @@
 
                     @Override
                     public boolean mayBegin(Upstreams.Call c) {
-                        return decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number));
+                        return !x.unwatched && decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number));
                     }
 
                     @Override
@@ -164,6 +162,7 @@
                         }
                     }
                 });
+        call.sentUs = now;
         x.attempts.add(call);
         x.times.attempted(now);
         if (moot) {
@@ -173,17 +172,28 @@
         }
     }
 
-    /** After a hold-up what lies in the sockets goes first: it may say that this must not be sent any more. */
+    /** What lies in the sockets goes first: it may say that this must not be sent any more. */
     private void begin(Upstreams.Call call) {
-        if (pulse.behindUs(clock.now()) < Pulse.LATE_US) {
-            upstreams.start(call);
+        SocketLook.before(loop, () -> {
+            if (!call.ended()) {
+                upstreams.start(call);
+            }
+        });
+    }
+
+    /** Whether its client is still there can't be known: no attempt begins any more. Without one it is over now. */
+    void unwatched(Exchange x) {
+        x.unwatched = true;
+        List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
+        if (x.over || !x.noneOut()) {
+            return;
+        }
+        if (x.attempts.stream().allMatch(Upstreams.Call::neverRan)) {
+            refuse(x.request.id(), 0);
         } else {
-            loop.schedule(() -> {
-                if (!call.ended()) {
-                    begin(call);
-                }
-            }, Pulse.LOOK_MS, TimeUnit.MILLISECONDS);
+            fail(x);
         }
+        expired(x);
     }
 
     private static HttpRequest message(Exchange x, long leftUs) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -80,7 +80,7 @@
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
                 () -> free - Math.min(ofClients, clients().open()),
                 budget);
-        requests = new Requests(loop, clock, pulse, decisions, upstreams, settings.limits().maxAttempts());
+        requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 settings.rules().askEveryUs(), !settings.discoveryOnRequest());
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -86,6 +86,7 @@
         private boolean started;
         private boolean written;
         private boolean ended;
+        private boolean mayHaveRun;
         /** Its body goes on coming while it is sent. */
         private boolean flowing;
         /** Its answer is being passed on. */
@@ -118,6 +119,11 @@
             return written;
         }
 
+        /** Whether it has ended in a way that proves that its upstream did nothing for it. */
+        boolean neverRan() {
+            return ended && !mayHaveRun;
+        }
+
         /** From now on there is no time-out: the answer is there, and the client has it as it comes. */
         boolean begins(long length, Runnable resume) {
             if (ended || !result.begins(this, length, resume)) {
@@ -146,6 +152,7 @@
                 return;
             }
             ended = true;
+            mayHaveRun = outcome.mayHaveRun;
             if (flowing) {
                 this.body.stop();
             }
@@ -419,17 +426,26 @@
                 call.channel.close();
             } else if (failure != null) {
                 call.broke();
-            } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
-                // The list changed, or a window closed, while the connection came up.
-                call.withdraw();
-            } else if (clock.now() >= call.untilUs) {
-                call.abandon(Outcome.CONNECT_FAILED);
             } else {
-                write(call);
+                // What came while the connection did is looked at first: the client's end, or news of the list.
+                SocketLook.before(loop, () -> connected(call));
             }
         });
     }
 
+    private void connected(Call call) {
+        if (call.ended) {
+            call.channel.close();
+        } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
+            // The list changed, or a window closed, while the connection came up.
+            call.withdraw();
+        } else if (clock.now() >= call.untilUs) {
+            call.abandon(Outcome.CONNECT_FAILED);
+        } else {
+            write(call);
+        }
+    }
+
     private boolean dropOldestIdle() {
         Target oldest = null;
         for (Target t : targets.values()) {
--- a/src/test/java/rushproxy/sidecar/DepartureTest.java
+++ b/src/test/java/rushproxy/sidecar/DepartureTest.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -193,4 +194,111 @@
             assertEquals("", door.firstSent());
         }
     }
+
+    /** Its end lies behind all that it has sent ahead. */
+    @Test
+    void aClientThatSendsManyRequestsAndGoesIsSeenToHaveGone() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.onRequest = (now, r, out) -> { };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                StringBuilder all = new StringBuilder();
+                for (int i = 0; i < 400; i++) {
+                    all.append(Rig.get("a" + i, 20_000));
+                }
+                client.send(all.toString());
+            }
+            assertEquals("expired a0", rig.await("expired"));
+            assertEquals(0, rig.told.stream().filter(t -> t.startsWith("request")).count());
+        }
+    }
+
+    /** No attempt has taken of its body yet, and what is kept of it is full. */
+    @Test
+    void aClientThatGoesWithinALongBodyThatWaitsIsSeenToHaveGone() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.onRequest = (now, r, out) -> { };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(upload("a1", 1_000_000) + "x".repeat(100_000));
+                rig.await("request a1");
+            }
+            assertEquals("expired a1", rig.await("expired"));
+        }
+    }
+
+    /** Behind so much that it can't be read: nothing may be begun for a client that nobody can see. */
+    @Test
+    void whatWaitsForAClientThatCannotBeWatchedIsRefusedAndNeverBegun() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+            rig.onRequest = (now, r, out) -> { };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(upload("a1", 1_000_000) + "x".repeat(400_000));
+                assertEquals(503, client.status());
+                assertEquals("expired a1", rig.await("expired"));
+                assertEquals(0, up.messages.size());
+            }
+        }
+    }
+
+    @Test
+    void aClientThatSendsMoreAheadThanIsKeptGetsAnAnswerToAllThatWasRead() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+            rig.onRequest = (now, r, out) -> { };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                StringBuilder all = new StringBuilder();
+                for (int i = 0; i < 2_000; i++) {
+                    all.append(Rig.get("a" + i, 20_000));
+                }
+                client.send(all.toString());
+                int refused = 0;
+                for (int status; (status = client.status()) != -1; ) {
+                    assertEquals(503, status);
+                    refused++;
+                }
+                assertTrue(refused >= 100, refused + " answers");
+                assertEquals(0, up.messages.size());
+            }
+        }
+    }
+
+    /** It waited for room in memory, and nothing was read until there was some. */
+    @Test
+    void aClientThatLeftWhileItsBodyWaitedForRoomIsSentNothingFor() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+            rig.start();
+            java.util.List<Peer.Client> filling = new ArrayList<>();
+            try {
+                // 192 of 64 KiB are all that may be kept.
+                for (int i = 0; i < 192; i++) {
+                    filling.add(rig.client().send(upload("f" + i, 65_536)));
+                }
+                Thread.sleep(100);
+                try (Peer.Client client = rig.client()) {
+                    client.send(upload("a1", 60_000) + "x".repeat(60_000));
+                }
+                Thread.sleep(150);
+                filling.get(0).close();
+                rig.await("request a1");
+                rig.await("expired a1");
+                assertEquals(0, up.messages.size());
+            } finally {
+                for (Peer.Client c : filling) {
+                    c.close();
+                }
+            }
+        }
+    }
+
+    private static String upload(String id, int length) {
+        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: c\r\nX-Remaining-Ms: 20000\r\nContent-Length: " + length
+                + "\r\n\r\n";
+    }
 }
