--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -36,7 +36,10 @@
 
 /** One connection of the application: its requests in turn, each answered once, whole or so that the client can tell. */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientInput.Listener {
-    /** An answer leaves this long before its client gives up, so that it is there in time on a busy core. */
+    /**
+     * An answer leaves this long before its client gives up, and sooner by what the loop has been late of late: the way to
+     * the client runs through the same busy core.
+     */
     private static final long MARGIN_US = 15_000;
     /** Parts of requests sent ahead of their turn before no more is read. */
     private static final int MOST_AHEAD = 32;
@@ -61,6 +64,7 @@
     private final Set<String> classes;
     private final ClientServer server;
     private final Budget budget;
+    private final Pulse pulse;
     private final ClientInput input;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
     /** When the request being read sent its first byte; 0 between requests. */
@@ -114,6 +118,7 @@
         this.classes = classes;
         this.server = server;
         this.budget = budget;
+        this.pulse = pulse;
         input = new ClientInput(clock, pulse, budget, this);
         activeUs = openedUs = clock.now();
     }
@@ -334,7 +339,11 @@
     /** A request's time runs from its last byte: who writes slowly has no less of it. */
     private long deadline(long sentUs) {
         long remainingUs = whole(head.headers().get(Headers.REMAINING)) * 1000;
-        return Math.min(server.dueUs(), sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4));
+        return Math.min(server.dueUs(), sentUs + remainingUs - marginUs(remainingUs));
+    }
+
+    private long marginUs(long remainingUs) {
+        return Math.min(MARGIN_US + pulse.recentUs(), remainingUs / 4);
     }
 
     /** The end of the request can't be found: whatever has been made of it is not what the client meant. */
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -228,6 +228,7 @@
         long now = clock.now();
         long behindUs = pulse.behindUs(now);
         worstLagUs = Math.max(worstLagUs, behindUs);
+        pulse.delayed(behindUs);
         if (behindUs < Pulse.LATE_US) {
             pulse.beat(now);
         } else {
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -82,6 +82,41 @@
         }
     }
 
+    /** The way to the client runs through the core that was busy just now. */
+    @Test
+    void afterAHoldUpAnAnswerIsDueEarlierAndThenAsBefore() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.onRequest = (now, r, out) -> out.refuse(r.id(), 0);
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                rig.holdUp(500, () -> { });
+                // By now a beat has come: what is read does not count as old itself.
+                Thread.sleep(100);
+                client.send(Rig.get("a1", 2_000));
+                assertEquals(503, client.status());
+                long given = remaining(rig, "a1");
+                assertTrue(given < 1_950_000, given + " us");
+                for (int i = 0; given < 1_980_000; i++) {
+                    assertTrue(i < 1_000, given + " us, and not as before");
+                    Thread.sleep(20);
+                    client.send(Rig.get("b" + i, 2_000));
+                    assertEquals(503, client.status());
+                    given = remaining(rig, "b" + i);
+                }
+                // No more than a quarter of a short time is taken away.
+                rig.holdUp(500, () -> { });
+                Thread.sleep(100);
+                client.send(Rig.get("c1", 100));
+                assertEquals(503, client.status());
+                assertTrue(remaining(rig, "c1") > 60_000);
+            }
+        }
+    }
+
+    private static long remaining(Rig rig, String id) throws InterruptedException {
+        return Long.parseLong(rig.await("request " + id + " ").split(" ")[2]);
+    }
+
     /** A fault in the module ends neither the program nor the request that met it. */
     @Test
     void anExceptionInTheModuleAnswersWhatItMet() throws Exception {
