A request that waits for room or for a resting connection is given up in its own time

A call whose time ended while its connection rested was told as CONNECT_FAILED, as if its upstream could not be reached (Upstreams.Call.timedOut). Change: a refusal for want of room is due by the request's own time; what is read after the wait counts from before it; the decoder gets nothing meanwhile; a call that waited for a rest is NOT_SENT. Test changed: BulkTest.aBodyThatHasBegunToFlow... closed the upstream's side at once and relied on the body having begun by then; it waits for the head now. As strict: it asks for the same outcomes.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -104,6 +104,8 @@
     private int reserved;
     /** Takes back a wish for memory that has not been granted; null where none is open. */
     private Runnable asking;
+    /** Since when its body has had to wait for room, unread in the kernel; 0 where it has not. */
+    private long unreadSinceUs;
     private Exchange current;
     /** Asks for more of an answer that comes in pieces; null where none does. */
     private Runnable resume;
@@ -141,8 +143,8 @@
     /** What has been read is answered, without an attempt that could begin after its client's end; then the connection ends. */
     @Override
     public void unwatched() {
-        if (lingers || current != null && !current.body.whole()) {
-            // What flows to an upstream has begun, and begins no second time.
+        if (lingers || asking != null || current != null && !current.body.whole()) {
+            // Nothing begins before there is room; what flows to an upstream has begun, and begins no second time.
             return;
         }
         input.stop();
@@ -214,6 +216,7 @@
         body = null;
         bodySinceUs = pieceUs = clock.now();
         firstByteUs = headSinceUs;
+        unreadSinceUs = 0;
         bodyBytes = size = 0;
         last = !HttpUtil.isKeepAlive(m);
         if (!m.decoderResult().isSuccess() || !RequestDecoder.framed(m)) {
@@ -260,7 +263,9 @@
             asking = null;
             reserved = body.keeps();
             bodySinceUs = pieceUs = clock.now();
-            if (HttpUtil.is100ContinueExpected(m)) {
+            if (!HttpUtil.is100ContinueExpected(m)) {
+                input.unreadSince(unreadSinceUs);
+            } else {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
                         Unpooled.EMPTY_BUFFER));
             }
@@ -268,10 +273,25 @@
         });
         if (reserved > 0) {
             asking = null;
+        } else {
+            awaitRoom();
         }
         regulate();
     }
 
+    /** Its client may have sent all of it already, and counts from then: what finds no room in time is refused in time. */
+    private void awaitRoom() {
+        HttpRequest waits = head;
+        unreadSinceUs = sentUs;
+        long remainingUs = whole(head.headers().get(Headers.REMAINING)) * 1000;
+        long untilUs = Math.min(clock.now() + ROOM_US, sentUs + remainingUs - marginUs(remainingUs));
+        channel.eventLoop().schedule(() -> {
+            if (asking != null && head == waits) {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
+        }, untilUs - clock.now(), TimeUnit.MICROSECONDS);
+    }
+
     private void go(HttpContent content, long atUs) {
         boolean ends = content instanceof LastHttpContent;
         if (!receiving) {
@@ -415,6 +435,10 @@
         @Override
         public void breaks() {
             resume = null;
+            if (current == null) {
+                // The client has gone, and what flowed to it was called off.
+                return;
+            }
             log(current, "broken off");
             current = null;
             if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
@@ -587,9 +611,6 @@
 
     private void lookAtBody(long now) {
         if (asking != null) {
-            if (now - bodySinceUs >= ROOM_US) {
-                write(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, 0);
-            }
             return;
         }
         long stuckUs = body.stuckSince(now);
--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -16,6 +16,8 @@
     static final int MOST_KEPT = 64 * 1024;
     /** An attempt may begin 100 ms after its client's end; that is not seen while nothing is read. */
     private static final long UNWATCHED_MS = 80;
+    /** What lies in the kernel is read without such a gap. */
+    private static final long PAUSE_US = 5_000;
 
     interface Listener {
         /** Bytes come that may have lain there since {@code sentUs}. */
@@ -37,6 +39,9 @@
     private int keptBytes;
     /** Since when what is read may have lain there. */
     private long sentUs;
+    /** What is read without a pause may have lain there since then, nothing having been read meanwhile; 0 otherwise. */
+    private long unreadSinceUs;
+    private long readAtUs;
     private boolean held;
     private boolean paused;
     /** No more may be kept until the decoder has taken what is. */
@@ -68,14 +73,27 @@
         if (now - openedUs >= Pulse.BEAT_US) {
             sentUs = now - pulse.behindUs(now);
         }
+        if (readAtUs > 0 && now - readAtUs >= PAUSE_US) {
+            unreadSinceUs = 0;
+        }
+        readAtUs = now;
+        if (unreadSinceUs > 0) {
+            sentUs = Math.min(sentUs, unreadSinceUs);
+        }
         ByteBuf bytes = (ByteBuf) message;
-        if (held || passing || !kept.isEmpty()) {
+        if (held || paused || passing || !kept.isEmpty()) {
             keep(bytes);
         } else {
             pass(new Kept(bytes, sentUs));
         }
     }
 
+    /** What is read from now on, up to the first pause, may have lain there since then. */
+    void unreadSince(long us) {
+        unreadSinceUs = us;
+        readAtUs = 0;
+    }
+
     private void keep(ByteBuf bytes) {
         kept.add(new Kept(bytes, sentUs));
         // What has been read is kept whatever the bound says: it can be given back to nobody.
--- a/src/main/java/rushproxy/sidecar/SocketLook.java
+++ b/src/main/java/rushproxy/sidecar/SocketLook.java
@@ -13,7 +13,8 @@
 
     /** Costs one turn of the loop, without a wait. */
     static void before(EventLoop loop, Runnable work) {
-        // A task runs in the turn that it is put into, if that goes on; the turn after is the next to ask for sockets.
-        ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(work));
+        // A task runs in the turn that it is put into, if that goes on; the turn after is the next to ask for sockets. Netty
+        // tells of a connection's end by a task of that turn, so the work goes behind those.
+        ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(() -> loop.execute(work)));
     }
 }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -82,6 +82,8 @@
         private Target target;
         private Channel channel;
         private Future<?> timeout;
+        /** It waits for its connection's rest to be over: its upstream has no part in that. */
+        private boolean awaitsRest;
         /** Its first byte has been handed to a connection. */
         private boolean started;
         private boolean written;
@@ -193,7 +195,11 @@
         }
 
         private void timedOut() {
-            abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+            if (awaitsRest) {
+                withdraw();
+            } else {
+                abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+            }
         }
     }
 
@@ -348,12 +354,14 @@
         if (restsUs <= 0) {
             write(call);
         } else {
+            call.awaitsRest = true;
             loop.schedule(() -> rested(call), restsUs, TimeUnit.MICROSECONDS);
         }
     }
 
     /** The rest of its connection is over, or what came meanwhile has ended it. */
     private void rested(Call call) {
+        call.awaitsRest = false;
         if (call.ended) {
             call.channel.close();
         } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
@@ -436,6 +444,9 @@
     private void connected(Call call) {
         if (call.ended) {
             call.channel.close();
+        } else if (!call.channel.isActive()) {
+            // Closed as soon as it was up.
+            call.broke();
         } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
             // The list changed, or a window closed, while the connection came up.
             call.withdraw();
--- a/src/test/java/rushproxy/sidecar/BulkTest.java
+++ b/src/test/java/rushproxy/sidecar/BulkTest.java
@@ -257,6 +257,20 @@
         }
     }
 
+    /** The answer flowed to it: the attempt ends with it, and its outcome is told. */
+    @Test
+    void aClientThatLeavesWithinItsAnswerEndsTheAttempt() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(100_000)));
+            rig.start();
+            try (Peer.Client c = rig.client()) {
+                c.send(Rig.get("a1", 20_000));
+                rig.await("begins a1");
+            }
+            assertEquals("outcome a1 0 CANCELLED true -", rig.await("outcome"));
+        }
+    }
+
     /** Half of a long body has gone: it can't be sent again, and the client hears so. */
     @Test
     void aBodyThatHasBegunToFlowIsNotSentAgain() throws Exception {
@@ -274,6 +288,8 @@
             try (Peer.Client c = rig.client()) {
                 c.send(post("a1", "Transfer-Encoding: chunked\r\n") + "18000\r\n" + "x".repeat(0x18000) + "\r\n");
                 rig.await("request a1");
+                // Its head is there, and its body flows behind it.
+                up.next();
                 up.accepted.take().close();
                 assertEquals(503, c.status());
                 assertEquals("outcome a1 0 CONNECT_FAILED false -", rig.await("outcome a1 0"));
--- a/src/test/java/rushproxy/sidecar/CrowdTest.java
+++ b/src/test/java/rushproxy/sidecar/CrowdTest.java
@@ -4,8 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -54,6 +58,81 @@
         }
     }
 
+    /** Its body lies in the kernel, so its time runs: a refusal is due before its end, not after a second. */
+    @Test
+    void whatFindsNoRoomIsRefusedWithinItsTime() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            List<Peer.Client> filling = new ArrayList<>();
+            try {
+                // 192 of 64 KiB are all that may be kept.
+                for (int i = 0; i < 192; i++) {
+                    filling.add(rig.client().send(upload("f" + i, 20_000, 65_536)));
+                }
+                Thread.sleep(100);
+                BlockingQueue<String> answered = new LinkedBlockingQueue<>();
+                for (int i = 0; i < 4; i++) {
+                    filling.add(refused(rig, "patient" + i, 20_000, answered));
+                }
+                filling.add(refused(rig, "hasty", 300, answered));
+                assertEquals("hasty 503", answered.poll(20, TimeUnit.SECONDS));
+            } finally {
+                for (Peer.Client c : filling) {
+                    c.close();
+                }
+            }
+        }
+    }
+
+    /** It waited for room unread: its client has counted that time. */
+    @Test
+    void whatWaitedForRoomHasLessTimeLeft() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.onRequest = (now, r, out) -> out.refuse(r.id(), 0);
+            rig.start();
+            List<Peer.Client> filling = new ArrayList<>();
+            try {
+                for (int i = 0; i < 192; i++) {
+                    filling.add(rig.client().send(upload("f" + i, 20_000, 65_536)));
+                }
+                Thread.sleep(100);
+                try (Peer.Client client = rig.client()) {
+                    client.send(upload("a1", 2_000, 60_000) + "x".repeat(60_000));
+                    Thread.sleep(300);
+                    filling.get(0).close();
+                    long givenUs = Long.parseLong(rig.await("request a1 ").split(" ")[2]);
+                    assertTrue(givenUs < 1_700_000, givenUs + " us");
+                    assertEquals(503, client.status());
+                }
+            } finally {
+                for (Peer.Client c : filling) {
+                    c.close();
+                }
+            }
+        }
+    }
+
+    /** Sends a whole body and tells, on a thread of its own, how it was answered. */
+    private static Peer.Client refused(Rig rig, String id, long remainingMs, BlockingQueue<String> answered) throws Exception {
+        Peer.Client client = rig.client().send(upload(id, remainingMs, 60_000) + "x".repeat(60_000));
+        Thread reader = new Thread(() -> {
+            try {
+                answered.add(id + " " + client.status());
+            } catch (IOException e) {
+                answered.add(id + " " + e);
+            }
+        });
+        reader.setDaemon(true);
+        reader.start();
+        return client;
+    }
+
+    private static String upload(String id, long remainingMs, int length) {
+        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: c\r\nX-Remaining-Ms: " + remainingMs
+                + "\r\nContent-Length: " + length + "\r\n\r\n";
+    }
+
     @Test
     void whatIsKeptHasABoundAndGoesInTurn() {
         Budget budget = new Budget(100);
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -43,7 +43,11 @@
     }
 
     private Upstreams.Call call(String upstream) {
-        return new Upstreams.Call(upstream, clock.now() + 20_000_000, false,
+        return call(upstream, 20_000_000);
+    }
+
+    private Upstreams.Call call(String upstream, long withinUs) {
+        return new Upstreams.Call(upstream, clock.now() + withinUs, false,
                 left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), null,
                 (c, outcome, report, body) -> outcomes.add(upstream + " " + outcome));
     }
@@ -110,6 +114,52 @@
         }
     }
 
+    /** Also a body that would flow on to it: the attempt has failed, and nothing of the body is gone. */
+    @Test
+    void aConnectionThatEndsAsSoonAsItIsUpHasCarriedNothing() throws Exception {
+        try (java.net.ServerSocket door = new java.net.ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"))) {
+            Thread closes = new Thread(() -> {
+                try {
+                    while (true) {
+                        java.net.Socket socket = door.accept();
+                        socket.setSoLinger(true, 0);
+                        socket.close();
+                    }
+                } catch (java.io.IOException e) {
+                    // the test is over
+                }
+            });
+            closes.setDaemon(true);
+            closes.start();
+            Upstreams upstreams = upstreams(15_000_000, 100);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", "127.0.0.1:" + door.getLocalPort(), "Ready", 0))));
+            for (int i = 0; i < 50; i++) {
+                Body body = new Body(() -> { }, -1);
+                loop.execute(() -> {
+                    body.add(io.netty.buffer.Unpooled.wrappedBuffer(new byte[100]));
+                    upstreams.start(new Upstreams.Call("u", clock.now() + 20_000_000, false,
+                            left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api"), body,
+                            (c, outcome, report, answer) -> outcomes.add("u " + outcome)));
+                });
+                assertEquals("u CONNECT_FAILED", outcome());
+            }
+        }
+    }
+
+    /** It says nothing about the upstream, which was never asked. */
+    @Test
+    void aCallWhoseTimeEndsWhileItsConnectionRestsWasNotSent() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = upstreams(15_000_000, 5_000_000, 100);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.start(call("u")));
+            assertEquals("u OK", outcome());
+            loop.execute(() -> upstreams.start(call("u", 100_000)));
+            assertEquals("u NOT_SENT", outcome());
+            assertEquals(1, up.messages.size());
+        }
+    }
+
     /** The second answer comes once the next call waits for the connection: it must not be taken for that call's. */
     @Test
     void anAnswerThatComesTwiceIsNotTheNextCalls() throws Exception {
