At the end of a stop no connection is left that could still bring a request

A request whose last byte came after the last look was taken by the machine and lost with the process. Change: 80 ms before the end that is not asked for the listener is closed and every connection that is owed nothing ends its output; the process ends at a later look. A request that comes then has met an ended connection, or none. Clients that have not ended their side yet are waited for up to 30 ms before that end, since the process's own end may reset them. A connection in the accept queue at that moment is reset, as before: none is expected.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -633,7 +633,7 @@
     }
 
     /** Ends the connection so that its client still gets what it has been answered; nothing may be waiting to be written. */
-    private void end() {
+    void end() {
         if (lingers) {
             return;
         }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -39,6 +39,7 @@
     private static final long LAST_CALL_US = 350_000;
     private static final long LEAVE_DUE_US = 150_000;
     private static final long GONE_US = 80_000;
+    private static final long LAST_LOOK_US = 30_000;
     /** Where the end that is not asked for does not come, an answer that still flows is waited for so much longer. */
     private static final long STAY_US = 20_000_000;
     /** A connection this young or this busy may have a request on its way. */
@@ -86,6 +87,8 @@
     private long acceptedUs;
     /** When the stop last closed a connection between requests. */
     private long closedUs;
+    /** The stop has ended all that could still bring a request. */
+    private boolean endedInputs;
     private boolean rehearsing;
     /** The last that knocked could not be let in. */
     private boolean stuck;
@@ -297,6 +300,30 @@
         look(stopped);
     }
 
+    /**
+     * From now on no request can come: whoever brings one now finds its connection ended or none, and has not been taken. A
+     * request that came until the process's end would be lost with it.
+     */
+    private void endInputs() {
+        closeOwnListener();
+        for (ClientConnection c : Set.copyOf(connections)) {
+            if (!c.owes()) {
+                c.end();
+            }
+        }
+    }
+
+    private void closeOwnListener() {
+        if (!shared) {
+            listener.close();
+        }
+    }
+
+    /** Clients that have not ended their side yet are waited for up to the last moment: the process's end may reset them. */
+    private boolean mayGo(long leftUs) {
+        return connections.stream().noneMatch(ClientConnection::owes) && (lingering.isEmpty() || leftUs < LAST_LOOK_US);
+    }
+
     private void look(Runnable stopped) {
         long now = clock.now();
         long left = killedAtUs - now;
@@ -310,14 +337,16 @@
             }
         }
         // What ends by itself with an answer owed loses it; what is killed with one does not.
-        boolean over = left < GONE_US && connections.stream().noneMatch(ClientConnection::owes) || left < -STAY_US;
+        boolean over = endedInputs && mayGo(left) || left < -STAY_US;
         if (nobody || over || shared && connections.isEmpty()) {
-            if (!shared) {
-                listener.close();
-            }
+            closeOwnListener();
             stopped.run();
             return;
         }
+        if (left < GONE_US && !endedInputs) {
+            endedInputs = true;
+            endInputs();
+        }
         loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -178,6 +178,40 @@
     }
 
     /** The platform may ask again: the time runs from the first call, and the end comes once. */
+    /** Half a request is left at the end: its connection has ended by then, so that the rest can't be lost with the process. */
+    @Test
+    void atItsEndNoConnectionIsLeftThatCouldBringARequest() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
+            rig.start();
+            CountDownLatch over = new CountDownLatch(1);
+            CountDownLatch looked = new CountDownLatch(1);
+            try (Peer.Client answered = rig.client(); Peer.Client half = rig.client()) {
+                answered.send(Rig.get("a1", 9_000));
+                assertEquals(200, answered.status());
+                rig.sidecar.stop(() -> {
+                    over.countDown();
+                    try {
+                        // Nothing that comes later may end the connections in its place.
+                        looked.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+                // The end is 1.5 s after the stop; what has begun 0.8 s before it is waited for.
+                Thread.sleep(1_200);
+                half.send("GET /api HTTP/1.1\r\nX-Slow: ");
+                over.await();
+                half.socket.setSoTimeout(1_000);
+                answered.socket.setSoTimeout(1_000);
+                assertEquals(-1, half.status());
+                assertEquals(-1, answered.status());
+            } finally {
+                looked.countDown();
+            }
+        }
+    }
+
     @Test
     void askedTwiceItStopsOnce() throws Exception {
         try (Rig rig = new Rig()) {
