Members: dissemination and the state's digest are classes of their own, hashes made once a change

Change: Dissemination (what is told on, with its retransmit limit) and StateDigest (buckets and hashes of anti-entropy), with the field's names; all hashes are made in one pass after a change. The forgotten are looked for every 10 s, not twice a second.

--- a/src/main/java/rushproxy/fleet/member/Member.java
+++ b/src/main/java/rushproxy/fleet/member/Member.java
@@ -99,6 +99,13 @@
         return m;
     }
 
+    /** Its place in the ring that all share: the id, well mixed (Stafford's variant 13). */
+    static long place(long id) {
+        long z = (id ^ id >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+
     /** Of two words on the same member the later: by incarnation, then by state; a leave is final for its incarnation. */
     static boolean later(long incarnation, State state, long than, State thanState) {
         return incarnation != than ? incarnation > than : state.ordinal() > thanState.ordinal();
--- a/src/main/java/rushproxy/fleet/member/Membership.java
+++ b/src/main/java/rushproxy/fleet/member/Membership.java
@@ -58,8 +58,6 @@
     private static final long ALONE_US = 5_000_000;
     /** A tick that comes later than this after its time was held up, and all that ran then ran without us. */
     private static final long HELD_UP_US = 100_000;
-    /** A change is told on so many times log2 of the fleet's size datagrams. */
-    private static final int TOLD = 3;
     private static final int EAGER = 3;
     /** One in so many random probes goes to those held dead, so that halves of a fleet find each other again. */
     private static final int DEAD_ONE_IN = 4;
@@ -67,9 +65,9 @@
     private static final long COMPARE_US = 1_000_000;
     private static final long JOIN_US = 3_000_000;
     private static final int JOIN_PAGES = 4;
-    private static final int PAGE = 12;
     /** The dead are forgotten after this: a member that comes back tells of itself. */
     private static final long FORGET_US = 600_000_000;
+    private static final long FORGET_LOOK_US = 10_000_000;
     /** Word of the program before counts as life for so long. */
     private static final long OLD_WORD_US = 10_000_000;
     /** An incarnation further ahead of our clock is a lie or a fault. */
@@ -144,17 +142,6 @@
         }
     }
 
-    /** A change that is being told on. */
-    private static final class Update {
-        private final Member of;
-        private int left;
-
-        Update(Member of, int left) {
-            this.of = of;
-            this.left = left;
-        }
-    }
-
     private final Self self;
     private final Host host;
     private final SplittableRandom random;
@@ -170,14 +157,14 @@
     private final Map<Long, Accusation> accusations = new LinkedHashMap<>();
     /** Who asked us to look at whom, until our own probe has ended. */
     private final Map<Long, Set<Integer>> asked = new LinkedHashMap<>();
-    /** Deaths, leaves and returns go first; who has come is found by pages too. Each is told in turn. */
-    private final Map<Long, Update> urgent = new LinkedHashMap<>();
-    private final Map<Long, Update> others = new LinkedHashMap<>();
+    private final Dissemination dissemination = new Dissemination();
+    private final StateDigest digest = new StateDigest(members.values());
     private final long startedUs;
     private long nowUs;
     private long tickedUs;
     private long periodUs;
     private long compareUs;
+    private long forgetUs;
     private long heardUs = NEVER;
     private long lookUs;
     /** A change to be told on at once; one of the view. */
@@ -214,7 +201,7 @@
             slots[self.number()] = me;
         }
         members.put(me.id, me);
-        ring.put(place(me.id), me);
+        ring.put(Member.place(me.id), me);
         periodUs = nowUs + random.nextLong(PERIOD_US);
         compareUs = nowUs;
         tell(me);
@@ -397,7 +384,7 @@
         int wanted = TARGETS;
         Member at = me;
         for (int i = 0; i < ring.size() - 1 && wanted > 0; i++) {
-            Map.Entry<Long, Member> next = ring.higherEntry(place(at.id));
+            Map.Entry<Long, Member> next = ring.higherEntry(Member.place(at.id));
             at = next == null ? ring.firstEntry().getValue() : next.getValue();
             if (at.slot >= 0 && at != me) {
                 if (!accusations.containsKey(at.id)) {
@@ -437,12 +424,20 @@
         }
     }
 
+    /** Seldom: it goes through all members. */
     private void forget() {
+        if (nowUs < forgetUs) {
+            return;
+        }
+        forgetUs = nowUs + FORGET_LOOK_US;
         members.values().removeIf(m -> {
             boolean old = (m.state == State.DEAD || m.state == State.LEFT) && nowUs - m.sinceUs > FORGET_US;
             if (old && m.slot >= 0 && slots[m.slot] == m) {
                 slots[m.slot] = null;
             }
+            if (old) {
+                digest.changed();
+            }
             return old;
         });
     }
@@ -489,29 +484,14 @@
             if (slot == self.number() || !budget.admits(COMPARISON + RESERVE)) {
                 continue;
             }
-            int buckets = Math.max(1, Math.max(slots.length, members.size()) / PAGE);
+            int buckets = digest.buckets(slots.length);
             bucket = (bucket + 1) % buckets;
             ByteBuffer b = ByteBuffer.allocate(8).putShort((short) bucket).putShort((short) buckets)
-                    .putInt(hash(bucket, buckets));
+                    .putInt(digest.hash(bucket, buckets));
             send(slot, withUpdates(letter().add(COMPARE, b)).bytes(self.taken()));
         }
     }
 
-    private static int bucketOf(long id, int buckets) {
-        return (int) Long.remainderUnsigned(place(id) >>> 8, buckets);
-    }
-
-    private int hash(int of, int buckets) {
-        int hash = 0;
-        for (Member m : members.values()) {
-            if (bucketOf(m.id, buckets) == of && m.known()) {
-                long x = place(m.id ^ m.incarnation << 3 ^ (m.state == State.SUSPECT ? State.ALIVE : m.state).ordinal());
-                hash += (int) (x ^ x >>> 32);
-            }
-        }
-        return hash;
-    }
-
     // ---- datagrams ----------------------------------------------------------------------------------
 
     /** The program before, which speaks no envelopes, has said something: its peer lives. */
@@ -601,8 +581,7 @@
         quiet = true;
         probes.clear();
         accusations.clear();
-        urgent.clear();
-        others.clear();
+        dissemination.clear();
         host.note("takes no part among members any more: " + why);
         view = look(view);
     }
@@ -636,6 +615,7 @@
         heardNow(m);
         if (letter.incarnation() > m.incarnation) {
             m.incarnation = letter.incarnation();
+            digest.changed();
             become(m, State.ALIVE, "has come back");
             tell(m);
         } else if (m.state == State.SUSPECT) {
@@ -761,6 +741,9 @@
             int zone = b.get() & 255;
             if (zone < Math.max(1, self.zones())) {
                 boolean news = !m.known();
+                if (news) {
+                    digest.changed();
+                }
                 m.zone = zone;
                 m.number = b.getShort() & 0xFFFF;
                 m.version = b.get() & 255;
@@ -782,15 +765,11 @@
         }
         int of = b.getShort() & 0xFFFF;
         int buckets = b.getShort() & 0xFFFF;
-        if (buckets == 0 || of >= buckets || !budget.admits(Envelope.MOST + RESERVE) || b.getInt() == hash(of, buckets)) {
+        if (buckets == 0 || of >= buckets || !budget.admits(Envelope.MOST + RESERVE) || b.getInt() == digest.hash(of, buckets)) {
             return;
         }
-        ByteBuffer page = ByteBuffer.allocate(Member.BYTES * PAGE);
-        for (Member m : members.values()) {
-            if (bucketOf(m.id, buckets) == of && page.hasRemaining() && m.known()) {
-                m.write(page);
-            }
-        }
+        ByteBuffer page = ByteBuffer.allocate(Member.BYTES * StateDigest.PAGE);
+        digest.write(of, buckets, page);
         send(sender.slot, letter().add(PAGE_OF, page).bytes(self.taken()));
     }
 
@@ -857,7 +836,8 @@
         tell(m);
     }
 
-    private static void adopt(Member m, Member word) {
+    private void adopt(Member m, Member word) {
+        digest.changed();
         m.incarnation = word.incarnation;
         m.zone = word.zone;
         m.number = word.number;
@@ -888,6 +868,7 @@
 
     private void refute(long incarnation, String who) {
         me.incarnation = Math.min((1L << 48) - 1, incarnation + 1);
+        digest.changed();
         me.sinceUs = nowUs;
         host.note("refutes what " + who + " says of it");
         tell(me);
@@ -896,6 +877,7 @@
     // ---- changes ------------------------------------------------------------------------------------
 
     private void become(Member m, State state, String why) {
+        digest.changed();
         boolean was = m.state == State.ALIVE || m.state == State.SUSPECT;
         // One that is new here was in no state before.
         boolean gone = !was && m.sinceUs != 0;
@@ -909,9 +891,9 @@
         m.state = state;
         boolean is = state == State.ALIVE || state == State.SUSPECT;
         if (is && !was) {
-            ring.put(place(m.id), m);
+            ring.put(Member.place(m.id), m);
         } else if (!is) {
-            ring.remove(place(m.id));
+            ring.remove(Member.place(m.id));
             accusations.remove(m.id);
         }
         if (state == State.ALIVE) {
@@ -929,52 +911,31 @@
     }
 
     private void tell(Member m) {
-        int log = 32 - Integer.numberOfLeadingZeros(Math.max(2, members.size()));
-        others.remove(m.id);
-        urgent.put(m.id, new Update(m, TOLD * log));
+        dissemination.tell(m, members.size());
         fresh = true;
     }
 
     private void tellInPassing(Member m) {
-        if (m.known() && !urgent.containsKey(m.id)) {
-            others.put(m.id, new Update(m, 32 - Integer.numberOfLeadingZeros(Math.max(2, members.size()))));
-        }
+        dissemination.tellInPassing(m, members.size());
     }
 
     /** Fills what room is left with changes. */
     private Envelope withUpdates(Envelope e) {
         int affordable = (budget.left() - RESERVE - SendBudget.HEADERS - (Envelope.MOST - e.room())) / Member.BYTES;
-        int most = Math.min(Math.min(e.room() / Member.BYTES, PAGE), affordable);
-        if (most <= 0 || urgent.isEmpty() && others.isEmpty()) {
+        int most = Math.min(Math.min(e.room() / Member.BYTES, StateDigest.PAGE), affordable);
+        if (most <= 0 || dissemination.isEmpty()) {
             return e;
         }
         ByteBuffer b = ByteBuffer.allocate(most * Member.BYTES);
-        next(urgent, b);
-        next(others, b);
+        dissemination.write(b);
         return e.add(UPDATES, b);
     }
 
-    /** The first go to the end of the line, or out of it. */
-    private static void next(Map<Long, Update> line, ByteBuffer b) {
-        List<Update> first = new ArrayList<>();
-        for (Iterator<Update> i = line.values().iterator(); i.hasNext() && b.hasRemaining(); ) {
-            Update u = i.next();
-            u.of.write(b);
-            i.remove();
-            first.add(u);
-        }
-        for (Update u : first) {
-            if (--u.left > 0) {
-                line.put(u.of.id, u);
-            }
-        }
-    }
-
     /** News does not wait for the next probe, but for room in the budget. */
     private void eager() {
         fresh = false;
         for (Member m : some(EAGER, null)) {
-            if (urgent.isEmpty()) {
+            if (!dissemination.anyUrgent()) {
                 return;
             }
             if (!budget.admits(LEAST_NEWS + RESERVE)) {
@@ -1013,13 +974,6 @@
         return Envelope.from(me.id, me.incarnation);
     }
 
-    /** Its place in the ring that all share: the id, well mixed (Stafford's variant 13). */
-    private static long place(long id) {
-        long z = (id ^ id >>> 30) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
-        return z ^ z >>> 31;
-    }
-
     /** The process leaves of its own will: told to several, since some word is lost. Nothing follows. */
     public void leave(long now) {
         advance(now);
@@ -1027,6 +981,7 @@
             return;
         }
         me.state = State.LEFT;
+        digest.changed();
         ByteBuffer b = ByteBuffer.allocate(Member.BYTES);
         me.write(b);
         for (Member m : some(2 * EAGER, null)) {
