--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -9,17 +9,22 @@
  * the time.
  */
 public interface Balancer {
+    /** Whether a request may be sent again: freely, under its key while that is remembered, or never once it may have run. */
     enum Semantics { SAFE, KEYED, UNSAFE }
 
     /** Which upstreams drop repeats of a keyed request. */
     enum Group { ALL, ZONE, CELL }
 
+    /** As the list has it. */
     enum UpstreamState { GONE, READY, DRAINING }
 
+    /** What a list is: changes, the whole, none (the call failed), or the one of the configuration. */
     enum ListKind { DELTA, FULL, FAILED, CACHED }
 
+    /** How upstreams tell of their load. */
     enum Reports { NONE, INLINE, ON_PROBE }
 
+    /** How an attempt ended. */
     enum Outcome {
         OK(true), ERROR(true), REJECTED(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
         CANCELLED(true), NOT_SENT(false);
@@ -32,11 +37,14 @@
         }
     }
 
+    /** A class of requests; times in microseconds, the deadline from the client's first try. */
     record RequestClass(String name, Semantics semantics, Group group, long windowUs, long aimUs,
                         double aimStretch, long deadlineUs, double worth, double lateWorth, boolean stream) {}
 
+    /** Who asks, and what part of the fleet it may use. */
     record Tenant(String name, double share, double quotaPerSecond) {}
 
+    /** What the deployment allows. */
     record Limits(int maxAttempts, boolean secondCopies, boolean cancelling, boolean probing, boolean peers,
                   boolean retryAfter, long maxRetryAfterUs, long connIdleUs, double cpuUsPerRequest) {}
 
@@ -47,6 +55,7 @@
     /** Points of the result for each unit of use; 0 where it is free. */
     record Prices(double crossZone, double peer, double probe, double connection, double handshake) {}
 
+    /** All that an instance is told of its deployment; {@code me} is its number among {@code balancers}. */
     record Settings(int me, int balancers, String zone, List<String> zones, List<String> kinds,
                     List<RequestClass> classes, List<Tenant> tenants, Limits limits, Rules rules,
                     Reports reports, boolean discoveryOnRequest, boolean worthByWork,
@@ -123,6 +132,7 @@
         }
     }
 
+    /** What a limit counts. */
     enum Scope { ALL, CLASS, TENANT }
 
     /** Parts of their shares that servers get, 0 to 1, by id; all of it where none is named. Until {@code untilUs}. */
@@ -132,6 +142,7 @@
         }
     }
 
+    /** What the module can do. Times as in the events. */
     interface Actions {
         void send(String request, String upstream, long untilUs);
 
--- a/src/main/java/rushproxy/fleet/member/Member.java
+++ b/src/main/java/rushproxy/fleet/member/Member.java
@@ -5,6 +5,7 @@
 
 /** What one sidecar knows of another, or of itself. Belongs to its {@link Membership}. */
 public final class Member {
+    /** Suspect is a state for those alone that have evidence; dead and left are told. */
     public enum State { ALIVE, SUSPECT, DEAD, LEFT }
 
     /** Bytes on the wire: id, incarnation, state, zone, number, version, parts. */
--- a/src/main/java/rushproxy/fleet/member/View.java
+++ b/src/main/java/rushproxy/fleet/member/View.java
@@ -11,6 +11,7 @@
  * @param standing majority, minority or nobody, of those expected; since {@code sinceUs}
  */
 public record View(int expected, int here, List<Integer> byZone, Standing standing, long sinceUs) {
+    /** Which part of its fleet a member sees. */
     public enum Standing {
         /** More than half of those it should see are here. */
         MAJORITY,
--- a/src/main/java/rushproxy/fleet/release/Gate.java
+++ b/src/main/java/rushproxy/fleet/release/Gate.java
@@ -16,6 +16,7 @@
  * chance of at most {@link Rule#falseHalts}, however often it is looked at; the chance counts for each stage.
  */
 public final class Gate {
+    /** What a gate says of a stage: go on, wait, stop where it is, or take it back. */
     public enum Verdict { ON, WAIT, HALT, BACK }
 
     /**
--- a/src/main/java/rushproxy/fleet/release/Order.java
+++ b/src/main/java/rushproxy/fleet/release/Order.java
@@ -19,6 +19,7 @@
  * @param whom    the new servers
  */
 public record Order(String release, int epoch, int step, State state, double weight, double safe, Selector whom) {
+    /** How far a release is. */
     public enum State { ON, HALTED, BACK, DONE }
 
     /** Which servers are the release's: by one of these, or all of those that are not null. Ids alone, or the others together. */
--- a/src/main/java/rushproxy/fleet/release/Plan.java
+++ b/src/main/java/rushproxy/fleet/release/Plan.java
@@ -11,6 +11,7 @@
  * @param backUs the way back halves the weight this often, so that the old servers can take it up
  */
 public record Plan(String name, Order.Selector whom, List<Stage> stages, double safe, long backUs) {
+    /** The part of its share that what is released gets, and what has to hold before the next stage. */
     public record Stage(double weight, Gate.Rule rule) {}
 
     public Plan {
--- a/src/main/java/rushproxy/lab/check/ColdBudget.java
+++ b/src/main/java/rushproxy/lab/check/ColdBudget.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import rushproxy.lab.scenario.Scenario;
 import rushproxy.lab.world.Observation;
-import rushproxy.lab.world.Observation.What;
 
 /**
  * No server that has just started is sent more than the multiple of what it can do at that moment for the stated time by
--- a/src/main/java/rushproxy/lab/scenario/Scenario.java
+++ b/src/main/java/rushproxy/lab/scenario/Scenario.java
@@ -31,6 +31,7 @@
     public record Traffic(double ratePerS, long rampUs, double skew, int keys, double zipf, int retries, double tryShare,
                           long backoffUs, double honour, List<Burst> bursts) {}
 
+    /** A stretch of the traffic with so many times the rate. */
     public record Burst(long atUs, long forUs, double factor) {}
 
     /** One-way delays; {@code regions} maps a zone to its region, its own name where none is given. */
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
--- a/src/main/java/rushproxy/sidecar/FleetPlane.java
+++ b/src/main/java/rushproxy/sidecar/FleetPlane.java
@@ -10,7 +10,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import rushproxy.Balancer;
 import rushproxy.PeerWord;
--- a/src/test/java/rushproxy/sidecar/BulkTest.java
+++ b/src/test/java/rushproxy/sidecar/BulkTest.java
@@ -147,7 +147,8 @@
                     line.raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + text);
                     line.socket().shutdownOutput();
                 },
-                (m, line) -> line.raw("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + text));
+                (m, line) -> line.raw("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                        + "HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + text));
         for (Peer.Script form : forms) {
             try (Rig rig = new Rig()) {
                 rig.upstream(form);
--- a/src/test/java/rushproxy/sidecar/DescriptorsTest.java
+++ b/src/test/java/rushproxy/sidecar/DescriptorsTest.java
@@ -7,7 +7,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
