--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -63,7 +63,7 @@
     private final Set<String> classes;
     private final ClientServer server;
     private final Budget budget;
-    private final Pulse pulse;
+    private final LoopDelay loopDelay;
     private final ClientInput input;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
     /** When the request being read sent its first byte; 0 between requests. */
@@ -112,15 +112,15 @@
     private record Arrival(HttpObject part, long atUs) {}
 
     ClientConnection(SocketChannel channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
-                     Budget budget, Pulse pulse) {
+                     Budget budget, LoopDelay loopDelay) {
         this.channel = channel;
         this.clock = clock;
         this.requests = requests;
         this.classes = classes;
         this.server = server;
         this.budget = budget;
-        this.pulse = pulse;
-        input = new ClientInput(clock, pulse, budget, this);
+        this.loopDelay = loopDelay;
+        input = new ClientInput(clock, loopDelay, budget, this);
         activeUs = openedUs = clock.now();
     }
 
@@ -362,7 +362,7 @@
     }
 
     private long marginUs(long remainingUs) {
-        return Math.min(MARGIN_US + pulse.recentUs(), remainingUs / 4);
+        return Math.min(MARGIN_US + loopDelay.recentUs(), remainingUs / 4);
     }
 
     /** The end of the request can't be found: whatever has been made of it is not what the client meant. */
--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -30,7 +30,7 @@
     private record Kept(ByteBuf bytes, long sentUs) {}
 
     private final Clock clock;
-    private final Pulse pulse;
+    private final LoopDelay loopDelay;
     private final Budget budget;
     private final Listener listener;
     private final long openedUs;
@@ -52,13 +52,13 @@
     /** Nothing is read any more. */
     private boolean stopped;
 
-    ClientInput(Clock clock, Pulse pulse, Budget budget, Listener listener) {
+    ClientInput(Clock clock, LoopDelay loopDelay, Budget budget, Listener listener) {
         this.clock = clock;
-        this.pulse = pulse;
+        this.loopDelay = loopDelay;
         this.budget = budget;
         this.listener = listener;
         openedUs = clock.now();
-        sentUs = openedUs - pulse.behindUs(openedUs);
+        sentUs = openedUs - loopDelay.behindUs(openedUs);
     }
 
     @Override
@@ -70,8 +70,8 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         long now = clock.now();
         // What comes with a new connection is read a turn of the loop later, and may be as old as that.
-        if (now - openedUs >= Pulse.BEAT_US) {
-            sentUs = now - pulse.behindUs(now);
+        if (now - openedUs >= LoopDelay.BEAT_US) {
+            sentUs = now - loopDelay.behindUs(now);
         }
         if (readAtUs > 0 && now - readAtUs >= PAUSE_US) {
             unreadSinceUs = 0;
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -72,7 +72,7 @@
     /** As many may be open now: it follows what upstreams take. */
     private final IntSupplier maxConnections;
     private final Budget budget;
-    private final Pulse pulse;
+    private final LoopDelay loopDelay;
     /** No client waits longer than this for an answer. */
     private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
@@ -97,7 +97,7 @@
     private boolean drainLooked;
 
     ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
-                 IntSupplier maxConnections, Budget budget, Pulse pulse) {
+                 IntSupplier maxConnections, Budget budget, LoopDelay loopDelay) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
@@ -106,7 +106,7 @@
         this.canServe = canServe;
         this.maxConnections = maxConnections;
         this.budget = budget;
-        this.pulse = pulse;
+        this.loopDelay = loopDelay;
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
@@ -165,7 +165,7 @@
     private void accepted(SocketChannel channel) {
         stuck = false;
         acceptedUs = clock.now();
-        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, pulse);
+        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, loopDelay);
         connections.add(connection);
         if (connections.size() >= maxConnections.getAsInt()) {
             makeRoom(connection);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -32,7 +32,7 @@
     /** An answer to a probe that takes longer tells nothing of now. */
     private static final long PROBE_US = 50_000;
 
-    private static final long BEAT_MS = Pulse.BEAT_US / 1000;
+    private static final long BEAT_MS = LoopDelay.BEAT_US / 1000;
     private static final int BEATS = 100;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
     private static final long LAG_US = 15_000;
@@ -57,7 +57,7 @@
     private InetSocketAddress listening;
     /** Null where no second address is named. */
     private InetSocketAddress administered;
-    private final Pulse pulse = new Pulse();
+    private final LoopDelay loopDelay = new LoopDelay();
     private long worstLagUs;
     private long beats;
     private boolean leaving;
@@ -91,7 +91,7 @@
         cordons = config.admin() == null ? null : new CordonStore(config.kept(), settings.rules().rampUs() / 1000,
                 now -> loop.execute(() -> mark(now)));
         clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady,
-                () -> Math.min(ofClients, free - upstreams.open()), budget, pulse);
+                () -> Math.min(ofClients, free - upstreams.open()), budget, loopDelay);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
@@ -226,14 +226,14 @@
     /** What makes the event loop late makes every answer late: too little of the core, a pause, or a fault here. */
     private void beat() {
         long now = clock.now();
-        long behindUs = pulse.behindUs(now);
+        long behindUs = loopDelay.behindUs(now);
         worstLagUs = Math.max(worstLagUs, behindUs);
-        pulse.delayed(behindUs);
-        if (behindUs < Pulse.LATE_US) {
-            pulse.beat(now);
+        loopDelay.delayed(behindUs);
+        if (behindUs < LoopDelay.LATE_US) {
+            loopDelay.beat(now);
         } else {
             // What lay in the sockets meanwhile is read only now, and is as old as the hold-up.
-            loop.schedule(() -> pulse.beat(clock.now()), Pulse.LOOK_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> loopDelay.beat(clock.now()), LoopDelay.LOOK_MS, TimeUnit.MILLISECONDS);
         }
         if (++beats % BEATS == 0) {
             requests.tally((words, fields) ->
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -163,7 +163,7 @@
     /** Holds the event loop up: it goes on {@code ms} after {@code meanwhile} has happened, by when its beat is late. */
     void holdUp(long ms, Meanwhile meanwhile) throws Exception {
         // Nothing is late before the first beat, and a connection counts as new until the next.
-        Thread.sleep(2 * Pulse.BEAT_US / 1000);
+        Thread.sleep(2 * LoopDelay.BEAT_US / 1000);
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch goOn = new CountDownLatch(1);
         sidecar.loop().execute(() -> {
