--- /dev/null
+++ b/src/main/java/rushproxy/lab/node/SystemFaults.java
@@ -0,0 +1,97 @@
+package rushproxy.lab.node;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteOrder;
+import java.nio.MappedByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Faults of the system for one process: its wall clock is stepped, and its system calls fail, return early or are interrupted.
+ * A small C library does it, which the process is started with; what it does is set here while the process runs.
+ */
+public final class SystemFaults {
+    private static final String SOURCE = "faults.c";
+    private static final int SIZE = 4096;
+    private static final int SEED_AT = 8;
+    private static final int CHANCES_AT = 16;
+    private static final double CHANCE_UNIT = 1e6;
+    private static final long COMPILE_S = 60;
+
+    /** Calls that may fail, in the order of the library's control block. */
+    public enum Call {
+        ACCEPT_FAILS, SOCKET_FAILS, CONNECT_FAILS, WAIT_INTERRUPTED, READ_INTERRUPTED, READ_SHORT, WRITE_SHORT, FILE_WRITE_FAILS,
+        FILE_SYNC_FAILS, FILE_RENAME_FAILS, ESTABLISHED_FAILS, KILL_IN_WRITE
+    }
+
+    private final Path library;
+    private final Path control;
+    private final MappedByteBuffer block;
+
+    private SystemFaults(Path library, Path control, long seed) throws IOException {
+        this.library = library;
+        this.control = control;
+        Files.write(control, new byte[SIZE]);
+        try (FileChannel channel = FileChannel.open(control, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            block = channel.map(FileChannel.MapMode.READ_WRITE, 0, SIZE);
+        }
+        block.order(ByteOrder.nativeOrder());
+        block.putLong(SEED_AT, seed);
+    }
+
+    /** Compiles the library into the folder; empty, with no library, where the machine has no C compiler. */
+    public static Optional<Path> compile(Path folder) throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        Path source = folder.resolve(SOURCE);
+        Path library = folder.resolve("faults.so");
+        try (InputStream in = SystemFaults.class.getResourceAsStream("/rushproxy/lab/" + SOURCE)) {
+            Files.write(source, in.readAllBytes());
+        }
+        Process compiler;
+        try {
+            compiler = new ProcessBuilder("gcc", "-O2", "-shared", "-fPIC", "-o", library.toString(), source.toString(), "-ldl")
+                    .inheritIO().start();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+        if (!compiler.waitFor(COMPILE_S, TimeUnit.SECONDS) || compiler.exitValue() != 0) {
+            compiler.destroyForcibly();
+            throw new IOException("the library of faults does not compile");
+        }
+        return Optional.of(library);
+    }
+
+    /** Faults for one process, none of which is on yet; {@code control} is a file of their own. */
+    public static SystemFaults with(Path library, Path control, long seed) throws IOException {
+        return new SystemFaults(library, control, seed);
+    }
+
+    /** What the process has to be started with. */
+    public Map<String, String> environment() {
+        return Map.of("LD_PRELOAD", library.toAbsolutePath().toString(), "FAULTS_CONTROL", control.toAbsolutePath().toString());
+    }
+
+    /** The process's wall clock is off by so much from now on; its monotonic clock is not. */
+    public void stepWallClock(long ms) {
+        block.putLong(0, TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
+    /** From now on such a call fails by this chance; 0 ends it. */
+    public void set(Call call, double chance) {
+        block.putInt(CHANCES_AT + Integer.BYTES * call.ordinal(), (int) Math.round(chance * CHANCE_UNIT));
+    }
+
+    /** All calls work again, and the wall clock is right. */
+    public void clear() {
+        for (Call c : Call.values()) {
+            set(c, 0);
+        }
+        stepWallClock(0);
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/FaultInjectionIT.java
@@ -0,0 +1,269 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import rushproxy.lab.node.SystemFaults;
+import rushproxy.lab.node.SystemFaults.Call;
+
+/** A real sidecar under injected faults: each request that it takes has one end, in its time, that its client can recognise. */
+@Timeout(120)
+class FaultInjectionIT {
+    private static final long REMAINING_MS = 600;
+    private static final long SLACK_MS = 70;
+    private static final long HOUR_MS = 3_600_000;
+
+    @TempDir
+    Path folder;
+    private final List<Peer> upstreams = new ArrayList<>();
+    private Peer discovery;
+    private SidecarProcess sidecar;
+
+    @BeforeEach
+    void silentDiscovery() throws Exception {
+        discovery = new Peer((message, line) -> { });
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (sidecar != null) {
+            sidecar.close();
+        }
+        for (Peer p : upstreams) {
+            p.close();
+        }
+        discovery.close();
+    }
+
+    private void start(int count, Peer.Script script, Map<String, String> environment) throws Exception {
+        for (int i = 0; i < count; i++) {
+            upstreams.add(new Peer(script));
+        }
+        sidecar = SidecarProcess.start(folder, discovery, upstreams, environment);
+    }
+
+    private Optional<SystemFaults> systemFaults() throws Exception {
+        Optional<Path> library = SystemFaults.compile(folder.resolve("library"));
+        if (library.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(SystemFaults.with(library.get(), folder.resolve("control"), 7));
+    }
+
+    /** How the answer on this connection ends for its client: "whole", "broken", "failed", or "open" where it has no end by then. */
+    private static String end(Peer.Client client, long withinMs) throws Exception {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMs);
+        StringBuilder text = new StringBuilder();
+        InputStream in = client.socket.getInputStream();
+        try {
+            while (true) {
+                long leftMs = TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime());
+                if (leftMs <= 0) {
+                    return "open";
+                }
+                client.socket.setSoTimeout((int) leftMs);
+                int b = in.read();
+                if (b < 0) {
+                    return endAt(text.toString());
+                }
+                text.append((char) b);
+                if (text.indexOf("\r\n\r\n") >= 0 && !text.toString().startsWith("HTTP/1.1 200")) {
+                    return "failed";
+                }
+                if (text.toString().endsWith("\r\n0\r\n\r\n")) {
+                    return "whole";
+                }
+            }
+        } catch (SocketTimeoutException e) {
+            return "open";
+        } catch (IOException e) {
+            return "broken";
+        }
+    }
+
+    /** The connection has ended: an answer whose end would be the connection's is whole then. */
+    private static String endAt(String text) {
+        boolean framed = text.contains("chunked") || text.toLowerCase(java.util.Locale.ROOT).contains("content-length");
+        return text.startsWith("HTTP/1.1 200") && !framed ? "whole" : "broken";
+    }
+
+    private static final List<String> HALF_ANSWERS = List.of(
+            "Transfer-Encoding: chunked\r\n\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n4000\r\nmore",
+            "\r\n",
+            "\r\nfirst",
+            "Content-Length: 20\r\n\r\nfirst",
+            "Content-Length: 200000\r\n\r\n");
+
+    /** Whatever the framing, an answer that stops half way has an end in its client's time. */
+    @Test
+    void anAnswerThatStopsHalfWayHasAnEnd() throws Exception {
+        Map<String, String> forms = new ConcurrentHashMap<>();
+        start(2, (m, line) -> line.raw("HTTP/1.1 200 OK\r\n" + forms.get(m.header("X-Txn"))), Map.of());
+        List<String> wrong = new ArrayList<>();
+        List<Thread> clients = new ArrayList<>();
+        int number = 0;
+        for (String form : HALF_ANSWERS) {
+            for (String version : List.of("1.1", "1.0")) {
+                for (String requestClass : List.of("safe", "unsafe")) {
+                    String id = "h" + number++;
+                    forms.put(id, form);
+                    clients.add(new Thread(() -> {
+                        try (Peer.Client c = sidecar.client()) {
+                            c.send(SidecarProcess.request("GET", version, id, requestClass, REMAINING_MS));
+                            String end = end(c, REMAINING_MS + SLACK_MS);
+                            if (end.equals("open") || end.equals("whole")) {
+                                synchronized (wrong) {
+                                    wrong.add(version + " " + requestClass + " " + form.replace("\r\n", "|") + ": " + end);
+                                }
+                            }
+                        } catch (Exception e) {
+                            synchronized (wrong) {
+                                wrong.add(form + ": " + e);
+                            }
+                        }
+                    }));
+                }
+            }
+        }
+        for (Thread t : clients) {
+            t.start();
+        }
+        for (Thread t : clients) {
+            t.join();
+        }
+        assertEquals(List.of(), wrong);
+        assertEquals(0, sidecar.violations());
+    }
+
+    /** A restart that is told while the process runs is one of now, whatever the wall clocks say by then. */
+    @Test
+    void aSteppedWallClockChangesNoSlowStart() throws Exception {
+        Optional<SystemFaults> faults = systemFaults();
+        Assumptions.assumeTrue(faults.isPresent(), "no C compiler on this machine");
+        start(4, (m, line) -> line.answer("200 OK", "", m.header("X-Txn")), faults.get().environment());
+        for (long stepMs : new long[] {HOUR_MS, -HOUR_MS}) {
+            faults.get().stepWallClock(stepMs);
+            Peer restarted = new Peer((m, line) -> line.answer("200 OK", "", m.header("X-Txn")));
+            upstreams.add(restarted);
+            String news = Rig.list(upstreams.size() + 41, false,
+                    Rig.entry("u0", restarted.address(), "Ready", System.currentTimeMillis() + stepMs));
+            tell(news);
+            double first = share(restarted, 500);
+            assertTrue(first < 0.15, "share of its first half second, clock stepped by " + stepMs + " ms: " + first);
+            share(restarted, 4_000);
+            double warm = share(restarted, 1_000);
+            assertTrue(warm > 0.1, "share when it is warm, clock stepped by " + stepMs + " ms: " + warm);
+        }
+        assertEquals(0, sidecar.violations());
+    }
+
+    /** Answers the watch that is open, or the next one, with the news. */
+    private void tell(String news) throws Exception {
+        AtomicInteger told = new AtomicInteger();
+        discovery.script = (m, line) -> {
+            if (told.getAndIncrement() == 0) {
+                line.answer("200 OK", "Content-Type: application/json\r\n", news);
+            }
+        };
+        for (java.net.Socket open; (open = discovery.accepted.poll()) != null; ) {
+            open.close();
+        }
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (told.get() == 0 && System.nanoTime() < until) {
+            Thread.sleep(5);
+        }
+        assertTrue(told.get() > 0, "no watch was opened again");
+        Thread.sleep(50);
+    }
+
+    /** The part of a client's requests that this upstream gets in so long a time. */
+    private double share(Peer of, long ms) throws Exception {
+        of.messages.clear();
+        int sent = 0;
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        try (Peer.Client c = sidecar.client()) {
+            while (System.nanoTime() < until) {
+                c.send(SidecarProcess.get("s" + System.nanoTime(), "safe", 800));
+                assertEquals(200, c.status());
+                sent++;
+                Thread.sleep(1);
+            }
+        }
+        return of.messages.size() / (double) sent;
+    }
+
+    /** An interrupted or short call is no end of a connection, and a refused one no reason to lose a request. */
+    @Test
+    void failingSystemCallsLoseNoRequest() throws Exception {
+        Optional<SystemFaults> faults = systemFaults();
+        Assumptions.assumeTrue(faults.isPresent(), "no C compiler on this machine");
+        Map<String, Integer> runs = new ConcurrentHashMap<>();
+        start(4, (m, line) -> {
+            runs.merge(m.header("X-Txn"), 1, Integer::sum);
+            line.answer("200 OK", "", m.header("X-Txn"));
+        }, faults.get().environment());
+        faults.get().set(Call.READ_INTERRUPTED, 0.03);
+        faults.get().set(Call.WAIT_INTERRUPTED, 0.02);
+        faults.get().set(Call.READ_SHORT, 0.2);
+        faults.get().set(Call.WRITE_SHORT, 0.2);
+        faults.get().set(Call.ACCEPT_FAILS, 0.1);
+        faults.get().set(Call.SOCKET_FAILS, 0.05);
+        faults.get().set(Call.CONNECT_FAILS, 0.05);
+        ConcurrentLinkedQueue<String> wrong = new ConcurrentLinkedQueue<>();
+        List<Thread> clients = new ArrayList<>();
+        for (int n = 0; n < 16; n++) {
+            int client = n;
+            clients.add(new Thread(() -> requests(client, wrong)));
+        }
+        for (Thread t : clients) {
+            t.start();
+        }
+        for (Thread t : clients) {
+            t.join();
+        }
+        faults.get().clear();
+        assertEquals(List.of(), List.copyOf(wrong));
+        assertEquals(List.of(), runs.entrySet().stream().filter(e -> e.getKey().startsWith("unsafe") && e.getValue() > 1).toList());
+        assertEquals(0, sidecar.violations());
+    }
+
+    private void requests(int client, ConcurrentLinkedQueue<String> wrong) {
+        try (Peer.Client c = sidecar.client()) {
+            for (int i = 0; i < 100; i++) {
+                String requestClass = i % 2 == 0 ? "unsafe" : "safe";
+                String id = requestClass + client + "-" + i;
+                c.send(SidecarProcess.get(id, requestClass, 800));
+                Peer.Message answer = c.answer();
+                if (answer == null) {
+                    wrong.add(id + " got no answer");
+                    return;
+                }
+                if (answer.head().startsWith("HTTP/1.1 200") && !answer.body().equals(id)) {
+                    wrong.add(id + " got the answer of another: " + answer.body());
+                }
+            }
+        } catch (IOException e) {
+            wrong.add("client " + client + ": " + e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/SidecarProcess.java
@@ -0,0 +1,120 @@
+package rushproxy.sidecar;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import rushproxy.lab.node.Build;
+
+/** A real sidecar, started as the deploy file says, between stand-ins on loopback. */
+final class SidecarProcess implements AutoCloseable {
+    /** Two classes of 0.8 s; a server that starts is cold for 4 s. */
+    static final String SETTINGS = """
+            {"me":0,"balancers":1,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"on_request","counted_by":"work",
+             "profiles":[{"name":"safe","semantics":"safe","objective_us":300000,"give_up_us":800000},
+                         {"name":"unsafe","semantics":"unsafe","objective_us":300000,"give_up_us":800000}],
+             "rules":{"drain_grace_us":500000,"cold_share":0.2,"ramp_time_us":4000000,"fall_multiple":3,
+                      "fall_us":1000000,"ask_every_us":10000000},
+             "limits":{"max_attempts":3,"dial_timeout_us":200000,"conn_idle_us":15000000,"retry_after":true,
+                       "max_retry_after_us":1000000,"peers":false,"probing":false,"cancelling":true},
+             "load_info":{"how":"off","fields":["busy_reqs","pending","cpu_share"]}}""";
+
+    /** The longest deadline of these settings and 0.7 s: SIGKILL may come so long after SIGTERM. */
+    static final long KILL_AFTER_MS = 1_500;
+
+    private static final Pattern SERVES = Pattern.compile("serves on /([0-9.]+):([0-9]+)");
+    private static final Pattern VIOLATIONS = Pattern.compile("invariant_violations=([0-9]+)");
+
+    final Process process;
+    final InetSocketAddress address;
+    final ConcurrentLinkedQueue<String> log = new ConcurrentLinkedQueue<>();
+
+    private SidecarProcess(Process process) throws Exception {
+        this.process = process;
+        CompletableFuture<InetSocketAddress> serves = new CompletableFuture<>();
+        Thread reader = new Thread(() -> read(serves));
+        reader.setDaemon(true);
+        reader.start();
+        address = serves.get(30, TimeUnit.SECONDS);
+    }
+
+    /** {@code environment}: what it is started with besides, such as a library of faults. */
+    static SidecarProcess start(Path folder, Peer discovery, List<Peer> upstreams, Map<String, String> environment)
+            throws Exception {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < upstreams.size(); i++) {
+            entries.add(Rig.entry("u" + i, upstreams.get(i).address(), "Ready", 0));
+        }
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"known\":" + Rig.list(41, true, entries.toArray(String[]::new))
+                + ",\"limits\":{\"sockets\":512},\"settings\":" + SETTINGS + "}");
+        Build build = Build.of(Path.of("").toAbsolutePath());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", build.command()).directory(build.root().toFile());
+        builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
+        builder.environment().put("BALANCER_CONFIG", config.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().putAll(environment);
+        return new SidecarProcess(builder.redirectErrorStream(true).start());
+    }
+
+    private void read(CompletableFuture<InetSocketAddress> serves) {
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line; (line = in.readLine()) != null; ) {
+                log.add(line);
+                Matcher m = SERVES.matcher(line);
+                if (m.find()) {
+                    serves.complete(new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2))));
+                }
+            }
+        } catch (IOException e) {
+            log.add("its log can't be read: " + e);
+        }
+        serves.completeExceptionally(new IOException("it did not start: " + log));
+    }
+
+    Peer.Client client() throws IOException {
+        return new Peer.Client(address);
+    }
+
+    static String request(String method, String version, String id, String requestClass, long remainingMs) {
+        return method + " /api HTTP/" + version + "\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: " + requestClass
+                + "\r\nX-Remaining-Ms: " + remainingMs + "\r\n\r\n";
+    }
+
+    static String get(String id, String requestClass, long remainingMs) {
+        return request("GET", "1.1", id, requestClass, remainingMs);
+    }
+
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** The sum of all that the process has told of broken invariants. */
+    long violations() {
+        long sum = 0;
+        for (String line : log) {
+            Matcher m = VIOLATIONS.matcher(line);
+            sum += m.find() ? Long.parseLong(m.group(1)) : 0;
+        }
+        return sum;
+    }
+
+    @Override
+    public void close() throws Exception {
+        process.destroyForcibly();
+        process.waitFor(10, TimeUnit.SECONDS);
+    }
+}
