Log: at the debug level each attempt, outcome, refusal and close is told, with its reason

Change: RequestLog and CloseReason; an attempt that is asked for and not begun says what forbids it. Off by default, one comparison a line. Seen: RequestLogTest follows a request over a reset, its retry and its answer, a refusal and a rejected message; without the debug level none of it is written. RequestLogTest, LogTest, RequestLifeTest, UpstreamsTest and OutcomesTest pass.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -372,7 +372,7 @@
             abort();
             reject(HttpResponseStatus.BAD_REQUEST);
         } else {
-            end();
+            end(CloseReason.NO_HTTP);
         }
     }
 
@@ -443,13 +443,13 @@
             if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
                 // The end of the connection would be the end of the answer.
                 channel.config().setOption(ChannelOption.SO_LINGER, 0);
-                channel.close();
+                close(CloseReason.ANSWER_BROKEN);
                 return;
             }
-            var stuck = channel.eventLoop().schedule(ClientConnection.this::close, BROKEN_US, TimeUnit.MICROSECONDS);
+            var stuck = channel.eventLoop().schedule(() -> close(CloseReason.ANSWER_BROKEN), BROKEN_US, TimeUnit.MICROSECONDS);
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
                 stuck.cancel(false);
-                end();
+                end(CloseReason.ANSWER_BROKEN);
             });
         }
     }
@@ -475,6 +475,7 @@
     }
 
     private void reject(HttpResponseStatus status) {
+        RequestLog.rejected(channel, status.code());
         write(status, Unpooled.EMPTY_BUFFER, 0);
     }
 
@@ -521,7 +522,7 @@
         written.addListener(f -> {
             this.written = true;
             if (last) {
-                end();
+                end(CloseReason.LAST_ANSWER);
             } else if (!receiving) {
                 // Not from within: an answer may come while the one before is still being handled.
                 channel.eventLoop().execute(this::turn);
@@ -538,7 +539,7 @@
         body = null;
         next();
         if (refuses && !busy && ahead.isEmpty() && input.isEmpty()) {
-            end();
+            end(CloseReason.UNWATCHED);
         }
     }
 
@@ -576,11 +577,11 @@
     }
 
     /** Half a request is waited for as long as its client may still wait for the answer, not for ever. True where it closes. */
-    boolean closeIfQuiet(long sinceUs, long halfSinceUs) {
+    boolean closeIfQuiet(long sinceUs, long halfSinceUs, CloseReason reason) {
         boolean untaken = !busy || receiving && current == null && !answered;
         boolean closes = activeUs < (quiet() ? sinceUs : halfSinceUs) && untaken && ahead.isEmpty() && !lingers;
         if (closes) {
-            end();
+            end(reason);
         }
         return closes;
     }
@@ -595,7 +596,7 @@
         }
         if (busy) {
             if (answered && !written && now - activeUs >= UNREAD_US) {
-                close();
+                close(CloseReason.ANSWER_UNREAD);
             } else if (receiving && !answered && body != null) {
                 lookAtBody(now);
             }
@@ -603,7 +604,7 @@
             boolean late = !proven ? now - openedUs >= firstPatienceUs
                     : readingSinceUs != 0 && now - readingSinceUs >= patienceUs;
             if (late) {
-                end();
+                end(CloseReason.REQUEST_UNFINISHED);
             }
         }
     }
@@ -627,19 +628,20 @@
         boolean slow = sinceUs >= BODY_STARTS_US
                 && bodyBytes < BODY_BYTES_PER_S * (sinceUs - BODY_STARTS_US) / 1_000_000 + 1;
         if (slow || now - pieceUs >= BODY_RESTS_US) {
-            end();
+            end(CloseReason.BODY_TOO_SLOW);
         }
     }
 
     /** Ends the connection so that its client still gets what it has been answered; nothing may be waiting to be written. */
-    void end() {
+    void end(CloseReason reason) {
         if (lingers) {
             return;
         }
         if (!anyAnswer) {
-            close();
+            close(reason);
             return;
         }
+        RequestLog.closes(channel, reason);
         lingers = true;
         input.discard();
         release();
@@ -653,7 +655,8 @@
     }
 
     /** Gives its descriptor back at once. */
-    void close() {
+    void close(CloseReason reason) {
+        RequestLog.closes(channel, reason);
         channel.close();
     }
 
@@ -673,6 +676,7 @@
         if (!(cause instanceof IOException)) {
             Log.trouble("a client's connection failed", cause);
         }
+        RequestLog.closes(channel, cause instanceof IOException ? CloseReason.PEER_ENDED : CloseReason.FAILED);
         ctx.close();
     }
 }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -186,11 +186,11 @@
     private void makeRoom(ClientConnection goesIn) {
         ClientConnection lingers = lingering.poll();
         if (lingers != null) {
-            lingers.close();
+            lingers.close(CloseReason.ROOM_NEEDED);
             return;
         }
         connections.stream().filter(c -> c != goesIn && c.quiet())
-                .min(Comparator.comparingLong(ClientConnection::activeUs)).ifPresent(ClientConnection::close);
+                .min(Comparator.comparingLong(ClientConnection::activeUs)).ifPresent(c -> c.close(CloseReason.ROOM_NEEDED));
     }
 
     /** Its output has ended. No more than a few wait so at once, and none where its descriptor is wanted. */
@@ -198,7 +198,7 @@
         lingering.add(connection);
         int most = connections.size() >= maxConnections.getAsInt() ? 0 : Math.max(1, maxConnections.getAsInt() / LINGERING_PART);
         while (lingering.size() > most) {
-            lingering.poll().close();
+            lingering.poll().close(CloseReason.ROOM_NEEDED);
         }
     }
 
@@ -278,7 +278,7 @@
         if (age >= DRAIN_ON_US) {
             long quietUs = age < DRAIN_ALL_US ? DRAIN_QUIET_US : 0;
             for (ClientConnection c : Set.copyOf(connections)) {
-                c.closeIfQuiet(now - quietUs, age >= DRAIN_DUE_US ? now : 0);
+                c.closeIfQuiet(now - quietUs, age >= DRAIN_DUE_US ? now : 0, CloseReason.DRAINING);
             }
         }
         loop.schedule(this::lookDrained, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -308,7 +308,7 @@
         closeOwnListener();
         for (ClientConnection c : Set.copyOf(connections)) {
             if (!c.owes()) {
-                c.end();
+                c.end(CloseReason.STOPPING);
             }
         }
     }
@@ -331,7 +331,7 @@
                 && now - closedUs >= CROSSED_US;
         if (shared ? now - stopAtUs >= SERVE_ON_US : left < GOODBYE_US) {
             for (ClientConnection c : Set.copyOf(connections)) {
-                if (c.closeIfQuiet(left < LAST_CALL_US ? now : now - QUIET_US, left < LAST_CALL_US ? now : now - longestUs)) {
+                if (c.closeIfQuiet(left < LAST_CALL_US ? now : now - QUIET_US, left < LAST_CALL_US ? now : now - longestUs, CloseReason.STOPPING)) {
                     closedUs = now;
                 }
             }
--- a/src/main/java/rushproxy/sidecar/LingeringClose.java
+++ b/src/main/java/rushproxy/sidecar/LingeringClose.java
@@ -32,7 +32,10 @@
         channel.pipeline().addFirst(new LingeringClose());
         channel.shutdownOutput();
         channel.config().setAutoRead(true);
-        var end = channel.eventLoop().schedule(() -> channel.close(), mostUs, TimeUnit.MICROSECONDS);
+        var end = channel.eventLoop().schedule(() -> {
+            RequestLog.closes(channel, CloseReason.LINGERED);
+            channel.close();
+        }, mostUs, TimeUnit.MICROSECONDS);
         channel.closeFuture().addListener(f -> end.cancel(false));
     }
 
@@ -41,6 +44,7 @@
         discarded += ((ByteBuf) message).readableBytes();
         ReferenceCountUtil.release(message);
         if (discarded > MOST_BYTES) {
+            RequestLog.closes(ctx.channel(), CloseReason.SENT_TOO_MUCH);
             ctx.close();
         }
     }
--- a/src/main/java/rushproxy/sidecar/Log.java
+++ b/src/main/java/rushproxy/sidecar/Log.java
@@ -41,6 +41,9 @@
     private static final Logger ROOT = Logger.getLogger("");
     private static final Logger OURS = Logger.getLogger("rushproxy");
 
+    /** Kept, since it is asked for every request. */
+    private static boolean debugs;
+
     static {
         style(Style.DEFAULT);
     }
@@ -65,11 +68,12 @@
         // Others' words only where they are grave: a request's fate is none.
         ROOT.setLevel(Level.WARN.theirs);
         OURS.setLevel(style.least.theirs);
+        debugs = style.least == Level.DEBUG;
     }
 
     /** Whether lines of the debug level are written. */
     static boolean debugs() {
-        return OURS.isLoggable(Level.DEBUG.theirs);
+        return debugs;
     }
 
     static void line(String text) {
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -52,6 +52,7 @@
     /** Its body may still be coming: {@link #complete} tells when it is not. */
     void take(Exchange x) {
         taken++;
+        RequestLog.taken(x.request.id(), x.request.requestClass(), x.deadlineUs - clock.now());
         open.put(x.request.id(), x);
         if (x.body.complete()) {
             await(x);
@@ -93,6 +94,7 @@
         boolean flows = x.passing != null || !x.body.complete();
         if (!x.over) {
             left++;
+            RequestLog.state(x.request.id(), "left by its client");
             finish(x);
             expired(x);
         }
@@ -105,6 +107,7 @@
     private void overdue(Exchange x) {
         if (!x.over) {
             overdue++;
+            RequestLog.state(x.request.id(), "overdue");
             fail(x);
             expired(x);
         }
@@ -131,8 +134,7 @@
         int number = x.attempts.size();
         long now = clock.now();
         long until = !x.body.complete() ? now + UPLOAD_US : untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
-        // Of a body that has begun to flow the beginning is gone.
-        boolean moot = x.over || number >= maxAttempts || until <= now || !x.body.whole() || x.unwatched;
+        String moot = whyMoot(x, number, until <= now);
         Upstreams.Call call = new Upstreams.Call(upstream, until, false, left -> message(x, left), x.body,
                 new Upstreams.Result() {
                     @Override
@@ -165,13 +167,33 @@
         call.sentUs = now;
         x.attempts.add(call);
         x.times.attempted(now);
-        if (moot) {
+        if (moot != null) {
+            RequestLog.notAttempted(id, number, upstream, moot);
             call.end(Outcome.NOT_SENT, null, null);
         } else {
+            RequestLog.attempt(id, number, upstream, until - now);
             begin(call);
         }
     }
 
+    /** Why an attempt that the module asks for must not begin; null where it may. */
+    private String whyMoot(Exchange x, int number, boolean late) {
+        if (x.over) {
+            return "the request is over";
+        }
+        if (number >= maxAttempts) {
+            return "too many attempts";
+        }
+        if (late) {
+            return "no time left";
+        }
+        // Of a body that has begun to flow the beginning is gone.
+        if (!x.body.whole()) {
+            return "the body has flowed";
+        }
+        return x.unwatched ? "the client can't be watched" : null;
+    }
+
     /** What lies in the sockets goes first: it may say that this must not be sent any more. */
     private void begin(Upstreams.Call call) {
         SocketLook.before(loop, () -> {
@@ -212,6 +234,7 @@
             return false;
         }
         served++;
+        RequestLog.state(x.request.id(), "passing its answer on");
         x.passing = call;
         finish(x);
         x.answer.begins(length, resume);
@@ -222,6 +245,7 @@
 
     private void ended(Exchange x, int number, Upstreams.Call call, Outcome outcome, LoadReport report, ByteBuf body) {
         outcomes.merge(outcome, 1, Integer::sum);
+        RequestLog.outcome(x.request.id(), number, call.upstream, outcome, clock.now() - call.sentUs);
         if (x.passing == call) {
             if (outcome == Outcome.OK) {
                 x.answer.ends();
@@ -251,6 +275,7 @@
         Exchange x = open.get(id);
         if (x != null && !x.over) {
             refused++;
+            RequestLog.state(x.request.id(), "refused");
             finish(x);
             x.answer.refused(retryAfterUs);
         }
@@ -265,6 +290,7 @@
     private void fail(Exchange x) {
         if (!x.over) {
             failed++;
+            RequestLog.state(x.request.id(), "failed");
             finish(x);
             x.answer.failed();
         }
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -70,7 +71,7 @@
             return;
         }
         if (part.decoderResult().isFailure()) {
-            giveUp(ctx);
+            giveUp(ctx, CloseReason.NO_HTTP);
             return;
         }
         if (part instanceof HttpResponse response) {
@@ -78,7 +79,7 @@
             interim = status.codeClass() == HttpStatusClass.INFORMATIONAL;
             if (status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 // Nobody asked for another protocol, and what follows is no HTTP.
-                giveUp(ctx);
+                giveUp(ctx, CloseReason.NO_HTTP);
             } else if (!interim) {
                 headed(ctx, response);
             }
@@ -95,7 +96,7 @@
         Outcome told = outcome(response);
         if (call == null || head != null || told == Outcome.OK && !call.written()) {
             // Nobody asked, asked no more than once, or not yet all: what else comes here can't be told apart.
-            giveUp(ctx);
+            giveUp(ctx, CloseReason.NOT_ASKED_FOR);
             return;
         }
         head = response;
@@ -129,12 +130,12 @@
         } else if (kept == null) {
             skipped += piece.readableBytes();
             if (skipped > MOST_SKIPPED) {
-                giveUp(ctx);
+                giveUp(ctx, CloseReason.REMAINDER_TOO_LONG);
             }
         } else if (kept.readableBytes() + piece.readableBytes() <= Body.KEPT) {
             kept.writeBytes(piece);
         } else if (call.reportInBody()) {
-            giveUp(ctx);
+            giveUp(ctx, CloseReason.REMAINDER_TOO_LONG);
         } else {
             pass(ctx);
             if (passing) {
@@ -150,8 +151,13 @@
     }
 
     /** Nothing more is taken from here. */
-    private void giveUp(ChannelHandlerContext ctx) {
+    private void giveUp(ChannelHandlerContext ctx, CloseReason reason) {
         gaveUp = true;
+        close(ctx, reason);
+    }
+
+    private static void close(ChannelHandlerContext ctx, CloseReason reason) {
+        RequestLog.closes(ctx.channel(), reason);
         ctx.close();
     }
 
@@ -165,7 +171,7 @@
             Call current = call;
             call = null;
             settle();
-            giveUp(ctx);
+            giveUp(ctx, CloseReason.NOT_WANTED);
             current.end(Outcome.OK, null, Unpooled.EMPTY_BUFFER);
             return;
         }
@@ -187,7 +193,7 @@
         stalledMs = moved ? 0 : stalledMs + LOOK_MS;
         moved = false;
         if (stalledMs >= STALLED_MS) {
-            ctx.close();
+            close(ctx, CloseReason.STALLED);
         }
     }
 
@@ -199,7 +205,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (!whole) {
             if (call == null) {
-                ctx.close();
+                close(ctx, CloseReason.NOT_ASKED_FOR);
             }
             return;
         }
@@ -213,7 +219,7 @@
             ctx.channel().config().setAutoRead(true);
             release.accept(current, ctx.channel());
         } else {
-            ctx.close();
+            close(ctx, CloseReason.NOT_KEPT_ALIVE);
         }
         LoadReport report = LoadReports.read(current.reportInBody()
                 ? body.toString(StandardCharsets.UTF_8) : response.headers().get(Headers.LOAD));
@@ -269,7 +275,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         whole = false;
-        ctx.close();
+        close(ctx, cause instanceof IOException ? CloseReason.PEER_ENDED : CloseReason.FAILED);
         broke();
     }
 
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -168,7 +168,7 @@
         private void abandon(Outcome outcome) {
             if (!ended) {
                 if (channel != null) {
-                    channel.close();
+                    Upstreams.close(channel, CloseReason.CALL_ABANDONED);
                 }
                 end(outcome, null, null);
             }
@@ -184,7 +184,7 @@
                 // Told first: the end of a connection that is still coming up would be told as the upstream's failure.
                 end(Outcome.NOT_SENT, null, null);
                 if (channel != null) {
-                    channel.close();
+                    Upstreams.close(channel, CloseReason.CALL_ABANDONED);
                 }
             }
         }
@@ -322,9 +322,14 @@
         }
     }
 
+    private static void close(Channel channel, CloseReason reason) {
+        RequestLog.closes(channel, reason);
+        channel.close();
+    }
+
     private void close(Target t) {
         for (Channel c; (c = t.idle.poll()) != null; ) {
-            c.close();
+            close(c, CloseReason.UPSTREAM_LEAVES);
         }
     }
 
@@ -363,7 +368,7 @@
     private void rested(Call call) {
         call.awaitsRest = false;
         if (call.ended) {
-            call.channel.close();
+            close(call.channel, CloseReason.CALL_ENDED_BEFORE);
         } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
             call.withdraw();
         } else if (call.channel.isActive()) {
@@ -395,7 +400,7 @@
             Channel c = i.next();
             if (!usable(c, now)) {
                 i.remove();
-                c.close();
+                close(c, CloseReason.IDLE_TOO_LONG);
             } else if (now - connection(c).idleSinceUs >= restUs) {
                 i.remove();
                 return c;
@@ -431,7 +436,7 @@
                 // The want of descriptors is this process's own, and no fault of the upstream's.
                 call.end(Outcome.NOT_SENT, null, null);
             } else if (call.ended) {
-                call.channel.close();
+                close(call.channel, CloseReason.CALL_ENDED_BEFORE);
             } else if (failure != null) {
                 call.broke();
             } else {
@@ -443,7 +448,7 @@
 
     private void connected(Call call) {
         if (call.ended) {
-            call.channel.close();
+            close(call.channel, CloseReason.CALL_ENDED_BEFORE);
         } else if (!call.channel.isActive()) {
             // Closed as soon as it was up.
             call.broke();
@@ -466,7 +471,7 @@
             }
         }
         if (oldest != null) {
-            oldest.idle.pollLast().close();
+            close(oldest.idle.pollLast(), CloseReason.ROOM_NEEDED);
         }
         return oldest != null;
     }
@@ -499,7 +504,7 @@
                 call.written = true;
                 call.result.sent(call);
             } else {
-                call.channel.close();
+                close(call.channel, CloseReason.WRITE_FAILED);
                 call.broke();
             }
         });
@@ -510,7 +515,7 @@
             connection(channel).idleSinceUs = clock.now();
             call.target.idle.addFirst(channel);
         } else {
-            channel.close();
+            close(channel, CloseReason.UPSTREAM_LEAVES);
         }
     }
 
@@ -520,7 +525,7 @@
             t.idle.removeIf(c -> {
                 boolean drop = !usable(c, now);
                 if (drop) {
-                    c.close();
+                    close(c, CloseReason.IDLE_TOO_LONG);
                 }
                 return drop;
             });
