Answers: one that is passed on keeps its deadline up to its last byte

Cause: passing an answer on finished its exchange, which cancelled the deadline (Requests.begins, Call.begins); what bounded it from then on was 20 s of silence. An answer of unknown length was passed on after 50 ms, however little of it there was, and one too long to be kept with its head, before any byte. Change: AnswerProgress, a state machine without I/O. An answer of unknown length is passed on while it moves and 4 KiB of it are there; a long one with its first bytes; what stands still before that is answered as failed at the deadline, or repeated. One that was passed on is watched by its connection: a short one that stands still for 0.1 s at its deadline, a long one after 5 s, any at the end of a stop is broken off. The end of an HTTP/1.0 answer is a reset unless it is whole, also where the process is killed.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -411,8 +410,9 @@
             } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
                 HttpUtil.setTransferEncodingChunked(response, true);
             } else {
-                // The end of the connection is the end of the answer: that of a broken one is a reset.
+                // The end of the connection is the end of the answer: that of a broken one is a reset, whatever ends the process.
                 last = true;
+                channel.config().setSoLinger(0);
             }
             closeOrKeep(response);
             resume = more;
@@ -428,6 +428,7 @@
         @Override
         public void ends() {
             resume = null;
+            channel.config().setSoLinger(-1);
             over(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), "streamed");
         }
 
@@ -442,7 +443,7 @@
             current = null;
             if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
                 // The end of the connection would be the end of the answer.
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.config().setSoLinger(0);
                 close(CloseReason.ANSWER_BROKEN);
                 return;
             }
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -27,6 +27,8 @@
     private final Upstreams upstreams;
     private final int maxAttempts;
     private final Map<String, Exchange> open = new HashMap<>();
+    /** When the process may be killed, once it is to end. */
+    private long endUs = Long.MAX_VALUE;
     /** Since the last {@link #tally}. */
     private int taken;
     private int served;
@@ -77,7 +79,11 @@
 
     /** All that is held has to be over by then. What is still coming gets its time when it has come. */
     void dueBy(long us) {
+        endUs = us;
         for (Exchange x : open.values()) {
+            if (x.passing != null) {
+                upstreams.endBy(x.passing, us);
+            }
             if (!x.over && x.body.complete() && x.deadlineUs > us) {
                 x.overdue.cancel(false);
                 x.deadlineUs = us;
@@ -236,6 +242,7 @@
         served++;
         RequestLog.state(x.request.id(), "passing its answer on");
         x.passing = call;
+        upstreams.endBy(call, endUs);
         finish(x);
         x.answer.begins(length, resume);
         long now = clock.now();
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -27,15 +28,15 @@
  * until it is whole; a longer one is passed on piece by piece once it has begun.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
-    /** An answer of unknown length is waited for this long before it is passed on as it comes: most are short. */
-    private static final long SHORT_MS = 50;
-    /** Neither has the upstream sent nor the client taken anything for this long: nobody waits there any more. */
-    private static final long STALLED_MS = 20_000;
-    private static final long LOOK_MS = 1_000;
+    /** How often an answer of unknown length, or one that is passed on, is looked at. */
+    private static final long LOOK_US = 50_000;
     /** What is read of an answer that is not passed on, to keep its connection. */
     private static final int MOST_SKIPPED = 1 << 20;
+    /** Room for an answer of unknown length at first. */
+    private static final int FIRST_BYTES = 512;
 
     private final Budget budget;
+    private final Clock clock;
     long idleSinceUs;
     private Call call;
     private BiConsumer<Call, Channel> release;
@@ -47,16 +48,19 @@
     private int reserved;
     private long skipped;
     private boolean passing;
+    /** It is too long to be kept, or there is no room for it: it is passed on with its first bytes. */
+    private boolean passesAtOnce;
     /** All of the answer has been read, and perhaps more. */
     private boolean whole;
     private boolean interim;
     private boolean gaveUp;
     private Future<?> timer;
-    private boolean moved;
-    private long stalledMs;
+    /** Of the answer that is being read; null between answers. */
+    private AnswerProgress progress;
 
-    UpstreamConnection(Budget budget) {
+    UpstreamConnection(Budget budget, Clock clock) {
         this.budget = budget;
+        this.clock = clock;
     }
 
     void begin(Call next, BiConsumer<Call, Channel> whenFree) {
@@ -106,17 +110,20 @@
         if (outcome != Outcome.OK) {
             return;
         }
-        boolean probe = call.reportInBody();
-        if (!probe && (length > Body.KEPT || !budget.take(most))) {
-            pass(ctx);
+        progress = new AnswerProgress(length, clock.now());
+        if (call.reportInBody()) {
+            kept = Unpooled.buffer(length < 0 ? FIRST_BYTES : most);
             return;
         }
-        if (!probe) {
-            reserved = most;
+        if (length > Body.KEPT || !budget.take(most)) {
+            // Passed on with its first bytes: until they come its request may still be answered otherwise.
+            passesAtOnce = true;
+            return;
         }
-        kept = Unpooled.buffer(length < 0 ? 512 : most);
-        if (!probe && length < 0) {
-            timer = ctx.executor().schedule(() -> passIfUnfinished(ctx), SHORT_MS, TimeUnit.MILLISECONDS);
+        reserved = most;
+        kept = Unpooled.buffer(length < 0 ? FIRST_BYTES : most);
+        if (length < 0) {
+            timer = ctx.executor().schedule(() -> passIfItFlows(ctx), LOOK_US, TimeUnit.MICROSECONDS);
         }
     }
 
@@ -124,9 +131,13 @@
         if (head == null || whole || !piece.isReadable()) {
             return;
         }
-        moved = true;
+        if (progress != null) {
+            progress.moved(piece.readableBytes(), clock.now());
+        }
         if (passing) {
             give(ctx, piece);
+        } else if (passesAtOnce) {
+            passWith(ctx, piece);
         } else if (kept == null) {
             skipped += piece.readableBytes();
             if (skipped > MOST_SKIPPED) {
@@ -137,16 +148,26 @@
         } else if (call.reportInBody()) {
             giveUp(ctx, CloseReason.REMAINDER_TOO_LONG);
         } else {
-            pass(ctx);
-            if (passing) {
-                give(ctx, piece);
-            }
+            passWith(ctx, piece);
         }
     }
 
-    private void passIfUnfinished(ChannelHandlerContext ctx) {
-        if (call != null && head != null && !whole && !passing && kept != null) {
+    private void passWith(ChannelHandlerContext ctx, ByteBuf piece) {
+        pass(ctx);
+        if (passing) {
+            give(ctx, piece);
+        }
+    }
+
+    /** One that stands still is kept: for as long as nothing of it was passed on its request can be answered otherwise. */
+    private void passIfItFlows(ChannelHandlerContext ctx) {
+        if (call == null || head == null || whole || passing || kept == null) {
+            return;
+        }
+        if (progress.flows(clock.now())) {
             pass(ctx);
+        } else {
+            timer = ctx.executor().schedule(() -> passIfItFlows(ctx), LOOK_US, TimeUnit.MICROSECONDS);
         }
     }
 
@@ -177,7 +198,8 @@
         }
         passing = true;
         stopTimer();
-        timer = ctx.executor().scheduleWithFixedDelay(() -> lookIfStalled(ctx), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        passesAtOnce = false;
+        watch(ctx);
         if (first != null && first.isReadable()) {
             give(ctx, first);
         }
@@ -189,12 +211,39 @@
         }
     }
 
-    private void lookIfStalled(ChannelHandlerContext ctx) {
-        stalledMs = moved ? 0 : stalledMs + LOOK_MS;
-        moved = false;
-        if (stalledMs >= STALLED_MS) {
-            close(ctx, CloseReason.STALLED);
+    /** The deadline of an answer that is being passed on is watched here, up to its last byte. */
+    private void watch(ChannelHandlerContext ctx) {
+        long untilDueUs = call.untilUs() - clock.now();
+        long nextUs = untilDueUs > 0 ? Math.min(LOOK_US, untilDueUs) : LOOK_US;
+        timer = ctx.executor().schedule(() -> lookIfStopped(ctx), nextUs, TimeUnit.MICROSECONDS);
+    }
+
+    private void lookIfStopped(ChannelHandlerContext ctx) {
+        if (!passing) {
+            return;
         }
+        if (!stopped(ctx)) {
+            watch(ctx);
+            return;
+        }
+        AnswerProgress of = progress;
+        // After a hold-up of the loop more of it may lie in the socket.
+        SocketLook.before((EventLoop) ctx.executor(), () -> {
+            if (progress != of || !ctx.channel().isActive()) {
+                return;
+            }
+            if (stopped(ctx)) {
+                close(ctx, CloseReason.STALLED);
+            } else {
+                watch(ctx);
+            }
+        });
+    }
+
+    private boolean stopped(ChannelHandlerContext ctx) {
+        long now = clock.now();
+        progress.heldBack(!ctx.channel().config().isAutoRead(), now);
+        return progress.hasStopped(now, call.untilUs(), call.endUs());
     }
 
     /**
@@ -230,8 +279,9 @@
     private void settle() {
         head = null;
         kept = null;
-        passing = whole = false;
-        skipped = stalledMs = 0;
+        passing = whole = passesAtOnce = false;
+        progress = null;
+        skipped = 0;
         stopTimer();
         int back = reserved;
         reserved = 0;
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -72,6 +72,8 @@
     static final class Call {
         final String upstream;
         private long untilUs;
+        /** When the process may be killed; an answer that has stopped by then is broken off. */
+        private long endUs = Long.MAX_VALUE;
         /** Makes the message's head, told how long an answer is waited for. */
         private final LongFunction<HttpRequest> message;
         /** Null where there is none. */
@@ -126,7 +128,11 @@
             return ended && !mayHaveRun;
         }
 
-        /** From now on there is no time-out: the answer is there, and the client has it as it comes. */
+        long endUs() {
+            return endUs;
+        }
+
+        /** From now on its connection watches the deadline: the client has the answer as it comes. */
         boolean begins(long length, Runnable resume) {
             if (ended || !result.begins(this, length, resume)) {
                 return false;
@@ -242,7 +248,7 @@
         this.restUs = restUs;
         this.maxConnections = maxConnections;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
-        bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), () -> new UpstreamConnection(budget));
+        bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), () -> new UpstreamConnection(budget, clock));
         sweep = Recurring.every(loop, SWEEP_MS, this::dropIdle);
     }
 
@@ -378,12 +384,20 @@
         }
     }
 
-    /** An answer is waited for until then; one that is there already is the client's. */
+    /** The process may be killed after this: nothing that stands still then is waited for. */
+    void endBy(Call call, long endUs) {
+        call.endUs = endUs;
+    }
+
+    /** An answer is waited for until then; one that is being passed on may go on, but not stop. */
     void due(Call call, long untilUs) {
-        if (call.ended || call.begun) {
+        if (call.ended) {
             return;
         }
         call.untilUs = untilUs;
+        if (call.begun) {
+            return;
+        }
         if (call.timeout != null) {
             call.timeout.cancel(false);
         }
