Sockets: an interrupted read is no end of a connection, and a failed accept waits 10 ms

Cause: the JDK gives -3 for a read that returned EINTR, and Netty takes every negative number for the peer's end; so a client's connection was closed with a request on it, and an attempt ended as RESET. Change: channel classes of the program's own for connections and listeners, by factories; both listeners accept again after 10 ms.

--- a/src/main/java/rushproxy/sidecar/AdminServer.java
+++ b/src/main/java/rushproxy/sidecar/AdminServer.java
@@ -5,12 +5,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.string.StringDecoder;
 import io.netty.util.concurrent.Future;
@@ -67,6 +67,8 @@
     }
 
     private final EventLoop loop;
+    private static final long ACCEPT_AGAIN_MS = 10;
+
     private final Calls calls;
     /** In the order in which they came. */
     private final ArrayDeque<Channel> callers = new ArrayDeque<>();
@@ -77,11 +79,19 @@
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        Channel listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        Channel listener = new ServerBootstrap().group(loop).channelFactory(Sockets.Listener::new)
                 .option(ChannelOption.SO_BACKLOG, 128)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 // A caller may end its side with its line and still read the answer.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        // A call is due within a second: the next accept must not wait for as long.
+                        ctx.channel().config().setAutoRead(false);
+                        loop.schedule(() -> ctx.channel().config().setAutoRead(true), ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
+                    }
+                })
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -63,6 +62,8 @@
     /** A new one's time runs from its connection; the looks come late by up to their interval. */
     private static final long FIRST_PATIENCE_US = 2_700_000;
     private static final long SWEEP_MS = 200;
+    /** A connection that could not be accepted is tried again after this. */
+    private static final long ACCEPT_AGAIN_MS = 10;
 
     private final EventLoop loop;
     private final Requests requests;
@@ -110,7 +111,7 @@
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        listener = accepting().channel(NioServerSocketChannel.class).bind(address).sync().channel();
+        listener = accepting().channelFactory(Sockets.Listener::new).bind(address).sync().channel();
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -120,7 +121,7 @@
             // A stop that came during the rehearsal has left them to the others.
             if (stopAtUs == 0) {
                 shared = true;
-                listener = accepting().channelFactory(() -> new NioServerSocketChannel(socket)).register().channel();
+                listener = accepting().channelFactory(() -> new Sockets.Listener(socket)).register().channel();
             }
         }).sync();
     }
@@ -153,9 +154,10 @@
                 });
     }
 
-    /** For want of descriptors, most likely. They wait in the backlog, and the next sweep looks again. */
+    /** For want of descriptors, or since a client has gone again: the others wait in the backlog for a moment. */
     private void notAccepted(Channel from, Throwable cause) {
         from.config().setAutoRead(false);
+        loop.schedule(() -> from.config().setAutoRead(hasRoom()), ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
         if (!stuck) {
             stuck = true;
             Log.warn("clients can't be let in: " + cause.getMessage());
--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/sidecar/Dialling.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
@@ -52,7 +51,7 @@
     }
 
     private static Bootstrap dialling(EventLoop loop, int connectMs, Consumer<Channel> init) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
+        return new Bootstrap().group(loop).channelFactory(Sockets.Connection::new).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
