Starts: a restart that is told while the process runs is one of now; calls back age monotonically

Cause: upstreams' starts, by a wall clock, were compared with module time, which is Unix time read once at the start. After a step forward a restarted upstream lay in the future and got nothing for an hour; after a step back it was taken for warm. Marks of calls back were forgotten, and their servers held cold, by the wall clock too. A folder that can't be written kept the other process's calls unnoticed. Change: StartTimes translates lists: only the first ones of a process are compared with the wall clock, and the future is now; a start that is told later is one of now. A call back is news of now to each process, and is forgotten by its monotonic clock.

--- a/src/main/java/rushproxy/sidecar/Clock.java
+++ b/src/main/java/rushproxy/sidecar/Clock.java
@@ -1,6 +1,6 @@
 package rushproxy.sidecar;
 
-/** Module time: microseconds that only move forward, set once to Unix time so that upstreams' starts fit in. */
+/** Module time: microseconds that only move forward, whatever becomes of the wall clock. They begin near Unix time, for people. */
 final class Clock {
     private final long unixUs = System.currentTimeMillis() * 1000;
     private final long nanos = System.nanoTime();
--- a/src/main/java/rushproxy/sidecar/CordonStore.java
+++ b/src/main/java/rushproxy/sidecar/CordonStore.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * What the operators have called out and back, where the next process finds it: one file for an id, replaced as a
@@ -37,22 +38,34 @@
     /** Whether the upstream is left out, and since when it is so. */
     record Mark(boolean out, long atMs) {}
 
+    /** A call back, and when this process saw it first, by its monotonic clock. */
+    private record Back(Mark mark, long seenNanos) {}
+
     /** Null where nothing outlives the process. */
     private final Path folder;
     /** A call back is forgotten after this long: the server is warm by then, whenever it started. */
     private final long backMs;
     private final Consumer<Map<String, Mark>> changed;
+    private final LongSupplier nanos;
     private final ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor(work -> {
         Thread thread = new Thread(work, "cordons");
         thread.setDaemon(true);
         return thread;
     });
     private Map<String, Mark> marks = new HashMap<>();
+    /** Calls back by their ids: each is forgotten some time after it was first seen here. */
+    private final Map<String, Back> backs = new HashMap<>();
     /** Files that were said to be of no use, each once. */
     private final Set<Path> useless = new HashSet<>();
 
     /** {@code changed} is given all marks whenever one is another, on the store's thread. */
     CordonStore(Path folder, long backMs, Consumer<Map<String, Mark>> changed) {
+        this(folder, backMs, changed, System::nanoTime);
+    }
+
+    /** {@code nanos}: a monotonic clock. */
+    CordonStore(Path folder, long backMs, Consumer<Map<String, Mark>> changed, LongSupplier nanos) {
+        this.nanos = nanos;
         this.folder = folder;
         this.backMs = backMs;
         this.changed = changed;
@@ -119,6 +132,17 @@
         }
     }
 
+    /** A folder that can't be written for a while keeps nothing from being noticed; the next look tries again. */
+    private void writeAgain(String id, Mark mark) {
+        try {
+            write(id, mark);
+        } catch (IOException e) {
+            if (useless.add(folder.resolve(id))) {
+                Log.warn("can't keep a call of the operators for now: " + e);
+            }
+        }
+    }
+
     private void look() {
         if (folder == null) {
             return;
@@ -128,8 +152,8 @@
             // A call back leaves a file too: where there is none any more, or a spoilt one, the call out still holds.
             for (Map.Entry<String, Mark> e : marks.entrySet()) {
                 if (e.getValue().out && !found.containsKey(e.getKey())) {
-                    write(e.getKey(), e.getValue());
                     found.put(e.getKey(), e.getValue());
+                    writeAgain(e.getKey(), e.getValue());
                 }
             }
             change(found);
@@ -143,9 +167,22 @@
         }
     }
 
+    /** By the monotonic clock: a step of the wall clock must not make a call back old, nor keep it for ever. */
+    private boolean fresh(String id, Mark mark) {
+        Back back = backs.get(id);
+        if (back == null || !back.mark.equals(mark)) {
+            back = new Back(mark, nanos.getAsLong());
+            backs.put(id, back);
+        }
+        boolean fresh = nanos.getAsLong() - back.seenNanos < TimeUnit.MILLISECONDS.toNanos(backMs);
+        if (!fresh) {
+            backs.remove(id);
+        }
+        return fresh;
+    }
+
     private Map<String, Mark> read() throws IOException {
         Map<String, Mark> found = new HashMap<>();
-        long forgetMs = System.currentTimeMillis() - backMs;
         int files = 0;
         try (DirectoryStream<Path> all = Files.newDirectoryStream(folder, PREFIX + "*" + SUFFIX)) {
             for (Path file : all) {
@@ -161,8 +198,9 @@
                         throw new IllegalArgumentException("version " + json.number("version"));
                     }
                     Mark mark = new Mark(json.flag("out"), json.number("atMs"));
-                    if (mark.out || mark.atMs > forgetMs) {
-                        found.put(json.text("id"), mark);
+                    String id = json.text("id");
+                    if (mark.out || fresh(id, mark)) {
+                        found.put(id, mark);
                     } else {
                         Files.deleteIfExists(file);
                     }
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -57,6 +57,7 @@
     private final long waitMs;
     private InetSocketAddress address;
     private final Bootstrap bootstrap;
+    private final StartTimes starts;
     private long generation;
     /** After an answer that made no sense the whole list is asked for. */
     private boolean doubt;
@@ -80,8 +81,9 @@
     /** Told once, when the first call is over; null before it is wanted and after. */
     private Runnable heard;
 
-    Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, InetSocketAddress address,
+    Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, StartTimes starts, InetSocketAddress address,
               long generation, long askEveryUs, boolean pushed) {
+        this.starts = starts;
         this.pushed = pushed;
         this.loop = loop;
         this.clock = clock;
@@ -224,15 +226,15 @@
     }
 
     private void answered(FullHttpResponse response) {
-        UpstreamList list;
+        UpstreamList told;
         try {
             if (response.status().code() != 200 || !response.decoderResult().isSuccess()) {
                 failed(call, "status " + response.status().code());
                 return;
             }
-            list = UpstreamList.of(Json.parse(ByteBufUtil.getBytes(response.content())));
-            boolean known = doubt ? list.whole() : list.whole() || list.generation() >= generation;
-            if (!known || list.whole() && list.entries().isEmpty()) {
+            told = UpstreamList.of(Json.parse(ByteBufUtil.getBytes(response.content())));
+            boolean known = doubt ? told.whole() : told.whole() || told.generation() >= generation;
+            if (!known || told.whole() && told.entries().isEmpty()) {
                 throw new IllegalArgumentException("it does not follow on the list before");
             }
         } catch (RuntimeException e) {
@@ -248,11 +250,12 @@
         doubt = false;
         watching = true;
         failures = senseless = 0;
-        generation = list.generation();
+        generation = told.generation();
         if (!HttpUtil.isKeepAlive(response)) {
             channel.close();
             channel = null;
         }
+        UpstreamList list = starts.told(told);
         upstreams.update(list);
         if (asked || list.whole() || !list.entries().isEmpty()) {
             asked = false;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -48,6 +48,9 @@
     private final Decisions decisions = new Decisions();
     private final Upstreams upstreams;
     private final Requests requests;
+    private final StartTimes starts;
+    /** The list that the process was started with. */
+    private final UpstreamList known;
     private final Discovery discovery;
     private final Peers peers;
     /** Null where no part of it is on. */
@@ -84,7 +87,9 @@
                 () -> free - Math.min(ofClients, clients().open()),
                 budget);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
-        discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
+        starts = new StartTimes(clock, System::currentTimeMillis);
+        known = starts.known(config.known());
+        discovery = new Discovery(loop, clock, decisions, upstreams, starts, config.discovery(), config.known().generation(),
                 settings.rules().askEveryUs(), !settings.discoveryOnRequest());
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
         fleet = config.fleet().members() ? new FleetPlane(loop, clock, peers, decisions, config, upstreams::ready) : null;
@@ -196,11 +201,11 @@
     }
 
     void start() throws InterruptedException {
-        upstreams.update(config.known());
+        upstreams.update(known);
         loop.submit(() -> decisions.start(actions -> {
             Balancer made = module.create(config, clock.now(), actions);
             made.onList(clock.now(), ListKind.CACHED,
-                    config.known().entries().stream().map(UpstreamList.Entry::upstream).toList());
+                    known.entries().stream().map(UpstreamList.Entry::upstream).toList());
             return made;
         }, new Hands())).sync();
         if (cordons != null) {
@@ -336,7 +341,8 @@
                 Log.event(Log.Level.INFO, (mark.out() ? "leaves out " : "has back ") + e.getKey() + ", as the operators ask",
                         "upstream", e.getKey(), "out", mark.out());
                 upstreams.cordon(e.getKey(), mark.out());
-                decisions.call(m -> m.onCordon(clock.now(), e.getKey(), mark.out(), mark.atMs() * 1000), () -> { });
+                // Told here, it is news of now: the wall clock by which the mark was written may have been stepped since.
+                decisions.call(m -> m.onCordon(clock.now(), e.getKey(), mark.out(), clock.now()), () -> { });
             }
         }
     }
--- a/src/main/java/rushproxy/sidecar/UpstreamList.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamList.java
@@ -12,7 +12,7 @@
 
     record Entry(Upstream upstream, InetSocketAddress address) {}
 
-    /** Module time runs on from Unix time, so a start needs no more than its unit changed. */
+    /** Starts are as they are told, by a wall clock, in microseconds: {@link StartTimes} makes module time of them. */
     static UpstreamList of(Json json) {
         List<Entry> entries = new ArrayList<>();
         for (Json e : json.objects("instances")) {
--- a/src/test/java/rushproxy/sidecar/CordonTest.java
+++ b/src/test/java/rushproxy/sidecar/CordonTest.java
@@ -96,6 +96,25 @@
         }
     }
 
+    /** Whatever the wall clock said when it was written: it is forgotten some time after this process has seen it. */
+    @Test
+    void aCallBackIsForgottenByTheMonotonicClock() throws Exception {
+        long hourMs = 3_600_000;
+        for (long stepMs : new long[] {-hourMs, hourMs}) {
+            Files.writeString(folder.resolve("cordon-a.json"), "{\"version\":1,\"id\":\"u0\",\"out\":false,\"atMs\":"
+                    + (System.currentTimeMillis() + stepMs) + "}");
+            java.util.concurrent.atomic.AtomicLong nanos = new java.util.concurrent.atomic.AtomicLong();
+            java.util.concurrent.BlockingQueue<java.util.Map<String, CordonStore.Mark>> changes =
+                    new java.util.concurrent.LinkedBlockingQueue<>();
+            try (CordonStore store = new CordonStore(folder, 1_000, changes::add, nanos::get)) {
+                store.start();
+                assertEquals(java.util.Set.of("u0"), changes.take().keySet(), "clock stepped by " + stepMs);
+                nanos.set(1_000_000_000L);
+                assertEquals(java.util.Set.of(), changes.take().keySet(), "clock stepped by " + stepMs);
+            }
+        }
+    }
+
     /** While the process lives it holds what it was told, and writes it anew for the next one. */
     @Test
     void aFileThatVanishesIsNoCallBack() throws Exception {
--- a/src/test/java/rushproxy/sidecar/FaultInjectionIT.java
+++ b/src/test/java/rushproxy/sidecar/FaultInjectionIT.java
@@ -13,8 +13,8 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.BeforeEach;
@@ -165,35 +165,32 @@
             faults.get().stepWallClock(stepMs);
             Peer restarted = new Peer((m, line) -> line.answer("200 OK", "", m.header("X-Txn")));
             upstreams.add(restarted);
-            String news = Rig.list(upstreams.size() + 41, false,
-                    Rig.entry("u0", restarted.address(), "Ready", System.currentTimeMillis() + stepMs));
-            tell(news);
+            long generation = 41 + upstreams.size();
+            tell(Rig.list(generation, false, Rig.entry("u0", restarted.address(), "Ready", System.currentTimeMillis() + stepMs)),
+                    generation);
             double first = share(restarted, 500);
             assertTrue(first < 0.15, "share of its first half second, clock stepped by " + stepMs + " ms: " + first);
             share(restarted, 4_000);
             double warm = share(restarted, 1_000);
-            assertTrue(warm > 0.1, "share when it is warm, clock stepped by " + stepMs + " ms: " + warm);
+            assertTrue(warm > 0.1, "share when it is warm, clock stepped by " + stepMs + " ms: " + warm + "; " + sidecar.log);
         }
         assertEquals(0, sidecar.violations());
     }
 
-    /** Answers the watch that is open, or the next one, with the news. */
-    private void tell(String news) throws Exception {
-        AtomicInteger told = new AtomicInteger();
+    /** Answers each call to discovery with the news, until one shows that the sidecar has them. */
+    private void tell(String news, long generation) throws Exception {
+        CountDownLatch has = new CountDownLatch(1);
         discovery.script = (m, line) -> {
-            if (told.getAndIncrement() == 0) {
+            if (m.path().contains("index=" + generation)) {
+                has.countDown();
+            } else {
                 line.answer("200 OK", "Content-Type: application/json\r\n", news);
             }
         };
         for (java.net.Socket open; (open = discovery.accepted.poll()) != null; ) {
             open.close();
         }
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-        while (told.get() == 0 && System.nanoTime() < until) {
-            Thread.sleep(5);
-        }
-        assertTrue(told.get() > 0, "no watch was opened again");
-        Thread.sleep(50);
+        assertTrue(has.await(20, TimeUnit.SECONDS), "the sidecar has not taken the news");
     }
 
     /** The part of a client's requests that this upstream gets in so long a time. */
