Guard: one place that is asked before a send, a repeat, a refusal, a close and a change of state

Change: RequestState and its transitions; RequestGuard is asked for every first byte (Upstreams.write), refusal, final answer, told time and close that would take a whole request with it; it stops a breach, answers safely and counts it by name (Invariants, told at once and in the 5 s line).

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -58,6 +58,7 @@
     private final ClientServer server;
     private final Budget budget;
     private final AnswerDeadlines deadlines;
+    private final RequestGuard guard;
     private final ClientInput input;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
     /** When the request being read sent its first byte; 0 between requests. */
@@ -106,7 +107,7 @@
     private record Arrival(HttpObject part, long atUs) {}
 
     ClientConnection(SocketChannel channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
-                     Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines) {
+                     Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines, RequestGuard guard) {
         this.channel = channel;
         this.clock = clock;
         this.requests = requests;
@@ -114,6 +115,7 @@
         this.server = server;
         this.budget = budget;
         this.deadlines = deadlines;
+        this.guard = guard;
         input = new ClientInput(clock, loopDelay, budget, this);
         activeUs = openedUs = clock.now();
     }
@@ -425,6 +427,11 @@
             over(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), "streamed");
         }
 
+        @Override
+        public boolean clientIsThere() {
+            return channel.isActive() && !lingers;
+        }
+
         @Override
         public void breaks() {
             resume = null;
@@ -628,7 +635,7 @@
 
     /** Ends the connection so that its client still gets what it has been answered; nothing may be waiting to be written. */
     void end(CloseReason reason) {
-        if (lingers) {
+        if (lingers || answersFirst(reason)) {
             return;
         }
         if (!anyAnswer) {
@@ -643,6 +650,18 @@
         LingeringClose.begin(channel, Math.min(LingeringClose.MOST_US, server.openUntilUs() - clock.now()));
     }
 
+    /** A whole request that has no part of an answer yet gets one before its connection ends, which then follows on it. */
+    private boolean answersFirst(CloseReason reason) {
+        boolean owed = busy && !receiving && !answered && current != null && !current.state.isOver() && channel.isActive();
+        if (owed) {
+            guard.closesWith(current.request.id(), reason);
+            last = true;
+            abort();
+            reject(HttpResponseStatus.BAD_GATEWAY);
+        }
+        return owed;
+    }
+
     /** Whether the output has ended, and only the client's end is waited for. */
     boolean lingers() {
         return lingers;
@@ -650,6 +669,9 @@
 
     /** Gives its descriptor back at once. */
     void close(CloseReason reason) {
+        if (answersFirst(reason)) {
+            return;
+        }
         RequestLog.closes(channel, reason);
         channel.close();
     }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -76,6 +76,7 @@
     private final Budget budget;
     private final LoopDelay loopDelay;
     private final AnswerDeadlines deadlines;
+    private final RequestGuard guard;
     /** No client waits longer than this for an answer. */
     private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
@@ -100,7 +101,8 @@
     private boolean drainLooked;
 
     ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
-                 IntSupplier maxConnections, Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines) {
+                 IntSupplier maxConnections, Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines,
+                 RequestGuard guard) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
@@ -111,6 +113,7 @@
         this.budget = budget;
         this.loopDelay = loopDelay;
         this.deadlines = deadlines;
+        this.guard = guard;
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
@@ -170,7 +173,7 @@
     private void accepted(SocketChannel channel) {
         stuck = false;
         acceptedUs = clock.now();
-        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, loopDelay, deadlines);
+        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, loopDelay, deadlines, guard);
         connections.add(connection);
         if (connections.size() >= maxConnections.getAsInt()) {
             makeRoom(connection);
--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -10,7 +10,7 @@
 /** One request, from what the module is to know of it to its one final answer and the end of its last attempt. */
 final class Exchange {
     /**
-     * Where the final answer goes. Each exchange calls one of the first four once; after {@code begins} the answer comes
+     * Where the final answer goes. Each exchange calls one of the first four once, as {@link RequestGuard} allows; after {@code begins} the answer comes
      * in pieces, and ends whole or does not.
      */
     interface Answer {
@@ -29,6 +29,9 @@
         void ends();
 
         void breaks();
+
+        /** False from the moment at which the client is seen to have ended its connection. */
+        boolean clientIsThere();
     }
 
     final Request request;
@@ -46,7 +49,7 @@
     final RequestTimes times;
     final List<Upstreams.Call> attempts = new ArrayList<>(1);
     Future<?> overdue;
-    boolean over;
+    RequestState state = RequestState.TAKEN;
     /** Whether its client is still there can't be seen any more. */
     boolean unwatched;
     /** The attempt whose answer the client is getting in pieces. */
@@ -67,7 +70,7 @@
     }
 
     boolean settled() {
-        return over && noneOut();
+        return state.isOver() && noneOut();
     }
 
     boolean noneOut() {
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -25,6 +25,7 @@
     private Watch watch = (upstream, requestClass, outcome, tookUs) -> { };
     private final Decisions decisions;
     private final Upstreams upstreams;
+    private final RequestGuard guard;
     private final int maxAttempts;
     private final Map<String, Exchange> open = new HashMap<>();
     /** When the process may be killed, once it is to end. */
@@ -39,7 +40,8 @@
     private int broken;
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
-    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, int maxAttempts) {
+    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, RequestGuard guard, int maxAttempts) {
+        this.guard = guard;
         this.loop = loop;
         this.clock = clock;
         this.decisions = decisions;
@@ -68,7 +70,7 @@
 
     /** The last byte of the request has come: its time runs from now. */
     void complete(Exchange x, long sentUs, long deadlineUs) {
-        if (!x.over) {
+        if (!x.state.isOver()) {
             x.sentUs = sentUs;
             x.deadlineUs = deadlineUs;
             await(x);
@@ -98,7 +100,7 @@
 
     /** It has to be over by then, if that is sooner than before. What is still coming gets its time when it has come. */
     private void hasten(Exchange x, long us) {
-        if (x.over || !x.body.complete() || x.deadlineUs <= us) {
+        if (x.state.isOver() || !x.body.complete() || x.deadlineUs <= us) {
             return;
         }
         x.overdue.cancel(false);
@@ -112,10 +114,13 @@
     /** The client has left: nothing is owed any more, and what is out ends by itself, but for what flows. */
     void left(Exchange x) {
         boolean flows = x.passing != null || !x.body.complete();
-        if (!x.over) {
+        if (x.state == RequestState.PASSING_ON) {
+            guard.become(x, RequestState.LEFT);
+        }
+        if (!x.state.isOver()) {
             left++;
             RequestLog.state(x.request.id(), "left by its client");
-            finish(x);
+            finish(x, RequestState.LEFT);
             expired(x);
         }
         if (flows) {
@@ -125,7 +130,7 @@
     }
 
     private void overdue(Exchange x) {
-        if (!x.over) {
+        if (!x.state.isOver()) {
             overdue++;
             RequestLog.state(x.request.id(), "overdue");
             fail(x);
@@ -174,7 +179,7 @@
 
                     @Override
                     public boolean mayBegin(Upstreams.Call c) {
-                        return !x.unwatched && decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number));
+                        return Requests.this.mayBegin(x, number, c);
                     }
 
                     @Override
@@ -196,9 +201,37 @@
         }
     }
 
+    /** Asked just before the first byte, on every way to it: the module, then the guard. */
+    private boolean mayBegin(Exchange x, int number, Upstreams.Call call) {
+        String why = decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number)) ? guard.whyNotSend(x, call)
+                : "the module says no";
+        if (why != null) {
+            RequestLog.notAttempted(x.request.id(), number, call.upstream, why);
+            return false;
+        }
+        return guard.become(x, RequestState.ATTEMPTING);
+    }
+
+    /** The last byte of an answer that was passed on has come, or none comes any more. */
+    private void endPassing(Exchange x, boolean whole) {
+        if (x.state == RequestState.LEFT) {
+            return;
+        }
+        if (!whole) {
+            broken++;
+        }
+        if (guard.become(x, whole ? RequestState.ANSWERED : RequestState.BROKEN_OFF)) {
+            if (whole) {
+                x.answer.ends();
+            } else {
+                x.answer.breaks();
+            }
+        }
+    }
+
     /** Why an attempt that the module asks for must not begin; null where it may. */
     private String whyMoot(Exchange x, int number, boolean late) {
-        if (x.over) {
+        if (x.state.isOver()) {
             return "the request is over";
         }
         if (number >= maxAttempts) {
@@ -227,7 +260,7 @@
     void unwatched(Exchange x) {
         x.unwatched = true;
         List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
-        if (x.over || !x.noneOut()) {
+        if (x.state.isOver() || !x.noneOut()) {
             return;
         }
         if (x.attempts.stream().allMatch(Upstreams.Call::neverRan)) {
@@ -238,9 +271,9 @@
         expired(x);
     }
 
-    private static HttpRequest message(Exchange x, long leftUs) {
+    private HttpRequest message(Exchange x, long leftUs) {
         HttpRequest message = new DefaultHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri);
-        long left = x.body.complete() ? leftUs : x.request.remainingUs();
+        long left = guard.tellUs(x, x.body.complete() ? leftUs : x.request.remainingUs());
         message.headers().set(Headers.TXN, x.request.id()).set(Headers.REMAINING, Math.max(1, left / 1000));
         if (x.idempotencyKey != null) {
             message.headers().set(Headers.IDEMPOTENCY_KEY, x.idempotencyKey);
@@ -250,14 +283,13 @@
 
     /** An answer too long to be kept, or of which nobody knows how long it is, has begun to come. */
     private boolean begins(Exchange x, int number, Upstreams.Call call, long length, Runnable resume) {
-        if (x.over) {
+        if (x.state.isOver() || !finish(x, RequestState.PASSING_ON)) {
             return false;
         }
         served++;
         RequestLog.state(x.request.id(), "passing its answer on");
         x.passing = call;
         upstreams.endBy(call, endUs);
-        finish(x);
         x.answer.begins(length, resume);
         long now = clock.now();
         decisions.call(m -> m.onStreamStart(now, x.request.id(), number, call.upstream, now - call.sentUs), () -> { });
@@ -268,21 +300,15 @@
         outcomes.merge(outcome, 1, Integer::sum);
         RequestLog.outcome(x.request.id(), number, call.upstream, outcome, clock.now() - call.sentUs);
         if (x.passing == call) {
-            if (outcome == Outcome.OK) {
-                x.answer.ends();
-            } else {
-                broken++;
-                x.answer.breaks();
-            }
-        } else if (outcome == Outcome.OK && !x.over) {
+            endPassing(x, outcome == Outcome.OK);
+        } else if (outcome == Outcome.OK && !x.state.isOver() && finish(x, RequestState.ANSWERED)) {
             served++;
-            finish(x);
             x.answer.served(body.retain());
         }
         forgetIfSettled(x);
         long now = clock.now();
         watch.ended(call.upstream, x.request.requestClass(), outcome, now - call.sentUs);
-        decisions.call(m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, now - call.sentUs, x.over,
+        decisions.call(m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, now - call.sentUs, x.state.isOver(),
                 report), () -> failUnlessOut(x));
     }
 
@@ -294,10 +320,14 @@
 
     void refuse(String id, long retryAfterUs) {
         Exchange x = open.get(id);
-        if (x != null && !x.over) {
+        if (x == null || x.state.isOver()) {
+            return;
+        }
+        if (!guard.mayRefuse(x)) {
+            fail(x);
+        } else if (finish(x, RequestState.ANSWERED)) {
             refused++;
             RequestLog.state(x.request.id(), "refused");
-            finish(x);
             x.answer.refused(retryAfterUs);
         }
     }
@@ -309,10 +339,9 @@
     }
 
     private void fail(Exchange x) {
-        if (!x.over) {
+        if (!x.state.isOver() && finish(x, RequestState.ANSWERED)) {
             failed++;
             RequestLog.state(x.request.id(), "failed");
-            finish(x);
             x.answer.failed();
         }
     }
@@ -353,14 +382,18 @@
         }
     }
 
-    private void finish(Exchange x) {
-        x.over = true;
+    /** From now on nothing more is decided about it. False, and nothing is changed, where it can't become that any more. */
+    private boolean finish(Exchange x, RequestState state) {
+        if (!guard.become(x, state)) {
+            return false;
+        }
         if (x.overdue != null) {
             x.overdue.cancel(false);
         }
         // A connection may still be coming up for one: whoever has gone, or has been answered, is sent nothing more for.
         List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
         forgetIfSettled(x);
+        return true;
     }
 
     private void forgetIfSettled(Exchange x) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -47,6 +47,8 @@
     private final Clock clock = new Clock();
     private final Decisions decisions = new Decisions();
     private final Upstreams upstreams;
+    private final Invariants invariants = new Invariants();
+    private final RequestGuard guard;
     private final Requests requests;
     private final StartTimes starts;
     /** The list that the process was started with. */
@@ -87,7 +89,8 @@
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
                 () -> free - Math.min(ofClients, clients().open()),
                 budget);
-        requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
+        guard = new RequestGuard(clock, settings.classes(), invariants);
+        requests = new Requests(loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts());
         starts = new StartTimes(clock, System::currentTimeMillis);
         known = starts.known(config.known());
         discovery = new Discovery(loop, clock, decisions, upstreams, starts, config.discovery(), config.known().generation(),
@@ -101,7 +104,7 @@
                 now -> loop.execute(() -> mark(now)));
         deadlines = new AnswerDeadlines(settings.classes(), loopDelay);
         clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady,
-                () -> Math.min(ofClients, free - upstreams.open()), budget, loopDelay, deadlines);
+                () -> Math.min(ofClients, free - upstreams.open()), budget, loopDelay, deadlines, guard);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
@@ -249,7 +252,7 @@
         }
         if (++beats % BEATS == 0) {
             requests.tally((words, fields) ->
-                    Log.event(Log.Level.INFO, "in " + BEATS * BEAT_MS / 1000 + " s " + words + "; " + held(), fields));
+                    Log.event(Log.Level.INFO, "in " + BEATS * BEAT_MS / 1000 + " s " + words + "; " + held() + broken(), fields));
             if (worstLagUs >= LAG_US) {
                 Log.event(Log.Level.WARN, "the event loop was late by up to " + worstLagUs / 1000 + " ms in "
                         + BEATS * BEAT_MS / 1000 + " s", "late_ms", worstLagUs / 1000);
@@ -331,6 +334,10 @@
         return clients;
     }
 
+    private String broken() {
+        return invariants.total() == 0 ? "" : "; broken invariants " + invariants.counts();
+    }
+
     private String held() {
         return clients.open() + " connections of clients, " + upstreams.open() + " to upstreams";
     }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -123,6 +123,21 @@
             return written;
         }
 
+        /** Its first byte is handed to its connection. */
+        void startsNow() {
+            started = true;
+        }
+
+        /** Whether its upstream may work on it, or has. */
+        boolean mayRun() {
+            return started && !neverRan();
+        }
+
+        /** The upstream as the list had it when the call was begun; null before. */
+        Upstream target() {
+            return target == null ? null : target.upstream;
+        }
+
         /** Whether it has ended in a way that proves that its upstream did nothing for it. */
         boolean neverRan() {
             return ended && !mayHaveRun;
@@ -375,8 +390,6 @@
         call.awaitsRest = false;
         if (call.ended) {
             close(call.channel, CloseReason.CALL_ENDED_BEFORE);
-        } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
-            call.withdraw();
         } else if (call.channel.isActive()) {
             write(call);
         } else {
@@ -466,9 +479,6 @@
         } else if (!call.channel.isActive()) {
             // Closed as soon as it was up.
             call.broke();
-        } else if (!mayBegin(call) || !call.result.mayBegin(call)) {
-            // The list changed, or a window closed, while the connection came up.
-            call.withdraw();
         } else if (clock.now() >= call.untilUs) {
             call.abandon(Outcome.CONNECT_FAILED);
         } else {
@@ -490,8 +500,13 @@
         return oldest != null;
     }
 
+    /** The one place at which a first byte is sent: the list, a window or the client may have changed on the way here. */
     private void write(Call call) {
-        call.started = true;
+        if (!mayBegin(call) || !call.result.mayBegin(call)) {
+            call.withdraw();
+            return;
+        }
+        call.startsNow();
         HttpRequest head = call.message.apply(call.untilUs - clock.now());
         head.headers().set(HttpHeaderNames.HOST, "api.internal");
         connection(call.channel).begin(call, this::release);
