Laboratory: a soak of drawn deployments and overlapping faults, with system faults and checkers

Change: lab soak draws a deployment (classes of 0.3 to 3 s, windows, limits, pushed or asked lists) and overlapping faults from a seed, writes the plan out as a scenario file, and can leave out faults of a plan that fails. New faults: answers that stop half way in five framings, second, reset, bytewise answers and closes after one; clients that leave, stop within a request or write slowly; wall clocks stepped, system calls and file writes failing, by the library of faults. Departures are checked; lines of broken invariants and processes that end by themselves break any run of the laboratory; stalls of up to 0.2 s excuse nothing any more. That its faults bite is still to be seen.

--- a/src/main/java/rushproxy/cli/LabCommand.java
+++ b/src/main/java/rushproxy/cli/LabCommand.java
@@ -38,7 +38,7 @@
                 "3:void: the laboratory itself was too late", "4:a sidecar or an address could not be had",
                 "5:stopped half way"},
         subcommands = {LabCommand.RunOne.class, LabCommand.ListAll.class, LabCommand.Check.class, LabCommand.ReportAgain.class,
-                LabSweep.class, LabScale.class, LabCapacity.class})
+                LabSweep.class, LabSoak.class, LabScale.class, LabCapacity.class})
 final class LabCommand implements Runnable {
     static final int BROKEN = 1;
     static final int BAD = 2;
--- a/src/main/java/rushproxy/lab/Lab.java
+++ b/src/main/java/rushproxy/lab/Lab.java
@@ -5,10 +5,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -28,6 +31,7 @@
 import rushproxy.lab.node.Build;
 import rushproxy.lab.node.Keeper;
 import rushproxy.lab.node.Node;
+import rushproxy.lab.node.SystemFaults;
 import rushproxy.lab.report.Figures;
 import rushproxy.lab.report.Report;
 import rushproxy.lab.report.Summary;
@@ -49,6 +53,10 @@
     private static final long LONGEST_MS = 3_000;
     private static final long THEN_KILL_MS = 700;
 
+    /** Words in a sidecar's log that tell of a fault of its own. */
+    private static final List<String> CONFESSIONS = List.of("invariant_violations=", "the module failed", "an action failed",
+            "a handler failed", "recurring work failed", "a client's connection failed");
+
     /** Hears how a run goes on, once a second. */
     public interface Progress {
         void says(String line);
@@ -66,6 +74,7 @@
     private final Observations seen = new Observations(counts::add);
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final CompletableFuture<Void> reported = new CompletableFuture<>();
+    private long endedUs = Long.MAX_VALUE;
 
     /** {@code folder} is made, and gets the report and a folder for each sidecar. */
     public Lab(Scenario scenario, Build build, Path folder, Progress progress) {
@@ -150,6 +159,7 @@
             } finally {
                 times.shutdownNow();
                 measure(world);
+                endedUs = seen.us();
                 nodes.forEach(Node::end);
                 hands.shutdownNow();
                 hands.awaitTermination(10, TimeUnit.SECONDS);
@@ -168,16 +178,32 @@
         return summary;
     }
 
+    /** Empty where the scenario asks for no faults of the system, or the machine has no C compiler. */
+    private Optional<Path> library() throws IOException, InterruptedException {
+        if (scenario.faults().stream().noneMatch(f -> f.what().equals("system"))) {
+            return Optional.empty();
+        }
+        Optional<Path> library = SystemFaults.compile(folder.resolve("library"));
+        if (library.isEmpty()) {
+            progress.says("no C compiler here: the faults of the system are left out");
+        }
+        return library;
+    }
+
     private void startAll(World world, Addresses addresses, ExecutorService hands, Keeper keeper)
             throws IOException, InterruptedException, Node.Trouble {
         Build first = scenario.fleet().jar() == null ? build : build.with(scenario.fleet().jar());
         UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(scenario.seed());
+        Optional<Path> library = library();
         boolean replaced = scenario.faults().stream().anyMatch(f -> f.what().equals("replace"));
         List<CompletableFuture<Void>> ready = new ArrayList<>();
         for (int i = 0; i < scenario.fleet().nodes(); i++) {
             Node node = new Node(i, scenario, world, addresses, seen, folder.resolve("n" + i), first,
                     RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()), keeper);
             nodes.add(node);
+            if (library.isPresent()) {
+                node.withSystemFaults(library.get(), scenario.seed() * 1_000 + i);
+            }
             if (stopped.isDone()) {
                 return;
             }
@@ -261,6 +287,7 @@
                     TimeUnit.MICROSECONDS.sleep(f.forUs());
                     node.signal("CONT");
                 }
+                case "system" -> system(f, node);
                 case "call" -> node.call(f.call());
                 case "discovery-moves" -> {
                     world.moveDiscovery(node.number);
@@ -277,6 +304,64 @@
         }
     }
 
+    private void system(Scenario.Fault f, Node node) throws InterruptedException {
+        SystemFaults faults = node.systemFaults();
+        if (faults == null) {
+            // Said once, at the start.
+            return;
+        }
+        switch (f.call()) {
+            case "wall-clock" -> faults.stepWallClock(Math.round(f.factor()));
+            case "calls" -> {
+                faults.set(SystemFaults.Call.ACCEPT_FAILS, f.factor());
+                faults.set(SystemFaults.Call.SOCKET_FAILS, f.factor() / 2);
+                faults.set(SystemFaults.Call.CONNECT_FAILS, f.factor() / 2);
+                faults.set(SystemFaults.Call.WAIT_INTERRUPTED, f.factor() / 4);
+                faults.set(SystemFaults.Call.READ_INTERRUPTED, f.factor() / 4);
+                faults.set(SystemFaults.Call.READ_SHORT, 2 * f.factor());
+                faults.set(SystemFaults.Call.WRITE_SHORT, 2 * f.factor());
+            }
+            case "files" -> {
+                faults.set(SystemFaults.Call.FILE_WRITE_FAILS, f.factor());
+                faults.set(SystemFaults.Call.FILE_SYNC_FAILS, f.factor());
+                faults.set(SystemFaults.Call.FILE_RENAME_FAILS, f.factor());
+            }
+            default -> throw new IllegalStateException(f.call());
+        }
+        TimeUnit.MICROSECONDS.sleep(f.forUs());
+        faults.clear();
+    }
+
+    /** What the sidecars say of themselves that no run may have, and ends of processes that nobody asked for. */
+    private List<Violation> confessions() throws IOException {
+        List<Violation> found = new ArrayList<>();
+        for (Node node : nodes) {
+            for (String line : node.log()) {
+                if (CONFESSIONS.stream().anyMatch(line::contains)) {
+                    found.add(new Violation("invariant", 0, null, node.name + ": " + line));
+                }
+            }
+        }
+        Set<String> asked = new HashSet<>();
+        for (Observation o : seen.all()) {
+            if (o.what() != Observation.What.NODE) {
+                continue;
+            }
+            String process = o.node() + " " + Math.round(o.number());
+            if (o.text().equals("term") || o.text().equals("kill")) {
+                asked.add(process);
+            } else if (o.text().startsWith("exit") && !asked.contains(process) && !ending(o.us())) {
+                found.add(new Violation("crash", o.us(), null, process + " ended by itself: " + o.text()));
+            }
+        }
+        return found;
+    }
+
+    /** The laboratory itself ends all processes in the end. */
+    private boolean ending(long us) {
+        return us >= endedUs;
+    }
+
     private long patienceMs() {
         long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0) / 1_000;
         return Math.min(longest, LONGEST_MS) + THEN_KILL_MS;
@@ -304,8 +389,8 @@
         }
     }
 
-    private Summary summary(Run run, String failure, Histogram sends, Histogram beats) {
-        List<Violation> violations = new ArrayList<>();
+    private Summary summary(Run run, String failure, Histogram sends, Histogram beats) throws IOException {
+        List<Violation> violations = new ArrayList<>(confessions());
         Checker.all().forEach(c -> violations.addAll(c.check(run)));
         violations.sort(Comparator.comparingLong(Violation::us));
         Figures figures = Figures.of(run, 0, Long.MAX_VALUE);
--- /dev/null
+++ b/src/main/java/rushproxy/lab/check/Departures.java
@@ -0,0 +1,47 @@
+package rushproxy.lab.check;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import rushproxy.lab.world.Observation;
+import rushproxy.lab.world.Observation.What;
+
+/**
+ * Nothing is begun for a client that has gone, and one that stops within a request is shown an end. What the laboratory was
+ * late by itself is not the sidecar's.
+ */
+final class Departures implements Checker {
+    /** An attempt may begin this long after its client's end. */
+    private static final long ALLOWED_US = 100_000;
+    /** The way over the network and the sockets. */
+    private static final long WAY_US = 100_000;
+    private static final double DISMISSED_MS = 3_000;
+
+    @Override
+    public String rule() {
+        return "lost";
+    }
+
+    @Override
+    public List<Violation> check(Run run) {
+        long lateUs = Math.round(run.of(What.LATE).stream().mapToDouble(Observation::number).max().orElse(0) * 1e3);
+        long mostUs = ALLOWED_US + WAY_US + lateUs;
+        List<Violation> found = new ArrayList<>();
+        for (Map.Entry<String, List<Observation>> e : run.byId().entrySet()) {
+            Observation left = e.getValue().stream().filter(o -> o.what() == What.LEFT).findFirst().orElse(null);
+            for (Observation o : e.getValue()) {
+                if (left != null && o.what() == What.GOT && o.sinceUs() > left.us() + mostUs) {
+                    found.add(new Violation(rule(), o.us(), e.getKey(), "came to " + o.server() + " " + (o.sinceUs() - left.us()) / 1_000
+                            + " ms after its client had gone"));
+                }
+            }
+        }
+        for (Observation o : run.of(What.DISMISSED)) {
+            if (o.number() > DISMISSED_MS + lateUs / 1e3 + WAY_US / 1e3) {
+                found.add(new Violation(rule(), o.us(), null, o.node() + " kept a client that stopped within a request for " + Math.round(o.number())
+                        + " ms"));
+            }
+        }
+        return found;
+    }
+}
--- a/src/main/java/rushproxy/lab/check/OneAnswer.java
+++ b/src/main/java/rushproxy/lab/check/OneAnswer.java
@@ -17,6 +17,8 @@
     /** What came this long after SIGTERM is owed an answer even by a process that is killed then. */
     private static final long TERM_US = 700_000;
     private static final long AFTER_STALL_US = 500_000;
+    /** A process that is held up for up to 0.15 s owes what it always does. */
+    private static final long SHORT_STALL_US = 200_000;
 
     /** When a node was killed, and when it was stopped and went on. */
     private static final class Life {
@@ -64,6 +66,10 @@
                 if (o.what() == What.GAVE_UP && o.text() == null && !excused) {
                     found.add(new Violation(rule(), o.us(), e.getKey(), "got no answer in its time"));
                 } else if (o.what() == What.BROKE && !excused) {
+                    if ("part".equals(o.text()) && spoilt(e.getValue())) {
+                        // What an upstream broke off can't be made whole: its client has seen that, and in its time.
+                        continue;
+                    }
                     boolean fresh = o.number() == 0 && "closed".equals(o.text());
                     (fresh ? closed : found).add(new Violation(rule(), o.us(), e.getKey(),
                             "lost its connection (" + o.text() + ") with no whole answer"));
@@ -81,6 +87,10 @@
         return found;
     }
 
+    private static boolean spoilt(List<Observation> of) {
+        return of.stream().anyMatch(o -> o.what() == What.SPOILED);
+    }
+
     private static Map<String, Life> lives(Run run) {
         Map<String, Life> lives = new HashMap<>();
         Map<String, Long> stopped = new HashMap<>();
@@ -90,7 +100,12 @@
                 case "kill" -> life.kills.add(new long[] {o.us(), o.us()});
                 case "term" -> life.terms.add(o.us());
                 case "stop" -> stopped.put(o.node(), o.us());
-                case "cont" -> life.stalls.add(new long[] {stopped.getOrDefault(o.node(), o.us()), o.us()});
+                case "cont" -> {
+                    Long sinceUs = stopped.remove(o.node());
+                    if (sinceUs != null && o.us() - sinceUs > SHORT_STALL_US) {
+                        life.stalls.add(new long[] {sinceUs, o.us()});
+                    }
+                }
                 default -> {
                     if (o.text().startsWith("exit") && !life.kills.isEmpty()) {
                         long[] last = life.kills.get(life.kills.size() - 1);
--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -54,6 +54,8 @@
     /** Which of the two addresses for operators the process that was started last has. */
     private int current;
     private boolean ended;
+    /** Null where its processes meet the machine as it is. */
+    private SystemFaults systemFaults;
 
     public Node(int number, Scenario scenario, World world, Addresses addresses, Observations seen, Path folder, Build build,
                 UniformRandomProvider random, Keeper keeper) {
@@ -74,6 +76,23 @@
         build = next;
     }
 
+    /** Its processes are started with this library of faults, none of which is on yet. */
+    public void withSystemFaults(Path library, long seed) throws IOException {
+        Files.createDirectories(folder);
+        systemFaults = SystemFaults.with(library, folder.resolve("faults"), seed);
+    }
+
+    /** Null where it has none. */
+    public SystemFaults systemFaults() {
+        return systemFaults;
+    }
+
+    /** What its processes have written. */
+    public List<String> log() throws IOException {
+        Path log = folder.resolve("log");
+        return Files.exists(log) ? Files.readAllLines(log) : List.of();
+    }
+
     /** Its clients' socket is the laboratory's from now on, inherited by each process as descriptor 0. */
     public void share() throws IOException {
         shared = new SharedSocket(addresses.listen(number));
@@ -116,6 +135,9 @@
         // For commands to a run that is on its way.
         Files.writeString(folder.resolve("admin"), Addresses.text(addresses.admin(number, process)) + "\n");
         builder.environment().put("TMPDIR", folder.resolve("tmp").toAbsolutePath().toString());
+        if (systemFaults != null) {
+            builder.environment().putAll(systemFaults.environment());
+        }
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         synchronized (this) {
--- a/src/main/java/rushproxy/lab/scenario/Scenario.java
+++ b/src/main/java/rushproxy/lab/scenario/Scenario.java
@@ -47,7 +47,10 @@
     /** Past this the run is void: the part of the sends that left later than {@code lateUs} after their time. */
     public record Lateness(long lateUs, double most) {}
 
-    /** One line of the timeline. {@code nodes} and {@code servers} are resolved ids; unused parameters are 0 or null. */
+    /**
+     * One line of the timeline. {@code nodes} and {@code servers} are resolved ids; unused parameters are 0 or null. {@code call}:
+     * an operators' call, or how answers, the system or clients go wrong.
+     */
     public record Fault(long atUs, String what, List<String> nodes, List<String> servers, long forUs, double factor,
                         List<String> from, List<String> to, boolean silent, String call, String jar, double stagger) {
 
--- a/src/main/java/rushproxy/lab/scenario/ScenarioReader.java
+++ b/src/main/java/rushproxy/lab/scenario/ScenarioReader.java
@@ -27,8 +27,12 @@
     public static final List<String> NAMES = List.of("demo", "calm", "crash-cold-return", "zone-cut-one-way", "list-late",
             "mass-kill", "rolling-restart", "retry-storm", "fast-errors", "hand-over", "big-fleet");
 
-    private static final Set<String> NODE_FAULTS = Set.of("kill", "restart", "stall", "call", "replace", "jar", "start");
-    private static final Set<String> SERVER_FAULTS = Set.of("crash", "hang", "slow", "errors", "drain", "add", "refuse");
+    private static final Set<String> NODE_FAULTS = Set.of("kill", "restart", "stall", "call", "replace", "jar", "start", "system");
+    private static final Set<String> SERVER_FAULTS = Set.of("crash", "hang", "slow", "errors", "drain", "add", "refuse", "spoil");
+    private static final Set<String> CLIENT_FAULTS = Set.of("clients");
+    private static final Set<String> SPOILS = Set.of("half", "second", "reset", "bytewise", "close");
+    private static final Set<String> SYSTEM_FAULTS = Set.of("wall-clock", "calls", "files");
+    private static final Set<String> MISBEHAVIOURS = Set.of("leave", "stop", "slow");
     private static final Set<String> LINK_FAULTS = Set.of("cut", "delay", "peer-loss", "reset");
     private static final Set<String> DISCOVERY_FAULTS = Set.of("list-silent", "list-late", "discovery-moves", "list-splits");
 
@@ -259,6 +263,7 @@
         words.addAll(SERVER_FAULTS);
         words.addAll(LINK_FAULTS);
         words.addAll(DISCOVERY_FAULTS);
+        words.addAll(CLIENT_FAULTS);
         String what = s.word("do", words, "");
         long atUs = us(s.number("at_s", 0, of.lengthUs() / 1e6), 1e6);
         long forUs = us(s.number("for_s", 0, 3600, 0), 1e6);
@@ -278,16 +283,23 @@
             case "slow" -> s.number("factor", 1, 1_000);
             case "errors" -> s.number("part", 0, 1, 1);
             case "delay", "list-late" -> s.number("by_ms", 0, 600_000);
-            case "peer-loss" -> s.number("part", 0, 1);
+            case "peer-loss", "spoil", "clients" -> s.number("part", 0, 1);
+            case "system" -> s.number("by", -1e9, 1e9);
             case "list-splits" -> s.number("part", 0, 1, 0.5);
             case "cut" -> s.flag("one_way", false) ? 1 : 2;
             default -> 0;
         };
-        String call = what.equals("call") ? s.text("call") : null;
+        String call = switch (what) {
+            case "call" -> s.text("call");
+            case "spoil" -> s.word("how", SPOILS, "");
+            case "system" -> s.word("how", SYSTEM_FAULTS, "");
+            case "clients" -> s.word("how", MISBEHAVIOURS, "");
+            default -> null;
+        };
         String jar = what.equals("jar") ? s.text("jar") : null;
         double stagger = s.number("stagger_s", 0, 600, 0);
         boolean lasts = Set.of("hang", "slow", "errors", "cut", "delay", "peer-loss", "list-silent", "list-late", "stall",
-                "list-splits", "refuse").contains(what);
+                "list-splits", "refuse", "spoil", "clients", "system").contains(what);
         if (lasts && forUs == 0) {
             throw s.wrong("for_s", "is missing: '" + what + "' lasts");
         }
--- /dev/null
+++ b/src/main/java/rushproxy/lab/soak/SoakPlan.java
@@ -0,0 +1,176 @@
+package rushproxy.lab.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.scenario.ScenarioException;
+import rushproxy.lab.scenario.ScenarioReader;
+
+/**
+ * A deployment and faults that overlap in time, all drawn from a seed. As text it is a scenario file, which can be played
+ * again by {@code lab run}; with a fault left out it is another plan.
+ *
+ * @param head   the deployment
+ * @param faults one table of the scenario file each
+ */
+public record SoakPlan(long seed, String head, List<String> faults) {
+    private static final double RATE_PER_NODE = 8;
+    private static final double FIRST_FAULT_S = 1;
+    /** Faults begin this long before the end, so that their recovery is seen. */
+    private static final double LAST_FAULT_S = 4;
+    private static final double FAULTS_PER_S = 0.7;
+    /** Sidecars of which a fault takes a part at once. */
+    private static final int MOST_AT_ONCE = 3;
+
+    /** The plan of this seed, for so many sidecars and so many seconds. */
+    public static SoakPlan draw(long seed, int nodes, double lengthS) {
+        return new Draw(seed, nodes, lengthS).plan();
+    }
+
+    /** The same plan without its i-th fault. */
+    public SoakPlan without(int i) {
+        List<String> rest = new ArrayList<>(faults);
+        rest.remove(i);
+        return new SoakPlan(seed, head, List.copyOf(rest));
+    }
+
+    /** As a scenario file has it. */
+    public String toml() {
+        return head + String.join("\n", faults);
+    }
+
+    /** As the laboratory plays it. */
+    public Scenario scenario() throws ScenarioException {
+        return ScenarioReader.parse("soak-" + seed, toml(), Map.of());
+    }
+
+    private static final class Draw {
+        private final UniformRandomProvider random;
+        private final long seed;
+        private final int nodes;
+        private final double lengthS;
+        private final int servers;
+
+        Draw(long seed, int nodes, double lengthS) {
+            this.seed = seed;
+            this.nodes = nodes;
+            this.lengthS = lengthS;
+            random = RandomSource.XO_SHI_RO_256_PP.create(seed * 0x9e3779b97f4a7c15L + 1);
+            servers = 4 + random.nextInt(5);
+        }
+
+        SoakPlan plan() {
+            String head = head();
+            boolean replaced = random.nextInt(4) == 0;
+            List<String> faults = new ArrayList<>();
+            int count = (int) Math.max(6, (lengthS - FIRST_FAULT_S - LAST_FAULT_S) * FAULTS_PER_S);
+            for (int i = 0; i < count; i++) {
+                faults.add(fault(replaced));
+            }
+            return new SoakPlan(seed, head, List.copyOf(faults));
+        }
+
+        private double between(double least, double most) {
+            return least + (most - least) * random.nextDouble();
+        }
+
+        private String of(String... words) {
+            return words[random.nextInt(words.length)];
+        }
+
+        private String head() {
+            return String.format(Locale.ROOT, """
+                    name = "soak-%d"
+                    length_s = %.1f
+                    seed = %d
+                    [fleet]
+                    nodes = %d
+                    zones = ["a", "b"]
+                    settings = ['settings.discovery="%s"', 'settings.limits.max_attempts=%d']
+                    [[servers]]
+                    count = %d
+                    zones = ["a", "b"]
+                    pods = 2
+                    cores = 4
+                    slots = 50
+                    queue = 100
+                    %s%s%s[traffic]
+                    rate_per_s = %.0f
+                    ramp_s = 1
+                    retries = %d
+                    try_share = 1
+                    [rules]
+                    fall_s = 1
+                    [lateness]
+                    most = 0.3
+                    """, seed, lengthS, seed, nodes, of("pushed", "on_request"), 2 + random.nextInt(3), servers,
+                    requestClass("read", "safe"), requestClass("book", "unsafe"), requestClass("log", "keyed"),
+                    RATE_PER_NODE * nodes, random.nextInt(3));
+        }
+
+        private String requestClass(String name, String semantics) {
+            double deadlineMs = between(300, 3_000);
+            return String.format(Locale.ROOT, """
+                    [[classes]]
+                    name = "%s"
+                    work_ms = 4
+                    semantics = "%s"
+                    deadline_ms = %.0f
+                    aim_ms = %.0f
+                    group = "%s"
+                    window_ms = %.0f
+                    """, name, semantics, deadlineMs, deadlineMs * between(0.3, 0.8), of("all", "zone", "cell"), between(200, 3_000));
+        }
+
+        private String nodesHit() {
+            StringBuilder names = new StringBuilder();
+            int count = 1 + random.nextInt(Math.min(MOST_AT_ONCE, Math.max(1, nodes / 3)));
+            int first = random.nextInt(nodes);
+            for (int i = 0; i < count; i++) {
+                names.append(i == 0 ? "" : ", ").append("\"n").append((first + i) % nodes).append('"');
+            }
+            return "nodes = [" + names + "]\n";
+        }
+
+        private String serverHit() {
+            return "servers = \"s" + random.nextInt(servers) + "\"\n";
+        }
+
+        private String lasts(double least, double most) {
+            return String.format(Locale.ROOT, "for_s = %.2f%n", between(least, most));
+        }
+
+        private String part(double least, double most) {
+            return String.format(Locale.ROOT, "part = %.2f%n", between(least, most));
+        }
+
+        private String fault(boolean replaced) {
+            return String.format(Locale.ROOT, "[[faults]]%nat_s = %.2f%n", between(FIRST_FAULT_S, lengthS - LAST_FAULT_S)) + switch (random.nextInt(20)) {
+                case 0 -> "do = \"kill\"\n" + nodesHit() + lasts(0.3, 1.5);
+                case 1, 2 -> "do = \"restart\"\n" + nodesHit() + String.format(Locale.ROOT, "stagger_s = %.2f%n", between(0, 1));
+                case 3 -> "do = \"discovery-moves\"\n" + nodesHit() + "stagger_s = 0.05\n";
+                case 4 -> replaced ? "do = \"replace\"\n" + nodesHit() : "do = \"discovery-moves\"\n" + nodesHit() + "stagger_s = 0.05\n";
+                case 5, 6 -> "do = \"stall\"\n" + nodesHit() + lasts(0.05, 0.15);
+                case 7 -> "do = \"cut\"\nfrom = \"nodes:a\"\nto = \"servers:b\"\none_way = " + random.nextBoolean() + "\n" + lasts(0.5, 2);
+                case 8 -> "do = \"reset\"\nfrom = \"nodes:" + of("a", "b") + "\"\nto = \"servers:" + of("a", "b") + "\"\n";
+                case 9 -> "do = \"hang\"\n" + serverHit() + lasts(1, 5);
+                case 10, 11 -> "do = \"spoil\"\nhow = \"half\"\n" + serverHit() + part(0.1, 0.6) + lasts(2, 6);
+                case 12 -> "do = \"spoil\"\nhow = \"" + of("second", "reset", "bytewise", "close") + "\"\n" + serverHit() + part(0.1, 0.6)
+                        + lasts(2, 6);
+                case 13, 14 -> "do = \"clients\"\nhow = \"" + of("leave", "stop", "slow") + "\"\n" + part(0.05, 0.3) + lasts(2, 6);
+                case 15 -> random.nextBoolean() ? "do = \"list-silent\"\n" + nodesHit() + lasts(1, 4)
+                        : "do = \"list-late\"\n" + nodesHit() + lasts(1, 4) + "by_ms = 300\n";
+                case 16 -> "do = \"drain\"\n" + serverHit() + lasts(2, 4);
+                case 17 -> "do = \"system\"\nhow = \"wall-clock\"\n" + nodesHit() + "by = " + of("3600000", "-3600000", "4000", "-4000") + "\n"
+                        + lasts(2, 8);
+                case 18 -> "do = \"system\"\nhow = \"calls\"\n" + nodesHit() + String.format(Locale.ROOT, "by = %.2f%n", between(0.02, 0.1))
+                        + lasts(1, 5);
+                default -> "do = \"crash\"\n" + serverHit() + lasts(0.5, 2);
+            };
+        }
+    }
+}
--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -33,6 +33,12 @@
         BROKE,
         /** No connection was to be had: why. */
         UNREACHED,
+        /** A client has closed its connection before its time was over, as clients may. */
+        LEFT,
+        /** A client that had stopped within a request was shown the end of its connection: ms since it connected. */
+        DISMISSED,
+        /** An upstream has spoilt its answer: how. */
+        SPOILED,
         /** The client has stopped waiting and closed its connection. */
         GAVE_UP,
         /** A client's first try is over for good: "served", "late", "refused", "failed"; ms since it was meant to leave. */
--- a/src/main/java/rushproxy/lab/world/UpstreamServer.java
+++ b/src/main/java/rushproxy/lab/world/UpstreamServer.java
@@ -37,6 +37,8 @@
  */
 final class UpstreamServer {
     /** Small, so that a few connections of the laboratory's own fill it and the kernel drops all further ones. */
+    /** So much of a longer answer comes, and then nothing. */
+    private static final int LONG_BEGINNING = 20_000;
     private static final int BACKLOG = 8;
     private static final int MAX_BODY = 1 << 20;
 
@@ -75,6 +77,9 @@
     private long startedAtMs;
     private double errors;
     private boolean refuses;
+    /** How a part of the answers is spoilt; null where none is. */
+    private String spoils;
+    private double spoilt;
 
     UpstreamServer(int number, String zone, int cell, rushproxy.lab.scenario.Scenario.Servers spec,
                    rushproxy.lab.scenario.Scenario.Rules rules, EventLoop loop, Observations seen, Network network,
@@ -104,6 +109,7 @@
         model = new UpstreamModel(spec, rules, warm ? now - rules.rampUs() - 1 : now);
         errors = 0;
         refuses = false;
+        spoils = null;
         seen.see(What.SERVER_STARTED, null, id, null, null, warm ? "warm" : "cold", startedAtMs, 0);
         List<ChannelFuture> binds = new ArrayList<>();
         for (int i = 0; i < nodes.size(); i++) {
@@ -176,6 +182,12 @@
         errors = part;
     }
 
+    /** This part of the answers is spoilt: {@code how} is "half", "second", "reset", "bytewise" or "close"; null ends it. */
+    void spoil(String how, double part) {
+        spoils = how;
+        spoilt = part;
+    }
+
     /** Turns everything away, as a full one does. */
     void refuse(boolean on) {
         refuses = on;
@@ -256,7 +268,7 @@
         void done() {
             String body = UpstreamServer.this.id + ":" + id + ":" + Long.toHexString((long) (chance.getAsDouble() * (1L << 50)));
             seen.see(What.REPLIED, connection.node.name(), UpstreamServer.this.id, id, null, "200 " + body, 0, 0);
-            connection.answer(HttpResponseStatus.OK, body, null);
+            connection.served(id, body);
         }
     }
 
@@ -415,6 +427,58 @@
             answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "", "1");
         }
 
+        /** A whole answer, or one that is spoilt on its way. */
+        void served(String txn, String body) {
+            if (spoils == null || chance.getAsDouble() >= spoilt) {
+                answer(HttpResponseStatus.OK, body, null);
+                return;
+            }
+            seen.see(What.SPOILED, node.name(), id, txn, null, spoils, 0, 0);
+            jobs.clear();
+            String whole = "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+            switch (spoils) {
+                case "half" -> raw(half(body));
+                case "second" -> {
+                    raw(whole);
+                    loop.schedule(() -> raw("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"), 1 + (int) (chance.getAsDouble() * 3),
+                            TimeUnit.MILLISECONDS);
+                }
+                case "reset" -> link.outward(this::reset);
+                case "bytewise" -> {
+                    for (int i = 0; i < whole.length(); i++) {
+                        String next = whole.substring(i, i + 1);
+                        loop.schedule(() -> raw(next), i, TimeUnit.MILLISECONDS);
+                    }
+                }
+                case "close" -> {
+                    raw(whole);
+                    link.outward(() -> channel.close());
+                }
+                default -> throw new IllegalStateException(spoils);
+            }
+        }
+
+        /** The beginning of an answer, in one of the framings, after which nothing comes. */
+        private String half(String body) {
+            String begun = body.substring(0, body.length() / 2);
+            return switch ((int) (chance.getAsDouble() * 5)) {
+                case 0 -> "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + begun;
+                case 1 -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                case 2 -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + begun;
+                case 3 -> "HTTP/1.1 200 OK\r\n\r\n" + begun;
+                default -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1fffff\r\n" + "x".repeat(LONG_BEGINNING);
+            };
+        }
+
+        /** Past the codec: what no library would write. */
+        private void raw(String text) {
+            link.outward(() -> {
+                if (channel.isActive()) {
+                    channel.pipeline().context(HttpServerCodec.class).writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+                }
+            });
+        }
+
         private String report() {
             return String.format(Locale.ROOT, "TEXT inflight=%d, queue=%d, util=%.2f", inFlight(),
                     model == null ? 0 : model.waiting(),
--- a/src/main/java/rushproxy/lab/world/World.java
+++ b/src/main/java/rushproxy/lab/world/World.java
@@ -248,6 +248,7 @@
                     servers.forEach(UpstreamServer::linksChanged);
                 });
                 case "reset" -> servers.forEach(s -> s.reset(fault));
+                case "clients" -> lasts(fault, () -> clients.misbehave(fault.call(), fault.factor()), () -> clients.misbehave(null, 0));
                 case "list-silent" -> lasts(fault, () -> agents(fault, n -> registry.silent(n, true)),
                         () -> agents(fault, n -> registry.silent(n, false)));
                 case "list-late" -> lasts(fault, () -> agents(fault, n -> registry.late(n, fault.factor())),
@@ -288,6 +289,7 @@
             case "hang" -> lasts(fault, () -> s.hang(true), () -> s.hang(false));
             case "slow" -> lasts(fault, () -> s.slow(fault.factor()), () -> s.slow(1));
             case "errors" -> lasts(fault, () -> s.errors(fault.factor()), () -> s.errors(0));
+            case "spoil" -> lasts(fault, () -> s.spoil(fault.call(), fault.factor()), () -> s.spoil(null, 0));
             case "refuse" -> lasts(fault, () -> s.refuse(true), () -> s.refuse(false));
             default -> throw new IllegalStateException(fault.what());
         }
