Tests: the soak's plans, its oracle against wrong nodes, and two short soaks

Change: SoakIT. Wrong nodes that keep half requests, forward after their client's end, hang on half answers or tell of a broken invariant are each found; plans are the same for their seed and can be read again; seeds 3 and 8 with 10 sidecars for 12 s hold.

--- /dev/null
+++ b/src/test/java/rushproxy/lab/SoakIT.java
@@ -0,0 +1,63 @@
+package rushproxy.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rushproxy.lab.report.Summary;
+import rushproxy.lab.soak.Soak;
+import rushproxy.lab.soak.SoakPlan;
+
+/** The soak's plans can be played again, its oracle finds what each fault brings out, and a short one holds. */
+@Timeout(240)
+class SoakIT {
+    private static final int NODES = 10;
+    private static final double LENGTH_S = 12;
+
+    @TempDir
+    Path folder;
+
+    private Soak soak() throws Exception {
+        return new Soak(LabRig.sidecar(), folder, line -> { });
+    }
+
+    @Test
+    void aPlanIsTheSameForItsSeedAndCanBeReadAgain() throws Exception {
+        for (long seed = 1; seed <= 200; seed++) {
+            SoakPlan plan = SoakPlan.draw(seed, NODES, LENGTH_S);
+            assertEquals(plan, SoakPlan.draw(seed, NODES, LENGTH_S));
+            assertEquals(plan.faults().size(), plan.scenario().faults().size(), plan.toml());
+            assertEquals(plan.faults().size() - 1, plan.without(0).faults().size());
+        }
+        assertFalse(SoakPlan.draw(1, NODES, LENGTH_S).equals(SoakPlan.draw(2, NODES, LENGTH_S)));
+    }
+
+    /** Two seeds whose plans hold a restart, spoilt answers and faults of the system between them. */
+    @ParameterizedTest
+    @CsvSource({"3", "8"})
+    void aShortSoakHolds(long seed) throws Exception {
+        Summary s = soak().play(SoakPlan.draw(seed, NODES, LENGTH_S), "seed-" + seed);
+        assertEquals("held", s.verdict(), s.why() + " " + s.violations());
+        assertTrue(s.figures().requests() > 300, s.figures().toString());
+        assertTrue(Files.exists(folder.resolve("seed-" + seed).resolve("plan.toml")));
+    }
+
+    /** A sidecar that is wrong in one way, under the one fault that brings it out. */
+    @ParameterizedTest
+    @CsvSource({
+        "stays, 'do = \"clients\"\nhow = \"stop\"\npart = 0.5\nfor_s = 2\n'",
+        "forwards-late, 'do = \"clients\"\nhow = \"leave\"\npart = 0.5\nfor_s = 4\n'",
+        "half, 'do = \"spoil\"\nhow = \"half\"\nservers = \"all\"\npart = 0.5\nfor_s = 4\n'",
+        "confesses, 'do = \"stall\"\nnodes = \"n0\"\nfor_s = 0.1\n'"})
+    void aWrongNodeIsFoundByItsFault(String wrong, String fault) throws Exception {
+        Summary s = LabRig.run(LabRig.scenario(1, 7, "[[faults]]\nat_s = 1\n" + fault), LabRig.wrong(wrong), folder);
+        assertEquals("broken", s.verdict(), s.why().toString());
+    }
+}
--- a/src/test/java/rushproxy/lab/WrongNode.java
+++ b/src/test/java/rushproxy/lab/WrongNode.java
@@ -47,6 +47,9 @@
             System.err.println("no such thing as a good start");
             System.exit(7);
         }
+        if (args[0].equals("confesses")) {
+            System.err.println("invariant_violations=1 TRANSITION: request none");
+        }
         if (args[0].equals("sleeps")) {
             Thread.sleep(60_000);
         }
@@ -141,6 +144,9 @@
         } else if (fault.equals("made") && wrong) {
             answer(x, 200, "s0:" + id + ":0");
         } else {
+            if (fault.equals("forwards-late")) {
+                rest();
+            }
             Upstream first = next(null);
             HttpResponse<String> r = send(first, x, id, body);
             if (fault.equals("twice") && wrong) {
@@ -150,6 +156,15 @@
         }
     }
 
+    /** Whoever leaves meanwhile is forwarded all the same. */
+    private static void rest() {
+        try {
+            Thread.sleep(400);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private HttpResponse<String> send(Upstream to, HttpExchange x, String id, byte[] body) {
         HttpRequest.Builder m = HttpRequest.newBuilder(URI.create("http://" + to.address + x.getRequestURI()))
                 .timeout(Duration.ofMillis(Math.max(1, Long.parseLong(x.getRequestHeaders().getFirst("X-Remaining-Ms")) - 50)))
