--- a/src/main/java/rushproxy/cli/ReleaseJournal.java
+++ b/src/main/java/rushproxy/cli/ReleaseJournal.java
@@ -22,13 +22,21 @@
     private static final int HEAD = 8;
     private static final int MOST = 4_096;
 
+    private final Disk disk;
     private final FileChannel file;
     private final FileLock lock;
     private final List<Conductor.Step> steps = new ArrayList<>();
     private String cut;
+    /** The end of the last record that is whole and on disk. */
+    private long end;
 
     /** Throws where another process has it, or where it holds records that are whole but no steps: it is not ours to change then. */
     ReleaseJournal(Path path) throws IOException {
+        this(path, Disk.REAL);
+    }
+
+    ReleaseJournal(Path path, Disk disk) throws IOException {
+        this.disk = disk;
         file = FileChannel.open(path, StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
         try {
             lock = lock(path);
@@ -77,7 +85,7 @@
             file.truncate(good);
             file.force(true);
         }
-        file.position(good);
+        end = good;
     }
 
     /** Null, or what was cut off at the opening. */
@@ -97,13 +105,26 @@
                 o.whom().words(), "" + step.stage(), why.substring(0, Math.min(1_000, why.length()))).getBytes(StandardCharsets.UTF_8);
         ByteBuffer b = ByteBuffer.allocate(HEAD + text.length).putInt(text.length).putInt(check(text)).put(text);
         b.flip();
-        while (b.hasRemaining()) {
-            file.write(b);
-        }
-        file.force(true);
+        // A try that failed may have left a part, or a whole record that was never taken on: the next one begins before it.
+        file.truncate(end);
+        file.position(end);
+        disk.write(file, b);
+        end = file.position();
         steps.add(step);
     }
 
+    /** How a record is written so that it is on disk afterwards; either part may fail. */
+    interface Disk {
+        Disk REAL = (file, record) -> {
+            while (record.hasRemaining()) {
+                file.write(record);
+            }
+            file.force(true);
+        };
+
+        void write(FileChannel file, ByteBuffer record) throws IOException;
+    }
+
     private Conductor.Step step(Path path, String text) throws IOException {
         String[] w = text.split("\t", -1);
         try {
--- a/src/test/java/rushproxy/cli/ReleaseJournalTest.java
+++ b/src/test/java/rushproxy/cli/ReleaseJournalTest.java
@@ -39,6 +39,37 @@
         }
     }
 
+    /** A disk that fails in the middle of a write, or after it: what is appended later is found again. */
+    @Test
+    void whatFollowsAFailedWriteIsNotLostWithIt() throws Exception {
+        for (boolean whole : new boolean[] {false, true}) {
+            Path path = folder.resolve("fails" + whole);
+            boolean[] fails = new boolean[1];
+            List<Conductor.Step> steps = new java.util.ArrayList<>();
+            new Conductor(PLAN, 1, null, now, steps::add);
+            Conductor.Step step = steps.get(0);
+            try (ReleaseJournal j = new ReleaseJournal(path, (file, record) -> {
+                if (fails[0]) {
+                    record.limit(whole ? record.limit() : record.limit() / 2);
+                    file.write(record);
+                    throw new IOException("No space left on device");
+                }
+                ReleaseJournal.Disk.REAL.write(file, record);
+            })) {
+                j.append(step);
+                fails[0] = true;
+                assertThrows(IOException.class, () -> j.append(step));
+                fails[0] = false;
+                j.append(step);
+                assertEquals(2, j.steps().size());
+            }
+            try (ReleaseJournal j = new ReleaseJournal(path)) {
+                assertEquals(null, j.cut());
+                assertEquals(2, j.steps().size(), "what was appended after a failed write, whole " + whole);
+            }
+        }
+    }
+
     /** Killed after each single step, before or after it was kept: the next one goes on from the last that was kept. */
     @Test
     void killedAtEachStepItGoesOnWhereItStood() throws Exception {
