Peers: a socket that the transport closed is replaced

Change: its end opens another one, as a bind that failed did already. Result: PeersTest.aSocketThatWasClosedIsReplaced passes with it (not run without: it would wait for ever); FleetPlaneTest passes.

--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -27,7 +27,7 @@
     private final List<InetSocketAddress> peers;
     private final InetSocketAddress all;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
-    private Channel channel;
+    private volatile Channel channel;
     private boolean refused;
     /** Null where the fleet plane is off: then whatever comes is the module's. */
     private Fleet fleet;
@@ -58,7 +58,7 @@
         new Bootstrap().group(loop).channel(NioDatagramChannel.class).option(ChannelOption.SO_REUSEADDR, true)
                 .handler(new Handler()).bind(address).addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
-                        channel = f.channel();
+                        heardOn(f.channel(), loop, address);
                         return;
                     }
                     if (!refused) {
@@ -69,6 +69,23 @@
                 });
     }
 
+    /** The transport closes a socket that fails to read for a moment: then another one takes its place. */
+    private void heardOn(Channel now, EventLoop loop, InetSocketAddress address) {
+        channel = now;
+        now.closeFuture().addListener(closed -> {
+            channel = null;
+            if (!loop.isShuttingDown()) {
+                Log.warn("peers are not heard for a moment: the socket was closed");
+                loop.schedule(() -> listen(loop, address), AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    /** The socket on which peers are heard; null while there is none. */
+    Channel channel() {
+        return channel;
+    }
+
     void hand(Fleet fleet, int wordLength) {
         this.fleet = fleet;
         this.wordLength = wordLength;
--- a/src/test/java/rushproxy/sidecar/PeersTest.java
+++ b/src/test/java/rushproxy/sidecar/PeersTest.java
@@ -2,10 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.Channel;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -55,4 +60,33 @@
             assertEquals("peer 1 256", rig.await("peer"));
         }
     }
+
+    /** The transport closes a datagram socket whose read fails with ENOMEM, say. */
+    @Test
+    void aSocketThatWasClosedIsReplaced() throws Exception {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (DatagramSocket peer = socket(); DatagramSocket free = socket()) {
+            InetSocketAddress address = (InetSocketAddress) free.getLocalSocketAddress();
+            free.close();
+            Peers peers = new Peers(new Clock(), new Decisions(), List.of((InetSocketAddress) peer.getLocalSocketAddress()), null);
+            peers.listen(group.next(), address);
+            Channel first = bound(peers, null);
+            first.close().sync();
+            bound(peers, first);
+            peers.tell(0, new byte[3]);
+            DatagramPacket got = new DatagramPacket(new byte[10], 10);
+            peer.receive(got);
+            assertEquals(3, got.getLength());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
+        }
+    }
+
+    private static Channel bound(Peers peers, Channel not) throws InterruptedException {
+        Channel now;
+        while ((now = peers.channel()) == null || now == not) {
+            Thread.sleep(5);
+        }
+        return now;
+    }
 }
