--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -601,6 +601,7 @@
         boolean slow = sinceUs >= BODY_STARTS_US
                 && bodyBytes < BODY_BYTES_PER_S * (sinceUs - BODY_STARTS_US) / 1_000_000 + 1;
         if (slow || now - pieceUs >= BODY_RESTS_US) {
+            abort();
             end(CloseReason.BODY_TOO_SLOW);
         }
     }
--- a/src/test/java/rushproxy/sidecar/BulkTest.java
+++ b/src/test/java/rushproxy/sidecar/BulkTest.java
@@ -421,6 +421,32 @@
         }
     }
 
+    /** Its connection lingers for its client's sake, but the attempt is over with the request. */
+    @Test
+    void aBodyThatRestsTooLongEndsItsAttemptAtOnce() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", ""));
+            rig.start();
+            try (Peer.Client c = rig.client()) {
+                c.send(Rig.get("a0", 20_000));
+                assertEquals(200, c.status());
+                BlockingQueue<Long> ends = new LinkedBlockingQueue<>();
+                up.script = (m, line) -> {
+                    try {
+                        while (line.socket().getInputStream().read() >= 0) { }
+                    } finally {
+                        ends.add(System.nanoTime());
+                    }
+                };
+                c.send(post("a1", "Transfer-Encoding: chunked\r\n") + "18000\r\n" + "x".repeat(0x18000) + "\r\n");
+                assertEquals(null, c.answer());
+                long dismissed = System.nanoTime();
+                long lateMs = (ends.take() - dismissed) / 1_000_000;
+                assertTrue(lateMs < 500, "the attempt ended " + lateMs + " ms after the client was dismissed");
+            }
+        }
+    }
+
     /** What the retry needs is kept up to 64 KiB, and no longer than the budget allows. */
     @Test
     void aShortBodyIsSentAgainWhole() throws Exception {
