Sockets are looked at once more before an attempt only where the loop was held up of late

Each attempt asked for such looks: two turns of the loop, and two more where a connection came up. Change: SocketLook times the looks by wrapping the loop's I/O handler. An attempt begins in the same turn where no socket can have lain unread for over 30 ms (a look that overstayed its wait counts), else after one more look as before.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -42,7 +41,8 @@
     private final Config config;
     private final ServerSocketChannel inherited;
     private final Module module;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final SocketLook sockets = new SocketLook();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, sockets.handlers());
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final Decisions decisions = new Decisions();
@@ -88,9 +88,9 @@
         int ofClients = free - Math.max(LEAST_PER_SIDE, free / 4);
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
                 () -> free - Math.min(ofClients, clients().open()),
-                budget);
+                budget, sockets);
         guard = new RequestGuard(clock, settings.classes(), invariants);
-        requests = new Requests(loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts());
+        requests = new Requests(loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts(), sockets);
         starts = new StartTimes(clock, System::currentTimeMillis);
         known = starts.known(config.known());
         discovery = new Discovery(loop, clock, decisions, upstreams, starts, config.discovery(), config.known().generation(),
@@ -278,7 +278,7 @@
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
             clients.rehearsing(true);
-            new Rehearsal(loop, clock, listening, done::countDown).begin();
+            new Rehearsal(loop, clock, sockets, listening, done::countDown).begin();
         });
         done.await();
         if (inherited != null) {
