--- a/src/main/java/rushproxy/SlowStart.java
+++ b/src/main/java/rushproxy/SlowStart.java
@@ -4,10 +4,10 @@
 import rushproxy.State.Server;
 
 /**
- * How much a server that has just started may be sent: the fourth rule, kept by each sidecar without messages.
- * Half a window is a slot, and in each the sidecars may send as many mean requests as a third of the budget holds (a
- * window meets three): an equal part each, the rest by turn of number, server and slot. A server that is asked first
- * gives twice the turns, one by one.
+ * How much a server that has just started may be sent: the fourth rule, kept by each sidecar
+ * without messages. Half a window is a slot, and in each the sidecars may send as many mean
+ * requests as a third of the budget holds (a window meets three): an equal part each, the rest by
+ * turn of number, server and slot. A server that is asked first gives twice the turns, one by one.
  */
 final class SlowStart {
     /** The sidecars use this part of a cold server's budget: costs are estimates. */
@@ -58,8 +58,8 @@
     }
 
     /**
-     * Whether what was sent then may begin only now, its connection having taken its time: it counts in the slot in
-     * which it begins.
+     * Whether what was sent then may begin only now, its connection having taken its time: it counts
+     * in the slot in which it begins.
      */
     boolean mayBegin(long now, Server s, long sentAt, double work, double meanWork) {
         boolean late = now - sentAt > cfg.rules().fallWindowUs() / SAME_SLOT_PART;
