Log: a client's connection that ends with no answer is told with its reason

SocketErrors tells a peer's end from other errors, for this count alone so far. Compiled; no behaviour is changed.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -47,7 +46,7 @@
     /** What the client has been given of an answer that broke off waits for the client to take it so long. */
     private static final long BROKEN_US = 1_000_000;
 
-    private final SocketChannel channel;
+    private final Sockets.Connection channel;
     private final Clock clock;
     private final Requests requests;
     private final Set<String> classes;
@@ -104,7 +103,7 @@
 
     private record Arrival(HttpObject part, long atUs) {}
 
-    ClientConnection(SocketChannel channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
+    ClientConnection(Sockets.Connection channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
                      Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines, RequestGuard guard) {
         this.channel = channel;
         this.clock = clock;
@@ -466,6 +465,7 @@
     /** What the client still sends of a request that has been answered may be long: nothing follows on it. */
     private void closeOrKeep(HttpResponse response) {
         anyAnswer = true;
+        channel.history().answered();
         last |= !server.goesOn() || receiving && bodyComes();
         if (last) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -665,7 +665,11 @@
         if (!(cause instanceof IOException)) {
             Log.trouble("a client's connection failed", cause);
         }
-        RequestLog.closes(channel, cause instanceof IOException ? CloseReason.PEER_ENDED : CloseReason.FAILED);
+        boolean ofSocket = cause instanceof IOException;
+        if (!ofSocket) {
+            channel.history().failed(ConnectionHistory.Call.HANDLER, cause);
+        }
+        RequestLog.closes(channel, ofSocket ? CloseReason.PEER_ENDED : CloseReason.FAILED);
         ctx.close();
     }
 }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -16,6 +15,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -82,6 +82,7 @@
     private final Set<ClientConnection> connections = new HashSet<>();
     /** Those of them whose output has ended, the oldest first. */
     private final ArrayDeque<ClientConnection> lingering = new ArrayDeque<>();
+    private final UnansweredConnections unanswered = new UnansweredConnections();
     private Channel listener;
     /** The listener is another's too: leaving it is not closing it. */
     private boolean shared;
@@ -147,6 +148,12 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext ctx, Object accepted) {
+                        unanswered.watch((Sockets.Connection) accepted);
+                        ctx.fireChannelRead(accepted);
+                    }
+
                     @Override
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                         notAccepted(ctx.channel(), cause);
@@ -155,7 +162,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        accepted((SocketChannel) channel);
+                        accepted((Sockets.Connection) channel);
                     }
                 });
     }
@@ -170,7 +177,7 @@
         }
     }
 
-    private void accepted(SocketChannel channel) {
+    private void accepted(Sockets.Connection channel) {
         stuck = false;
         acceptedUs = clock.now();
         ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, loopDelay, deadlines, guard);
@@ -235,6 +242,11 @@
         rehearsing = on;
     }
 
+    /** Connections that ended with no answer by this program's doing or this machine's, since the last call. */
+    Map<String, Integer> unansweredSinceLast() {
+        return unanswered.sinceLast();
+    }
+
     int open() {
         return connections.size();
     }
--- a/src/main/java/rushproxy/sidecar/RequestLog.java
+++ b/src/main/java/rushproxy/sidecar/RequestLog.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import io.netty.channel.Channel;
+import java.net.SocketAddress;
 import rushproxy.Balancer.Outcome;
 
 /**
@@ -55,7 +56,19 @@
         }
     }
 
+    /** The client had no part of an answer, and did not end the connection itself. */
+    static void endsUnanswered(SocketAddress client, ConnectionHistory history) {
+        if (Log.debugs()) {
+            Log.event(Log.Level.DEBUG, "connection " + client + " ends with no answer after " + history.ageUs() / 1000 + " ms, "
+                    + history.readBytes() + " bytes read of it: " + history.end(), "peer", client, "age_ms", history.ageUs() / 1000,
+                    "read_bytes", history.readBytes(), "reason", history.end());
+        }
+    }
+
     static void closes(Channel channel, CloseReason reason) {
+        if (channel instanceof Sockets.Connection connection) {
+            connection.history().closes(reason);
+        }
         if (Log.debugs()) {
             Log.event(Log.Level.DEBUG, "connection " + channel.remoteAddress() + " closed: " + reason.words(), "peer",
                     channel.remoteAddress(), "reason", reason.words());
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -251,6 +251,7 @@
             loop.schedule(() -> loopDelay.beat(clock.now()), LoopDelay.LOOK_MS, TimeUnit.MILLISECONDS);
         }
         if (++beats % BEATS == 0) {
+            tellUnanswered();
             requests.tally((words, fields) ->
                     Log.event(Log.Level.INFO, "in " + BEATS * BEAT_MS / 1000 + " s " + words + "; " + held() + broken(), fields));
             if (worstLagUs >= LAG_US) {
@@ -261,6 +262,14 @@
         }
     }
 
+    private void tellUnanswered() {
+        Map<String, Integer> ends = clients.unansweredSinceLast();
+        if (!ends.isEmpty()) {
+            Log.event(Log.Level.WARN, "in " + BEATS * BEAT_MS / 1000 + " s clients' connections ended with no answer: " + ends,
+                    "unanswered", ends);
+        }
+    }
+
     /** At the debug level: which threads ran while the loop was late, or in a second in which it was not. */
     private void tellThreads(long behindUs) {
         if (!Log.debugs()) {
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/SocketErrors.java
@@ -0,0 +1,28 @@
+package rushproxy.sidecar;
+
+import java.io.IOException;
+import java.net.SocketException;
+import java.nio.channels.ClosedChannelException;
+import java.util.Set;
+
+/**
+ * Tells what a failed socket call says of its connection: that the peer has ended it, or nothing. The runtime hands on most of the
+ * system's errors as the system's words for them alone, so those that end a connection are known by these words. What is not known
+ * is taken to be this machine's own and for a moment, which costs a few more attempts of the call where it is not.
+ */
+final class SocketErrors {
+    /** What Linux says for ECONNRESET (the runtime says it shorter), EPIPE, ETIMEDOUT, EHOSTUNREACH and ENOTCONN. */
+    private static final Set<String> ENDS = Set.of("Connection reset", "Connection reset by peer", "Broken pipe", "Connection timed out",
+            "No route to host", "Transport endpoint is not connected");
+
+    private SocketErrors() {}
+
+    /** Whether the call has failed since there is no connection any more, by the peer's doing or the network's. */
+    static boolean endsConnection(Throwable error) {
+        if (error instanceof ClosedChannelException) {
+            return true;
+        }
+        boolean ofSystem = error instanceof SocketException || error instanceof IOException;
+        return ofSystem && error.getMessage() != null && ENDS.contains(error.getMessage());
+    }
+}
--- a/src/main/java/rushproxy/sidecar/Sockets.java
+++ b/src/main/java/rushproxy/sidecar/Sockets.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.internal.SocketUtils;
+import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
@@ -20,6 +22,8 @@
     static final class Connection extends NioSocketChannel {
         private static final int END = -1;
 
+        private final ConnectionHistory history = new ConnectionHistory();
+
         Connection() {
         }
 
@@ -27,12 +31,37 @@
             super(parent, socket);
         }
 
+        ConnectionHistory history() {
+            return history;
+        }
+
         @Override
         protected int doReadBytes(ByteBuf to) throws Exception {
-            int n = super.doReadBytes(to);
+            int n;
+            try {
+                n = super.doReadBytes(to);
+            } catch (IOException e) {
+                history.failed(ConnectionHistory.Call.READ, e);
+                throw e;
+            }
+            if (n > 0) {
+                history.read(n);
+            } else if (n == END) {
+                history.peerEnded();
+            }
             // The socket stays readable, and the next turn of the loop reads it.
             return n < END ? 0 : n;
         }
+
+        @Override
+        protected void doWrite(ChannelOutboundBuffer out) throws Exception {
+            try {
+                super.doWrite(out);
+            } catch (IOException e) {
+                history.failed(ConnectionHistory.Call.WRITE, e);
+                throw e;
+            }
+        }
     }
 
     /** A listener whose connections are {@link Connection}s. */
