--- a/src/main/java/rushproxy/lab/node/SystemFaults.java
+++ b/src/main/java/rushproxy/lab/node/SystemFaults.java
@@ -27,7 +27,17 @@
     /** Calls that may fail, in the order of the library's control block. */
     public enum Call {
         ACCEPT_FAILS, SOCKET_FAILS, CONNECT_FAILS, WAIT_INTERRUPTED, READ_INTERRUPTED, READ_SHORT, WRITE_SHORT, FILE_WRITE_FAILS,
-        FILE_SYNC_FAILS, FILE_RENAME_FAILS, ESTABLISHED_FAILS, KILL_IN_WRITE
+        FILE_SYNC_FAILS, FILE_RENAME_FAILS, ESTABLISHED_FAILS, KILL_IN_WRITE,
+        /** {@code setsockopt}: ENOBUFS, ENOMEM. */
+        OPTION_FAILS,
+        /** {@code getsockname}: ENOBUFS. */
+        NAME_FAILS,
+        /** {@code epoll_ctl} that adds or changes a descriptor: ENOMEM, ENOSPC. */
+        REGISTER_FAILS,
+        /** A read of a socket: ENOMEM. */
+        READ_FAILS,
+        /** A write to a socket: ENOBUFS, ENOMEM. */
+        SEND_FAILS
     }
 
     private final Path library;
--- a/src/main/resources/rushproxy/lab/faults.c
+++ b/src/main/resources/rushproxy/lab/faults.c
@@ -37,6 +37,11 @@
     int32_t rename_fails;
     int32_t established_fails; /* a read of a connection gives ETIMEDOUT or EHOSTUNREACH */
     int32_t kill_in_write; /* of files: a part is written, and the process is killed */
+    int32_t option_fails; /* setsockopt */
+    int32_t name_fails; /* getsockname */
+    int32_t register_fails; /* epoll_ctl that adds or changes */
+    int32_t read_fails; /* of sockets, for want of memory */
+    int32_t send_fails; /* a write to a socket, for want of buffers or memory */
 };
 
 static volatile struct control *control;
@@ -110,22 +115,23 @@
     return now.tv_sec;
 }
 
+static const int accept_errors[] = {ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EPERM, EPROTO, EINTR};
+#define ACCEPT_ERRORS (int) (sizeof accept_errors / sizeof *accept_errors)
+
 int accept(int fd, struct sockaddr *a, socklen_t *n) {
-    static const int errors[] = {ECONNABORTED, ENFILE, ENOBUFS, ENOMEM};
     REAL(accept);
-    return chance(control->accept_fails) ? fail(errors, 4) : real(fd, a, n);
+    return chance(control->accept_fails) ? fail(accept_errors, ACCEPT_ERRORS) : real(fd, a, n);
 }
 
 int accept4(int fd, struct sockaddr *a, socklen_t *n, int flags) {
-    static const int errors[] = {ECONNABORTED, ENFILE, ENOBUFS, ENOMEM};
     REAL(accept4);
-    return chance(control->accept_fails) ? fail(errors, 4) : real(fd, a, n, flags);
+    return chance(control->accept_fails) ? fail(accept_errors, ACCEPT_ERRORS) : real(fd, a, n, flags);
 }
 
 int socket(int domain, int type, int protocol) {
-    static const int errors[] = {ENFILE, ENOBUFS};
+    static const int errors[] = {ENFILE, EMFILE, ENOBUFS, ENOMEM};
     REAL(socket);
-    return chance(control->socket_fails) ? fail(errors, 2) : real(domain, type, protocol);
+    return chance(control->socket_fails) ? fail(errors, 4) : real(domain, type, protocol);
 }
 
 int connect(int fd, const struct sockaddr *a, socklen_t n) {
@@ -146,13 +152,38 @@
     return real(p, n, timeout);
 }
 
+int setsockopt(int fd, int level, int name, const void *value, socklen_t n) {
+    static const int errors[] = {ENOBUFS, ENOMEM};
+    REAL(setsockopt);
+    return chance(control->option_fails) ? fail(errors, 2) : real(fd, level, name, value, n);
+}
+
+int getsockname(int fd, struct sockaddr *a, socklen_t *n) {
+    static const int errors[] = {ENOBUFS};
+    REAL(getsockname);
+    return chance(control->name_fails) ? fail(errors, 1) : real(fd, a, n);
+}
+
+int epoll_ctl(int set, int op, int fd, struct epoll_event *e) {
+    static const int errors[] = {ENOMEM, ENOSPC};
+    REAL(epoll_ctl);
+    return op != EPOLL_CTL_DEL && chance(control->register_fails) ? fail(errors, 2) : real(set, op, fd, e);
+}
+
 static int read_fails(int fd) {
     static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
-    if ((control->read_interrupted | control->established_fails) == 0 || !is_socket(fd)) return 0;
+    static const int momentary[] = {ENOMEM};
+    if ((control->read_interrupted | control->established_fails | control->read_fails) == 0 || !is_socket(fd)) return 0;
     if (chance(control->read_interrupted)) { errno = EINTR; return -1; }
+    if (chance(control->read_fails)) return fail(momentary, 1);
     return chance(control->established_fails) ? fail(errors, 2) : 0;
 }
 
+static int send_fails(int fd) {
+    static const int errors[] = {ENOBUFS, ENOMEM};
+    return control->send_fails > 0 && is_socket(fd) && chance(control->send_fails) ? fail(errors, 2) : 0;
+}
+
 static size_t shorter(int fd, size_t n, int32_t of_a_million) {
     return n > 1 && chance(of_a_million) && is_socket(fd) ? 1 + next() % (n - 1) : n;
 }
@@ -178,12 +209,13 @@
         real(fd, b, n / 2);
         kill(getpid(), 9);
     }
-    if (file_fails(fd, control->write_fails)) return -1;
+    if (file_fails(fd, control->write_fails) || send_fails(fd)) return -1;
     return real(fd, b, shorter(fd, n, control->write_short));
 }
 
 ssize_t writev(int fd, const struct iovec *v, int n) {
     REAL(writev);
+    if (send_fails(fd)) return -1;
     if (n > 0 && v[0].iov_len > 1 && chance(control->write_short) && is_socket(fd)) return write(fd, v[0].iov_base, v[0].iov_len / 2);
     return real(fd, v, n);
 }
--- a/src/test/java/rushproxy/sidecar/CrowdTest.java
+++ b/src/test/java/rushproxy/sidecar/CrowdTest.java
@@ -2,9 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -45,6 +47,36 @@
         }
     }
 
+    /** All others are busy, and two come at once: the first must not make room for the second with its request unread. */
+    @Test
+    void whoHasJustComeMakesNoRoom() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.sockets = 48 + 2 * 16;
+            rig.start();
+            List<Peer.Client> clients = new ArrayList<>();
+            try {
+                for (int i = 0; i < 14; i++) {
+                    clients.add(rig.client().send(Rig.get("busy" + i, 20_000)));
+                    rig.await("request busy" + i);
+                }
+                rig.holdUp(20, () -> {
+                    clients.add(rig.client().send(Rig.get("first", 20_000)));
+                    clients.add(rig.client().send(Rig.get("second", 20_000)));
+                });
+                // Neither has an answer yet, and neither is closed.
+                for (Peer.Client c : clients.subList(14, 16)) {
+                    c.socket.setSoTimeout(300);
+                    assertThrows(SocketTimeoutException.class, c::answer);
+                }
+            } finally {
+                for (Peer.Client c : clients) {
+                    c.close();
+                }
+            }
+        }
+    }
+
     /** Its time runs from the last byte: counted from the first it would be over before it has begun. */
     @Test
     void aHeadThatIsWrittenSlowlyHasItsWholeTime() throws Exception {
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
@@ -0,0 +1,154 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import rushproxy.lab.node.SystemFaults;
+import rushproxy.lab.node.SystemFaults.Call;
+
+/**
+ * A real sidecar whose system calls fail for a moment: that is no end of a connection, so each request gets its final answer in its
+ * time, and none runs twice that must not.
+ */
+@Timeout(120)
+class MomentaryFailuresIT {
+    /** Six calls in a hundred, as in incident-2. */
+    private static final double CHANCE = 0.06;
+    private static final int SERVERS = 4;
+    private static final int CLIENTS = 8;
+    private static final int REQUESTS_EACH = 50;
+    private static final long REMAINING_MS = 800;
+    /** What a client waits beyond its time before it counts an answer as missing. */
+    private static final int SLACK_MS = 70;
+    private static final long SEED = 11;
+
+    @TempDir
+    Path folder;
+    private final List<Peer> servers = new ArrayList<>();
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final ConcurrentLinkedQueue<String> wrong = new ConcurrentLinkedQueue<>();
+    private Peer discovery;
+    private SidecarProcess sidecar;
+    private SystemFaults faults;
+
+    @BeforeEach
+    void start() throws Exception {
+        discovery = new Peer((message, line) -> { });
+        Optional<Path> library = SystemFaults.compile(folder.resolve("library"));
+        Assumptions.assumeTrue(library.isPresent(), "no C compiler on this machine");
+        faults = SystemFaults.with(library.get(), folder.resolve("control"), SEED);
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(new Peer((m, line) -> {
+                runs.merge(m.header("X-Txn"), 1, Integer::sum);
+                line.answer("200 OK", "", m.header("X-Txn"));
+            }));
+        }
+        sidecar = SidecarProcess.start(folder, discovery, servers, faults.environment());
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (sidecar != null) {
+            sidecar.close();
+        }
+        for (Peer server : servers) {
+            server.close();
+        }
+        discovery.close();
+    }
+
+    /** Each request comes on a connection of its own. */
+    @ParameterizedTest
+    @EnumSource(names = {"ACCEPT_FAILS", "OPTION_FAILS", "NAME_FAILS", "REGISTER_FAILS", "READ_FAILS", "SEND_FAILS", "READ_SHORT",
+        "WRITE_SHORT"})
+    void newConnectionsAreAnswered(Call call) throws Exception {
+        faults.set(call, CHANCE);
+        play(client -> {
+            for (int i = 0; i < REQUESTS_EACH; i++) {
+                try (Peer.Client connection = sidecar.client()) {
+                    request(connection, id(client, i));
+                }
+            }
+        });
+        check(call);
+    }
+
+    /** All requests of a client come on one connection, one after the other. */
+    @ParameterizedTest
+    @EnumSource(names = {"OPTION_FAILS", "NAME_FAILS", "REGISTER_FAILS", "READ_FAILS", "SEND_FAILS"})
+    void connectionsThatStayOpenAreAnswered(Call call) throws Exception {
+        faults.set(call, CHANCE);
+        play(client -> {
+            try (Peer.Client connection = sidecar.client()) {
+                for (int i = 0; i < REQUESTS_EACH; i++) {
+                    request(connection, id(client, i));
+                }
+            }
+        });
+        check(call);
+    }
+
+    private static String id(int client, int number) {
+        return (number % 2 == 0 ? "unsafe" : "safe") + client + "-" + number;
+    }
+
+    private void request(Peer.Client connection, String id) {
+        String requestClass = id.startsWith("unsafe") ? "unsafe" : "safe";
+        try {
+            connection.socket.setSoTimeout((int) REMAINING_MS + SLACK_MS);
+            connection.send(SidecarProcess.get(id, requestClass, REMAINING_MS));
+            Peer.Message answer = connection.answer();
+            if (answer == null) {
+                wrong.add(id + " was closed with no answer");
+            } else if (answer.head().startsWith("HTTP/1.1 200") && !answer.body().equals(id)) {
+                wrong.add(id + " got the answer of another: " + answer.body());
+            }
+        } catch (IOException e) {
+            wrong.add(id + ": " + e);
+        }
+    }
+
+    private interface Client {
+        void run(int number) throws IOException;
+    }
+
+    private void play(Client client) throws InterruptedException {
+        List<Thread> threads = new ArrayList<>();
+        for (int n = 0; n < CLIENTS; n++) {
+            int number = n;
+            Thread thread = new Thread(() -> {
+                try {
+                    client.run(number);
+                } catch (IOException e) {
+                    wrong.add("client " + number + ": " + e);
+                }
+            });
+            threads.add(thread);
+            thread.start();
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    private void check(Call call) {
+        faults.clear();
+        assertEquals(List.of(), List.copyOf(wrong), () -> call + ": " + wrong.size() + " wrong");
+        assertEquals(List.of(), runs.entrySet().stream().filter(e -> e.getKey().startsWith("unsafe") && e.getValue() > 1).toList());
+        assertEquals(0, sidecar.violations());
+    }
+}
