Sockets: an option that can't be set costs the option for a moment, not the connection

Cause (H1): Netty drops an accepted connection, and fails a dial, where one of TCP_NODELAY, SO_SNDBUF and SO_RCVBUF can't be set (ServerBootstrap's and Bootstrap's options); a linger that could not be set threw in the middle of passing an answer on. Change: SocketOptions sets them and tries again every 3 ms, for a second at most; a broken HTTP/1.0 answer's close waits for its linger. The listener's SO_REUSEADDR is the runtime's own default and is no longer set again. Java hands down SO_RCVBUF alone, so options stay with the connection.

--- a/src/main/java/rushproxy/sidecar/AdminServer.java
+++ b/src/main/java/rushproxy/sidecar/AdminServer.java
@@ -81,7 +81,6 @@
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
         Channel listener = new ServerBootstrap().group(loop).channelFactory(Sockets.Listener::new)
                 .option(ChannelOption.SO_BACKLOG, 128)
-                .option(ChannelOption.SO_REUSEADDR, true)
                 // A caller may end its side with its line and still read the answer.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInboundHandlerAdapter() {
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Set;
@@ -43,6 +44,8 @@
     private static final long ROOM_US = 1_000_000;
     /** A client that takes nothing of its answer for so long is no longer there to read it. */
     private static final long UNREAD_US = 20_000_000;
+    /** As the socket was: its close waits for nothing, and what is written still leaves. */
+    private static final int NO_LINGER = -1;
     /** What the client has been given of an answer that broke off waits for the client to take it so long. */
     private static final long BROKEN_US = 1_000_000;
 
@@ -398,7 +401,7 @@
             } else {
                 // The end of the connection is the end of the answer: that of a broken one is a reset, whatever ends the process.
                 last = true;
-                channel.config().setSoLinger(0);
+                channel.options().set(StandardSocketOptions.SO_LINGER, 0);
             }
             closeOrKeep(response);
             resume = more;
@@ -414,7 +417,9 @@
         @Override
         public void ends() {
             resume = null;
-            channel.config().setSoLinger(-1);
+            if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+                channel.options().set(StandardSocketOptions.SO_LINGER, NO_LINGER);
+            }
             over(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), "streamed");
         }
 
@@ -434,8 +439,8 @@
             current = null;
             if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
                 // The end of the connection would be the end of the answer.
-                channel.config().setSoLinger(0);
-                close(CloseReason.ANSWER_BROKEN);
+                channel.options().set(StandardSocketOptions.SO_LINGER, 0);
+                channel.options().whenSet(() -> close(CloseReason.ANSWER_BROKEN));
                 return;
             }
             var stuck = channel.eventLoop().schedule(() -> close(CloseReason.ANSWER_BROKEN), BROKEN_US, TimeUnit.MICROSECONDS);
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -145,12 +145,10 @@
     private ServerBootstrap accepting() {
         return Window.on(new ServerBootstrap()).group(loop)
                 .option(ChannelOption.SO_BACKLOG, 256)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelRead(ChannelHandlerContext ctx, Object accepted) {
-                        unanswered.watch((Sockets.Connection) accepted);
+                        unanswered.watch(Window.sized((Sockets.Connection) accepted));
                         ctx.fireChannelRead(accepted);
                     }
 
--- a/src/main/java/rushproxy/sidecar/Sockets.java
+++ b/src/main/java/rushproxy/sidecar/Sockets.java
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.internal.SocketUtils;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
@@ -23,12 +24,25 @@
         private static final int END = -1;
 
         private final ConnectionHistory history = new ConnectionHistory();
+        private final SocketOptions options = new SocketOptions(javaChannel());
 
         Connection() {
+            options.set(StandardSocketOptions.TCP_NODELAY, true);
         }
 
         private Connection(Channel parent, SocketChannel socket) {
             super(parent, socket);
+            options.set(StandardSocketOptions.TCP_NODELAY, true);
+        }
+
+        SocketOptions options() {
+            return options;
+        }
+
+        @Override
+        protected void doBeginRead() throws Exception {
+            super.doBeginRead();
+            options.tryAgainOn(eventLoop());
         }
 
         ConnectionHistory history() {
--- a/src/main/java/rushproxy/sidecar/Window.java
+++ b/src/main/java/rushproxy/sidecar/Window.java
@@ -5,6 +5,7 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
+import java.net.StandardSocketOptions;
 
 /** How much of a message lies in this program, and in the kernel for it, at each of its connections. */
 final class Window {
@@ -17,16 +18,19 @@
 
     static Bootstrap on(Bootstrap to) {
         return to.option(ChannelOption.RECVBUF_ALLOCATOR, reads())
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WAITING)
-                .option(ChannelOption.SO_SNDBUF, SOCKET)
-                .option(ChannelOption.SO_RCVBUF, SOCKET);
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WAITING);
     }
 
     static ServerBootstrap on(ServerBootstrap to) {
         return to.childOption(ChannelOption.RECVBUF_ALLOCATOR, reads())
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WAITING)
-                .childOption(ChannelOption.SO_SNDBUF, SOCKET)
-                .childOption(ChannelOption.SO_RCVBUF, SOCKET);
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WAITING);
+    }
+
+    /** What the kernel holds. Not by the transport's own options: a connection whose option can't be set is closed by it. */
+    static Sockets.Connection sized(Sockets.Connection connection) {
+        connection.options().set(StandardSocketOptions.SO_SNDBUF, SOCKET);
+        connection.options().set(StandardSocketOptions.SO_RCVBUF, SOCKET);
+        return connection;
     }
 
     private static AdaptiveRecvByteBufAllocator reads() {
