Sockets: a read that fails for a moment is tried again, and ends no connection

The client's end can't be seen meanwhile, so after 80 ms no attempt begins any more for what was read whole. A read that brought nothing no longer ends an upstream's resting connection as one that nobody asked for.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -654,6 +654,15 @@
         channel.close();
     }
 
+    /** While reads fail the client's end can't be seen: no attempt begins any more for what has been read whole. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == Sockets.ReadsFail.FOR_LONG && current != null && current.body.whole()) {
+            requests.unwatched(current);
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         for (Arrival a; (a = ahead.poll()) != null; ) {
--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -15,7 +15,7 @@
     /** Bytes of one connection that wait for the decoder; over all connections they come out of the {@link Budget}. */
     static final int MOST_KEPT = 64 * 1024;
     /** An attempt may begin 100 ms after its client's end; that is not seen while nothing is read. */
-    private static final long UNWATCHED_MS = 80;
+    static final long UNWATCHED_MS = 80;
     /** What lies in the kernel is read without such a gap. */
     private static final long PAUSE_US = 5_000;
 
--- a/src/main/java/rushproxy/sidecar/Sockets.java
+++ b/src/main/java/rushproxy/sidecar/Sockets.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.internal.SocketUtils;
@@ -11,10 +12,12 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Socket channels to which an interrupted call is no end. The JDK returns a negative number other than -1 for a read that a
- * signal interrupted (EINTR); Netty takes every negative number for the peer's end of the connection.
+ * Socket channels to which only the peer's end is an end: any other error of a call is this machine's own, and the call is tried
+ * again ({@link SocketErrors}). Netty closes a connection at each error of a read or write. The JDK returns a negative number other
+ * than -1 for a read that a signal interrupted (EINTR); Netty takes every negative number for the peer's end of the connection.
  */
 final class Sockets {
     private Sockets() {}
@@ -25,6 +28,10 @@
 
         private final ConnectionHistory history = new ConnectionHistory();
         private final SocketOptions options = new SocketOptions(javaChannel());
+        private final FailureSpell reads = new FailureSpell(System::nanoTime);
+        /** Not asked for readiness until the next try. */
+        private boolean readPaused;
+        private boolean toldUnwatched;
 
         Connection() {
             options.set(StandardSocketOptions.TCP_NODELAY, true);
@@ -41,8 +48,12 @@
 
         @Override
         protected void doBeginRead() throws Exception {
-            super.doBeginRead();
             options.tryAgainOn(eventLoop());
+            if (readPaused) {
+                setReadPending(true);
+            } else {
+                super.doBeginRead();
+            }
         }
 
         ConnectionHistory history() {
@@ -56,8 +67,14 @@
                 n = super.doReadBytes(to);
             } catch (IOException e) {
                 history.failed(ConnectionHistory.Call.READ, e);
-                throw e;
+                if (!reads.mayTryAgain(e)) {
+                    throw e;
+                }
+                readAgainLater();
+                return 0;
             }
+            reads.over();
+            toldUnwatched = false;
             if (n > 0) {
                 history.read(n);
             } else if (n == END) {
@@ -67,6 +84,24 @@
             return n < END ? 0 : n;
         }
 
+        /** The socket may stay readable all the while: until the next try it is not asked for. */
+        private void readAgainLater() {
+            readPaused = true;
+            removeAndSubmit(NioIoOps.READ);
+            eventLoop().schedule(this::readAgain, FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
+            if (reads.lastsMs() >= ClientInput.UNWATCHED_MS && !toldUnwatched) {
+                toldUnwatched = true;
+                pipeline().fireUserEventTriggered(ReadsFail.FOR_LONG);
+            }
+        }
+
+        private void readAgain() {
+            readPaused = false;
+            if (isActive() && (config().isAutoRead() || isReadPending())) {
+                read();
+            }
+        }
+
         @Override
         protected void doWrite(ChannelOutboundBuffer out) throws Exception {
             try {
@@ -78,6 +113,9 @@
         }
     }
 
+    /** Told to a connection's handlers where it could not be read for so long that its peer may have gone unseen. */
+    enum ReadsFail { FOR_LONG }
+
     /** A listener whose connections are {@link Connection}s. */
     static final class Listener extends NioServerSocketChannel {
         Listener() {
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -55,6 +55,8 @@
     private boolean whole;
     private boolean interim;
     private boolean gaveUp;
+    /** Bytes read of the connection when it was last looked at. */
+    private long readBefore;
     private Future<?> timer;
     /** Of the answer that is being read; null between answers. */
     private AnswerProgress progress;
@@ -254,8 +256,12 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        long read = ((Sockets.Connection) ctx.channel()).history().readBytes();
+        boolean any = read > readBefore;
+        readBefore = read;
         if (!whole) {
-            if (call == null) {
+            // A read that failed for a moment brought nothing.
+            if (call == null && any) {
                 close(ctx, CloseReason.NOT_ASKED_FOR);
             }
             return;
