Sockets: a write that fails for a moment is tried again, and ends no connection

Change: a failed write is tried again every 3 ms by the rule of reads. As long as no byte of an attempt has left, its list, module and guard are asked again before each try, for 50 ms at most; then, or when its client leaves, it is withdrawn as not sent. Once a byte has left, an attempt ends by its deadline as before: 'could not connect' without its last byte written, 'may have run' with it.

--- a/src/main/java/rushproxy/sidecar/Sockets.java
+++ b/src/main/java/rushproxy/sidecar/Sockets.java
@@ -13,6 +13,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Socket channels to which only the peer's end is an end: any other error of a call is this machine's own, and the call is tried
@@ -32,6 +33,10 @@
         /** Not asked for readiness until the next try. */
         private boolean readPaused;
         private boolean toldUnwatched;
+        private final FailureSpell writes = new FailureSpell(System::nanoTime);
+        private boolean writePaused;
+        /** Asked before a failed write is tried again, as long as no byte of what it writes has left; null where nobody asks. */
+        private BooleanSupplier mayBegin;
 
         Connection() {
             options.set(StandardSocketOptions.TCP_NODELAY, true);
@@ -102,13 +107,51 @@
             }
         }
 
+        /**
+         * {@code now} is asked before each further try of a write of which no byte has left: false, and it is not tried. It is
+         * forgotten with the first byte.
+         */
+        void beginsIf(BooleanSupplier now) {
+            mayBegin = now;
+        }
+
+        /** Whether such a write has not begun to leave. */
+        boolean waitsToBegin() {
+            return mayBegin != null;
+        }
+
         @Override
         protected void doWrite(ChannelOutboundBuffer out) throws Exception {
+            long pendingBefore = out.totalPendingWriteBytes();
             try {
                 super.doWrite(out);
+                writes.over();
             } catch (IOException e) {
                 history.failed(ConnectionHistory.Call.WRITE, e);
-                throw e;
+                if (!writes.mayTryAgain(e)) {
+                    throw e;
+                }
+                writeAgainLater();
+            } finally {
+                if (out.isEmpty() || out.currentProgress() > 0 || out.totalPendingWriteBytes() < pendingBefore) {
+                    mayBegin = null;
+                }
+            }
+        }
+
+        /** The socket may stay writable all the while: until the next try it is not asked for. */
+        private void writeAgainLater() {
+            clearOpWrite();
+            if (!writePaused) {
+                writePaused = true;
+                eventLoop().schedule(this::writeAgain, FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void writeAgain() {
+            writePaused = false;
+            if (isOpen() && (mayBegin == null || mayBegin.getAsBoolean())) {
+                unsafe().forceFlush();
             }
         }
     }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -39,6 +39,8 @@
      */
     static final long REST_US = 6_000;
     private static final long SWEEP_MS = 1_000;
+    /** A first byte that can't be written for so long is not written any more: its message tells a time that runs on. */
+    private static final long MOST_FIRST_BYTE_US = 50_000;
 
     /** What a call brings. */
     interface Result {
@@ -88,6 +90,7 @@
         private boolean awaitsRest;
         /** Its first byte has been handed to a connection. */
         private boolean started;
+        private long startedUs;
         private boolean written;
         private boolean ended;
         private boolean mayHaveRun;
@@ -128,6 +131,11 @@
             started = true;
         }
 
+        /** Whether a byte of it has left: the write of the first one may be failing for a moment. */
+        private boolean hasLeft() {
+            return started && !((Sockets.Connection) channel).waitsToBegin();
+        }
+
         /** Whether its upstream may work on it, or has. */
         boolean mayRun() {
             return started && !neverRan();
@@ -201,7 +209,7 @@
 
         /** Nobody wants its answer any more: what has not begun to be sent is not sent. */
         void withdraw() {
-            if (!started && !ended) {
+            if (!ended && !hasLeft()) {
                 // Told first: the end of a connection that is still coming up would be told as the upstream's failure.
                 end(Outcome.NOT_SENT, null, null);
                 if (channel != null) {
@@ -509,6 +517,8 @@
             return;
         }
         call.startsNow();
+        call.startedUs = clock.now();
+        ((Sockets.Connection) call.channel).beginsIf(() -> stillBegins(call));
         HttpRequest head = call.message.apply(call.untilUs - clock.now());
         head.headers().set(HttpHeaderNames.HOST, "api.internal");
         connection(call.channel).begin(call, this::release);
@@ -541,6 +551,18 @@
         });
     }
 
+    /** Its first byte could not be written for a moment: what was asked before it is asked again, and the time that it tells is old. */
+    private boolean stillBegins(Call call) {
+        if (call.ended) {
+            return false;
+        }
+        if (clock.now() - call.startedUs < MOST_FIRST_BYTE_US && mayBegin(call) && call.result.mayBegin(call)) {
+            return true;
+        }
+        call.withdraw();
+        return false;
+    }
+
     private void release(Call call, Channel channel) {
         if (mayBegin(call) && call.written) {
             connection(channel).idleSinceUs = clock.now();
