Sockets: an interest that could not be registered is registered anew

Change: RegistrationRetry withdraws and restores a channel's interest after 15, 30, 60, 120, 240 and 480 ms, until its readiness is told; for connections of both sides, their dials and listeners. Netty's remaking of the selector is off.

--- a/src/main/java/rushproxy/sidecar/SocketLook.java
+++ b/src/main/java/rushproxy/sidecar/SocketLook.java
@@ -22,6 +22,12 @@
      */
     static final long FRESH_US = 30_000;
 
+    static {
+        // Where a change of a registration fails the selector wakes for nothing until it is made anew (RegistrationRetry, 15 ms). Netty
+        // would rather register everything with another selector, and where that fails for some nobody would know which.
+        System.setProperty("io.netty.selectorAutoRebuildThreshold", "0");
+    }
+
     /** When the last look at the sockets was over. */
     private long lookedNanos = System.nanoTime();
     /** For how long nobody had looked before it. */
--- a/src/main/java/rushproxy/sidecar/Sockets.java
+++ b/src/main/java/rushproxy/sidecar/Sockets.java
@@ -3,12 +3,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.internal.SocketUtils;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
@@ -23,6 +25,10 @@
 final class Sockets {
     private Sockets() {}
 
+    private static int interestOps(SelectionKey key) {
+        return key != null && key.isValid() ? key.interestOps() : 0;
+    }
+
     /** A connection, opened or accepted. */
     static final class Connection extends NioSocketChannel {
         private static final int END = -1;
@@ -33,6 +39,7 @@
         /** Not asked for readiness until the next try. */
         private boolean readPaused;
         private boolean toldUnwatched;
+        private final RegistrationRetry registration = new RegistrationRetry(new KeyInterest());
         private final FailureSpell writes = new FailureSpell(System::nanoTime);
         private boolean writePaused;
         /** Asked before a failed write is tried again, as long as no byte of what it writes has left; null where nobody asks. */
@@ -82,6 +89,9 @@
             toldUnwatched = false;
             if (n > 0) {
                 history.read(n);
+                if (interestOps() == SelectionKey.OP_READ) {
+                    registration.proven();
+                }
             } else if (n == END) {
                 history.peerEnded();
             }
@@ -89,6 +99,58 @@
             return n < END ? 0 : n;
         }
 
+        @Override
+        protected void addAndSubmit(NioIoOps ops) {
+            int before = interestOps();
+            super.addAndSubmit(ops);
+            tellChange(before);
+        }
+
+        @Override
+        protected void removeAndSubmit(NioIoOps ops) {
+            int before = interestOps();
+            super.removeAndSubmit(ops);
+            tellChange(before);
+        }
+
+        private void tellChange(int before) {
+            int now = interestOps();
+            if (now != before && now != 0) {
+                registration.changed();
+            }
+        }
+
+        private int interestOps() {
+            return Sockets.interestOps(isRegistered() ? selectionKey() : null);
+        }
+
+        /** This connection's interest, for the retries of its registration. */
+        private final class KeyInterest implements RegistrationRetry.Interest {
+            @Override
+            public int now() {
+                return interestOps();
+            }
+
+            @Override
+            public void withdraw() {
+                removeAndSubmit(NioIoOps.valueOf(interestOps()));
+            }
+
+            @Override
+            public void restore(int ops) {
+                boolean reads = !readPaused && (config().isAutoRead() || isReadPending());
+                int wanted = (ops & SelectionKey.OP_READ) != 0 && !reads ? ops & ~SelectionKey.OP_READ : ops;
+                if (isOpen() && isRegistered() && wanted != 0) {
+                    addAndSubmit(NioIoOps.valueOf(wanted));
+                }
+            }
+
+            @Override
+            public EventLoop loop() {
+                return eventLoop();
+            }
+        }
+
         /** The socket may stay readable all the while: until the next try it is not asked for. */
         private void readAgainLater() {
             readPaused = true;
@@ -161,6 +223,8 @@
 
     /** A listener whose connections are {@link Connection}s. */
     static final class Listener extends NioServerSocketChannel {
+        private final RegistrationRetry registration = new RegistrationRetry(new KeyInterest());
+
         Listener() {
         }
 
@@ -168,8 +232,46 @@
             super(socket);
         }
 
+        @Override
+        protected void addAndSubmit(NioIoOps ops) {
+            int before = interestOps();
+            super.addAndSubmit(ops);
+            if (interestOps() != before) {
+                registration.changed();
+            }
+        }
+
+        private int interestOps() {
+            return Sockets.interestOps(isRegistered() ? selectionKey() : null);
+        }
+
+        private final class KeyInterest implements RegistrationRetry.Interest {
+            @Override
+            public int now() {
+                return interestOps();
+            }
+
+            @Override
+            public void withdraw() {
+                removeAndSubmit(NioIoOps.ACCEPT);
+            }
+
+            @Override
+            public void restore(int ops) {
+                if (isOpen() && isRegistered() && config().isAutoRead()) {
+                    addAndSubmit(NioIoOps.ACCEPT);
+                }
+            }
+
+            @Override
+            public EventLoop loop() {
+                return eventLoop();
+            }
+        }
+
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
+            registration.proven();
             SocketChannel socket = SocketUtils.accept(javaChannel());
             if (socket == null) {
                 return 0;
