Clients: a connection is closed for others only when it has been read and brings nothing

Found beside it: where all are busy nobody made room later, so new connections waited in the kernel's queue until one closed by itself. Change: what has brought a request goes first, what is younger than 200 ms never; before a quiet connection goes its socket is read once more. RequestGuard has a rule for it, counted (CLOSED_YOUNG).

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -46,6 +46,8 @@
     private static final long UNREAD_US = 20_000_000;
     /** As the socket was: its close waits for nothing, and what is written still leaves. */
     private static final int NO_LINGER = -1;
+    /** A client sends its first request as soon as its connection is up. */
+    private static final long YOUNG_US = 200_000;
     /** What the client has been given of an answer that broke off waits for the client to take it so long. */
     private static final long BROKEN_US = 1_000_000;
 
@@ -545,6 +547,16 @@
         return !busy && ahead.isEmpty() && readingSinceUs == 0 && !lingers;
     }
 
+    /** It has brought no request yet, and is so new that its first one may be on its way. */
+    boolean isYoung() {
+        return !proven && clock.now() - openedUs < YOUNG_US;
+    }
+
+    /** Whether a whole request has come on it. */
+    boolean isProven() {
+        return proven;
+    }
+
     /** A whole request has come, and its answer is not wholly with the kernel yet. */
     boolean owes() {
         return busy && !receiving && !lingers;
@@ -556,14 +568,39 @@
 
     /** Half a request is waited for as long as its client may still wait for the answer, not for ever. True where it closes. */
     boolean closeIfQuiet(long sinceUs, long halfSinceUs, CloseReason reason) {
-        boolean untaken = !busy || receiving && current == null && !answered;
-        boolean closes = activeUs < (quiet() ? sinceUs : halfSinceUs) && untaken && ahead.isEmpty() && !lingers;
+        if (!isQuietSince(sinceUs, halfSinceUs) || isYoung()) {
+            return false;
+        }
+        channel.readNow();
+        boolean closes = isQuietSince(sinceUs, halfSinceUs) && channel.isActive();
         if (closes) {
             end(reason);
         }
         return closes;
     }
 
+    private boolean isQuietSince(long sinceUs, long halfSinceUs) {
+        boolean untaken = !busy || receiving && current == null && !answered;
+        return activeUs < (quiet() ? sinceUs : halfSinceUs) && untaken && ahead.isEmpty() && !lingers;
+    }
+
+    /** Gives its descriptor back at once, unless a request lies in its socket. True where it is closed by now. */
+    boolean closeUnlessItBrings(CloseReason reason) {
+        channel.readNow();
+        if (channel.isActive() && quiet()) {
+            close(reason);
+        }
+        return !channel.isOpen();
+    }
+
+    /** Ends it, unless a request lies in its socket or is owed its answer. */
+    void endUnlessItBrings(CloseReason reason) {
+        channel.readNow();
+        if (!owes()) {
+            end(reason);
+        }
+    }
+
     /**
      * A head is waited for from its first byte, not the last: a peer that sends byte by byte is no better than a silent
      * one. A new peer's wait begins with its connection.
@@ -647,7 +684,7 @@
 
     /** Gives its descriptor back at once. */
     void close(CloseReason reason) {
-        if (answersFirst(reason)) {
+        if (answersFirst(reason) || !guard.mayClose(isYoung(), reason)) {
             return;
         }
         RequestLog.closes(channel, reason);
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -55,6 +56,8 @@
     private static final long DRAIN_ALL_US = 1_600_000;
     private static final long DRAIN_DUE_US = 3_700_000;
     private static final long DRAIN_CLOSED_US = 3_900_000;
+    /** So many quiet connections are read once more, in search of one that brings nothing. */
+    private static final int MOST_LOOKED_AT = 3;
     /** At most this part of the clients' connections may be waiting for their clients' end. */
     private static final int LINGERING_PART = 8;
 
@@ -100,6 +103,8 @@
     /** When the drain was asked for; 0 while there is none. */
     private long drainAtUs;
     private boolean drainLooked;
+    /** All places are taken and none could be freed: that is tried again soon. */
+    private boolean roomWanted;
 
     ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
                  IntSupplier maxConnections, Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines,
@@ -181,7 +186,7 @@
         ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, loopDelay, deadlines, guard);
         connections.add(connection);
         if (connections.size() >= maxConnections.getAsInt()) {
-            makeRoom(connection);
+            makeRoom();
         }
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
         // The listener as the connection knows it: the first one may come before the bind has been told here.
@@ -195,15 +200,41 @@
         channel.pipeline().addLast(connection.input(), new RequestDecoder(), new HttpResponseEncoder(), connection);
     }
 
-    /** One that only waits for its client's end goes, else one between requests: its client opens another where it needs one. */
-    private void makeRoom(ClientConnection goesIn) {
+    /**
+     * One that only waits for its client's end goes, else one between requests: its client opens another where it needs one. One that
+     * has not brought a request yet may be about to, and has no other to bring it on. Where none can go they are looked at again soon.
+     */
+    private void makeRoom() {
         ClientConnection lingers = lingering.poll();
         if (lingers != null) {
             lingers.close(CloseReason.ROOM_NEEDED);
             return;
         }
-        connections.stream().filter(c -> c != goesIn && c.quiet())
-                .min(Comparator.comparingLong(ClientConnection::activeUs)).ifPresent(c -> c.close(CloseReason.ROOM_NEEDED));
+        for (int i = 0; i < MOST_LOOKED_AT; i++) {
+            Optional<ClientConnection> quietest = quietest();
+            if (quietest.isEmpty()) {
+                break;
+            }
+            if (quietest.get().closeUnlessItBrings(CloseReason.ROOM_NEEDED)) {
+                return;
+            }
+        }
+        if (!roomWanted) {
+            roomWanted = true;
+            loop.schedule(this::makeRoomIfWanted, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void makeRoomIfWanted() {
+        roomWanted = false;
+        if (connections.size() >= maxConnections.getAsInt()) {
+            makeRoom();
+        }
+    }
+
+    private Optional<ClientConnection> quietest() {
+        return connections.stream().filter(c -> c.quiet() && !c.isYoung()).min(
+                Comparator.comparing(ClientConnection::isProven).reversed().thenComparingLong(ClientConnection::activeUs));
     }
 
     /** Its output has ended. No more than a few wait so at once, and none where its descriptor is wanted. */
@@ -245,6 +276,11 @@
         return unanswered.sinceLast();
     }
 
+    /** Those that are open now, in no order. */
+    Set<ClientConnection> connections() {
+        return Set.copyOf(connections);
+    }
+
     int open() {
         return connections.size();
     }
@@ -325,9 +361,7 @@
     private void endInputs() {
         closeOwnListener();
         for (ClientConnection c : Set.copyOf(connections)) {
-            if (!c.owes()) {
-                c.end(CloseReason.STOPPING);
-            }
+            c.endUnlessItBrings(CloseReason.STOPPING);
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/Invariants.java
+++ b/src/main/java/rushproxy/sidecar/Invariants.java
@@ -21,7 +21,9 @@
         /** More time was to be told to an upstream than the client has left. */
         TOLD_TOO_MUCH_TIME,
         /** A connection was to be closed with a whole request on it that has no answer. */
-        CLOSED_WITH_A_REQUEST
+        CLOSED_WITH_A_REQUEST,
+        /** A connection was to be closed for another's sake that has just come and has not been read. */
+        CLOSED_YOUNG
     }
 
     private final Map<Breach, Integer> counts = new EnumMap<>(Breach.class);
--- a/src/main/java/rushproxy/sidecar/RequestGuard.java
+++ b/src/main/java/rushproxy/sidecar/RequestGuard.java
@@ -109,6 +109,15 @@
         return leftUs;
     }
 
+    /** Whether a client's connection may be closed for others' sake: not while its first request may be on its way. */
+    boolean mayClose(boolean young, CloseReason reason) {
+        if (young && reason == CloseReason.ROOM_NEEDED) {
+            invariants.breached(Breach.CLOSED_YOUNG, "of a new connection", "was to lose it: " + reason.words());
+            return false;
+        }
+        return true;
+    }
+
     /** A connection was to be closed that holds this request, whole and unanswered. */
     void closesWith(String id, CloseReason reason) {
         invariants.breached(Breach.CLOSED_WITH_A_REQUEST, id, "was to lose its connection: " + reason.words());
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -339,10 +339,14 @@
         });
     }
 
-    private ClientServer clients() {
+    ClientServer clients() {
         return clients;
     }
 
+    Invariants invariants() {
+        return invariants;
+    }
+
     private String broken() {
         return invariants.total() == 0 ? "" : "; broken invariants " + invariants.counts();
     }
--- a/src/main/java/rushproxy/sidecar/Sockets.java
+++ b/src/main/java/rushproxy/sidecar/Sockets.java
@@ -151,6 +151,13 @@
             }
         }
 
+        /** Reads what lies in the socket by now, without waiting to be told of it; nothing where reading waits. */
+        void readNow() {
+            if (isActive() && isRegistered() && config().isAutoRead() && !readPaused) {
+                unsafe().read();
+            }
+        }
+
         /** The socket may stay readable all the while: until the next try it is not asked for. */
         private void readAgainLater() {
             readPaused = true;
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
@@ -0,0 +1,100 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import rushproxy.sidecar.Invariants.Breach;
+
+/** Whatever asks for a client's connection to be closed, what it carries gets an answer first. */
+@Timeout(60)
+class GuardedCloseTest {
+    private static ClientConnection only(Rig rig) {
+        return rig.sidecar.clients().connections().iterator().next();
+    }
+
+    private interface Work {
+        void on(ClientConnection connection);
+    }
+
+    private static void onLoop(Rig rig, Work work) throws Exception {
+        rig.sidecar.loop().submit(() -> work.on(only(rig))).get(20, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aRequestInHandIsAnsweredBeforeItsConnectionCloses() throws Exception {
+        for (CloseReason reason : new CloseReason[] {CloseReason.ROOM_NEEDED, CloseReason.STOPPING, CloseReason.DRAINING}) {
+            try (Rig rig = new Rig()) {
+                rig.upstream((m, line) -> { });
+                rig.start();
+                try (Peer.Client client = rig.client().send(Rig.get("a1", 20_000))) {
+                    rig.await("request a1");
+                    onLoop(rig, connection -> connection.close(reason));
+                    assertEquals(502, client.status(), reason.words());
+                    assertEquals(Map.of(Breach.CLOSED_WITH_A_REQUEST, 1), rig.sidecar.invariants().counts());
+                }
+            }
+        }
+    }
+
+    /** The same where the connection is to end in order. */
+    @Test
+    void aRequestInHandIsAnsweredBeforeItsConnectionEnds() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            try (Peer.Client client = rig.client().send(Rig.get("a1", 20_000))) {
+                rig.await("request a1");
+                onLoop(rig, connection -> connection.end(CloseReason.STOPPING));
+                assertEquals(502, client.status());
+            }
+        }
+    }
+
+    @Test
+    void aNewConnectionIsNotClosedForOthers() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "fine"));
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                while (rig.sidecar.loop().submit(() -> rig.sidecar.clients().open()).get(20, TimeUnit.SECONDS) == 0) {
+                    Thread.onSpinWait();
+                }
+                onLoop(rig, connection -> {
+                    if (connection.isYoung()) {
+                        connection.close(CloseReason.ROOM_NEEDED);
+                        assertEquals(Map.of(Breach.CLOSED_YOUNG, 1), rig.sidecar.invariants().counts());
+                    }
+                });
+                client.send(Rig.get("a1", 20_000));
+                assertEquals(200, client.status());
+            }
+        }
+    }
+
+    /** It has been quiet for long, and its request lies in the socket: it is read before it could be closed. */
+    @Test
+    void whatLiesUnreadOnAQuietConnectionIsReadBeforeItCloses() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "fine"));
+            rig.start();
+            try (Peer.Client client = rig.client().send(Rig.get("a1", 20_000))) {
+                assertEquals(200, client.status());
+                rig.holdUp(20, () -> {
+                    // Runs before the loop's next look at its sockets.
+                    rig.sidecar.loop().execute(() -> {
+                        boolean closed = only(rig).closeUnlessItBrings(CloseReason.ROOM_NEEDED);
+                        assertNotEquals(true, closed);
+                    });
+                    client.send(Rig.get("a2", 20_000));
+                });
+                assertEquals(200, client.status());
+                assertTrue(rig.sidecar.invariants().counts().isEmpty());
+            }
+        }
+    }
+}
