Sockets: a connection whose address can't be told is not closed within accept

Cause (H2): the runtime asks for an accepted socket's own address (getsockname) within accept and closes the socket where that fails, so its client is gone before Java's public interface has seen it. Change: AcceptCall makes the two steps apart, by parts of the runtime that the archive's manifest opens already, and tries the second one again every 3 ms; where they are not open the runtime's own call is used. Weighed and left: Netty's native epoll transport (202 KB of archive); its doReadBytes is final, so a read that fails for a moment would close the connection.

--- a/src/main/java/rushproxy/sidecar/Sockets.java
+++ b/src/main/java/rushproxy/sidecar/Sockets.java
@@ -7,12 +7,13 @@
 import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.internal.SocketUtils;
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -230,6 +231,9 @@
 
     /** A listener whose connections are {@link Connection}s. */
     static final class Listener extends NioServerSocketChannel {
+        /** Some second of tries. */
+        private static final int MOST_TRIES = 300;
+
         private final RegistrationRetry registration = new RegistrationRetry(new KeyInterest());
 
         Listener() {
@@ -279,18 +283,66 @@
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
             registration.proven();
-            SocketChannel socket = SocketUtils.accept(javaChannel());
-            if (socket == null) {
+            if (!AcceptCall.inTwoSteps()) {
+                SocketChannel socket = AcceptCall.inOne(javaChannel());
+                return socket == null ? 0 : add(accepted, socket);
+            }
+            AcceptCall.Accepted next = AcceptCall.next(javaChannel());
+            if (next == null) {
                 return 0;
             }
             try {
-                accepted.add(new Connection(this, socket));
-                return 1;
-            } catch (RuntimeException e) {
-                Log.trouble("an accepted connection can't be used", e);
-                socket.close();
+                return add(accepted, next.channel());
+            } catch (IOException e) {
+                eventLoop().schedule(() -> takeUp(next, 1), FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
                 return 0;
             }
         }
+
+        private int add(List<Object> accepted, SocketChannel socket) {
+            for (int tries = 1; ; tries++) {
+                try {
+                    socket.configureBlocking(false);
+                    accepted.add(new Connection(this, socket));
+                    return 1;
+                } catch (IOException | RuntimeException e) {
+                    if (tries == MOST_TRIES) {
+                        Log.trouble("an accepted connection can't be used", e);
+                        close(socket);
+                        return 0;
+                    }
+                }
+            }
+        }
+
+        /** The second step of an accept, which has failed for a moment. */
+        private void takeUp(AcceptCall.Accepted next, int tries) {
+            if (!isOpen()) {
+                close(next::close);
+                return;
+            }
+            List<Object> accepted = new ArrayList<>(1);
+            try {
+                add(accepted, next.channel());
+            } catch (IOException e) {
+                if (tries < MOST_TRIES) {
+                    eventLoop().schedule(() -> takeUp(next, tries + 1), FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
+                } else {
+                    Log.trouble("an accepted connection has no address", e);
+                    close(next::close);
+                }
+                return;
+            }
+            accepted.forEach(pipeline()::fireChannelRead);
+            pipeline().fireChannelReadComplete();
+        }
+
+        private static void close(Closeable accepted) {
+            try {
+                accepted.close();
+            } catch (IOException e) {
+                Log.trouble("an accepted connection can't be closed", e);
+            }
+        }
     }
 }
