--- a/src/main/java/rushproxy/lab/node/SystemFaults.java
+++ b/src/main/java/rushproxy/lab/node/SystemFaults.java
@@ -37,7 +37,9 @@
         /** A read of a socket: ENOMEM. */
         READ_FAILS,
         /** A write to a socket: ENOBUFS, ENOMEM. */
-        SEND_FAILS
+        SEND_FAILS,
+        /** {@code shutdown} of one side of a connection: ENOBUFS, ENOMEM. */
+        SHUTDOWN_FAILS
     }
 
     private final Path library;
--- a/src/main/resources/rushproxy/lab/faults.c
+++ b/src/main/resources/rushproxy/lab/faults.c
@@ -42,6 +42,7 @@
     int32_t register_fails; /* epoll_ctl that adds or changes */
     int32_t read_fails; /* of sockets, for want of memory */
     int32_t send_fails; /* a write to a socket, for want of buffers or memory */
+    int32_t shutdown_fails; /* of one side of a connection */
 };
 
 static volatile struct control *control;
@@ -158,6 +159,12 @@
     return chance(control->option_fails) ? fail(errors, 2) : real(fd, level, name, value, n);
 }
 
+int shutdown(int fd, int how) {
+    static const int errors[] = {ENOBUFS, ENOMEM};
+    REAL(shutdown);
+    return chance(control->shutdown_fails) ? fail(errors, 2) : real(fd, how);
+}
+
 int getsockname(int fd, struct sockaddr *a, socklen_t *n) {
     static const int errors[] = {ENOBUFS};
     REAL(getsockname);
--- a/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
+++ b/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,6 +34,9 @@
     private static final int SERVERS = 4;
     private static final int CLIENTS = 8;
     private static final int REQUESTS_EACH = 50;
+    /** For calls of which each request makes few. */
+    private static final double OFTEN = 0.3;
+    private static final int STARTS = 4;
     private static final long REMAINING_MS = 800;
     /** What a client waits beyond its time before it counts an answer as missing. */
     private static final int SLACK_MS = 70;
@@ -46,7 +52,7 @@
     private SystemFaults faults;
 
     @BeforeEach
-    void start() throws Exception {
+    void prepare() throws Exception {
         discovery = new Peer((message, line) -> { });
         Optional<Path> library = SystemFaults.compile(folder.resolve("library"));
         Assumptions.assumeTrue(library.isPresent(), "no C compiler on this machine");
@@ -57,6 +63,9 @@
                 line.answer("200 OK", "", m.header("X-Txn"));
             }));
         }
+    }
+
+    private void start() throws Exception {
         sidecar = SidecarProcess.start(folder, discovery, servers, faults.environment());
     }
 
@@ -76,6 +85,7 @@
     @EnumSource(names = {"ACCEPT_FAILS", "OPTION_FAILS", "NAME_FAILS", "REGISTER_FAILS", "READ_FAILS", "SEND_FAILS", "READ_SHORT",
         "WRITE_SHORT"})
     void newConnectionsAreAnswered(Call call) throws Exception {
+        start();
         faults.set(call, CHANCE);
         play(client -> {
             for (int i = 0; i < REQUESTS_EACH; i++) {
@@ -91,6 +101,7 @@
     @ParameterizedTest
     @EnumSource(names = {"OPTION_FAILS", "NAME_FAILS", "REGISTER_FAILS", "READ_FAILS", "SEND_FAILS"})
     void connectionsThatStayOpenAreAnswered(Call call) throws Exception {
+        start();
         faults.set(call, CHANCE);
         play(client -> {
             try (Peer.Client connection = sidecar.client()) {
@@ -102,6 +113,159 @@
         check(call);
     }
 
+    /** A process that starts while calls fail is ready all the same. */
+    @ParameterizedTest
+    @EnumSource(names = {"SOCKET_FAILS", "OPTION_FAILS", "NAME_FAILS", "REGISTER_FAILS"})
+    void aProcessStarts(Call call) throws Exception {
+        for (int i = 0; i < STARTS; i++) {
+            faults.set(call, OFTEN);
+            start();
+            faults.clear();
+            try (Peer.Client connection = sidecar.client()) {
+                request(connection, id(0, i));
+            }
+            assertEquals(List.of(), List.copyOf(wrong));
+            sidecar.close();
+        }
+    }
+
+    /** A connection to a server that this machine can't open for a moment is no fault of the server's. */
+    @ParameterizedTest
+    @EnumSource(names = {"CONNECT_FAILS", "SOCKET_FAILS", "NAME_FAILS"})
+    void whatCanNotBeDialledForAMomentIsDialledAgain(Call call) throws Exception {
+        start();
+        for (Peer server : servers) {
+            server.script = (m, line) -> {
+                line.answer("200 OK", "Connection: close\r\n", m.header("X-Txn"));
+                line.socket().close();
+            };
+        }
+        faults.set(call, OFTEN);
+        List<String> failed = new ArrayList<>();
+        try (Peer.Client connection = sidecar.client()) {
+            for (int i = 0; i < REQUESTS_EACH; i++) {
+                connection.send(SidecarProcess.get(id(0, i), "unsafe", REMAINING_MS));
+                int status = connection.status();
+                if (status != 200) {
+                    failed.add(i + ": " + status);
+                }
+            }
+        }
+        faults.clear();
+        assertEquals(List.of(), failed);
+    }
+
+    /** The end of such an answer is the end of its connection. */
+    @Test
+    void theEndOfAnAnswerIsToldInTime() throws Exception {
+        start();
+        for (Peer server : servers) {
+            server.script = (m, line) -> {
+                line.raw("HTTP/1.1 200 OK\r\n\r\nwhole");
+                line.socket().close();
+            };
+        }
+        faults.set(Call.SHUTDOWN_FAILS, OFTEN);
+        List<String> late = new ArrayList<>();
+        for (int i = 0; i < REQUESTS_EACH; i++) {
+            try (Peer.Client connection = sidecar.client()) {
+                connection.socket.setSoTimeout((int) REMAINING_MS);
+                connection.send(SidecarProcess.request("GET", "1.0", id(0, i), "safe", REMAINING_MS));
+                if (!connection.rest().endsWith("whole")) {
+                    late.add(i + " was not whole");
+                }
+            } catch (SocketTimeoutException e) {
+                late.add(i + " has no end");
+            }
+        }
+        faults.clear();
+        assertEquals(List.of(), late);
+    }
+
+    /** An answer that breaks off half way is never taken for a whole one. */
+    @Test
+    void aBrokenAnswerIsRecognised() throws Exception {
+        start();
+        for (Peer server : servers) {
+            server.script = (m, line) -> {
+                line.raw("HTTP/1.1 200 OK\r\n\r\nhalf");
+                pause();
+                line.raw("more");
+                pause();
+                line.reset();
+            };
+        }
+        faults.set(Call.OPTION_FAILS, OFTEN);
+        List<String> whole = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            try (Peer.Client connection = sidecar.client()) {
+                connection.send(SidecarProcess.request("GET", "1.0", id(0, i), "unsafe", REMAINING_MS));
+                String text = connection.rest();
+                if (text.startsWith("HTTP/1.1 200")) {
+                    whole.add(text);
+                }
+            } catch (SocketException e) {
+                // A reset, as it should be.
+            }
+        }
+        faults.clear();
+        assertEquals(List.of(), whole);
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(100);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Clients send on the connections they hold until the process ends. */
+    @ParameterizedTest
+    @EnumSource(names = {"READ_FAILS", "SEND_FAILS", "REGISTER_FAILS", "SHUTDOWN_FAILS", "OPTION_FAILS"})
+    void aStopLosesNothing(Call call) throws Exception {
+        start();
+        faults.set(call, CHANCE);
+        Thread signal = new Thread(() -> {
+            pause();
+            try {
+                sidecar.signal("TERM");
+                pause();
+                sidecar.signal("TERM");
+            } catch (Exception e) {
+                wrong.add("the signal: " + e);
+            }
+        });
+        signal.start();
+        play(client -> {
+            try (Peer.Client connection = sidecar.client()) {
+                for (int i = 0; ; i++) {
+                    if (!requestUntilClosed(connection, id(client, i))) {
+                        return;
+                    }
+                }
+            }
+        });
+        signal.join();
+        check(call);
+    }
+
+    /** False where the connection had ended between requests, or ends after this answer. */
+    private boolean requestUntilClosed(Peer.Client connection, String id) throws IOException {
+        connection.socket.setSoTimeout((int) REMAINING_MS + SLACK_MS);
+        try {
+            connection.send(SidecarProcess.get(id, id.startsWith("unsafe") ? "unsafe" : "safe", REMAINING_MS));
+            Peer.Message answer = connection.answer();
+            // An end between requests may cross one, which its client sends again elsewhere.
+            return answer != null && !"close".equalsIgnoreCase(answer.header("Connection"));
+        } catch (SocketTimeoutException e) {
+            wrong.add(id + " has no answer");
+            return false;
+        } catch (SocketException e) {
+            return false;
+        }
+    }
+
     private static String id(int client, int number) {
         return (number % 2 == 0 ? "unsafe" : "safe") + client + "-" + number;
     }
