Start: a socket or address that can't be had for a moment is asked for again

Cause: each error of opening a listener ended the process ('can't start'), as did one of asking for its address; a selector whose own wake-up could not be registered would have kept a start waiting for ever. Change: Listening binds again every 20 ms, for two seconds at most, but not where the address is taken; a timer runs during the start.

--- a/src/main/java/rushproxy/sidecar/AdminServer.java
+++ b/src/main/java/rushproxy/sidecar/AdminServer.java
@@ -79,7 +79,11 @@
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        Channel listener = new ServerBootstrap().group(loop).channelFactory(Sockets.Listener::new)
+        return (InetSocketAddress) Listening.at(this::accepting, address).localAddress();
+    }
+
+    private ServerBootstrap accepting() {
+        return new ServerBootstrap().group(loop).channelFactory(Sockets.Listener::new)
                 .option(ChannelOption.SO_BACKLOG, 128)
                 // A caller may end its side with its line and still read the answer.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -96,8 +100,7 @@
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(address).sync().channel();
-        return (InetSocketAddress) listener.localAddress();
+                });
     }
 
     private void accepted(Channel channel) {
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -123,7 +123,7 @@
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        listener = accepting().channelFactory(Sockets.Listener::new).bind(address).sync().channel();
+        listener = Listening.at(() -> accepting().channelFactory(Sockets.Listener::new), address);
         return (InetSocketAddress) listener.localAddress();
     }
 
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Listening.java
@@ -0,0 +1,31 @@
+package rushproxy.sidecar;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/** How this program begins to listen: a call that fails for a moment is no reason not to start. */
+final class Listening {
+    private static final long AGAIN_MS = 20;
+    /** Two seconds of tries, which a process that is replaced can wait for the one that takes its place. */
+    private static final int MOST_TRIES = 100;
+
+    private Listening() {}
+
+    /**
+     * Waits until it listens; not for the event loop's thread. Throws what the last try failed by. {@code bootstrap} makes one for each
+     * try, since a listener's handler belongs to one.
+     */
+    static Channel at(Supplier<ServerBootstrap> bootstrap, InetSocketAddress address) throws InterruptedException {
+        for (int tries = 1; ; tries++) {
+            ChannelFuture bound = bootstrap.get().bind(address).await();
+            if (bound.isSuccess() || tries == MOST_TRIES || bound.cause() instanceof BindException) {
+                return bound.sync().channel();
+            }
+            Thread.sleep(AGAIN_MS);
+        }
+    }
+}
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -206,6 +207,8 @@
     }
 
     void start() throws InterruptedException {
+        // Where the selector's own wake-up could not be registered, a loop without timers would never see what is handed to it.
+        Future<?> wakes = Recurring.every(loop, BEAT_MS, () -> { });
         upstreams.update(known);
         loop.submit(() -> decisions.start(actions -> {
             Balancer made = module.create(config, clock.now(), actions);
@@ -234,6 +237,7 @@
             administered = new AdminServer(loop, new Operators()).listen(config.admin());
         }
         Recurring.every(loop, BEAT_MS, this::beat);
+        wakes.cancel(false);
     }
 
     /** What makes the event loop late makes every answer late: too little of the core, a pause, or a fault here. */
