Dials: a connection that this machine can't open for a moment is opened again

Cause: each error of a dial counted as the server's ('could not connect'), and want of descriptors ended the attempt at once, so a request with one server left, or whose attempts were spent, was refused.

--- a/src/main/java/rushproxy/sidecar/SocketErrors.java
+++ b/src/main/java/rushproxy/sidecar/SocketErrors.java
@@ -1,6 +1,8 @@
 package rushproxy.sidecar;
 
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
 import java.net.SocketException;
 import java.nio.channels.ClosedChannelException;
 import java.util.Set;
@@ -17,6 +19,12 @@
 
     private SocketErrors() {}
 
+    /** Whether a connection could not be opened by the peer's doing or the network's, and not this machine's. */
+    static boolean isOfPeer(Throwable failedDial) {
+        return failedDial instanceof ConnectException || failedDial instanceof NoRouteToHostException
+                || failedDial instanceof ClosedChannelException || endsConnection(failedDial);
+    }
+
     /** Whether the call has failed since there is no connection any more, by the peer's doing or the network's. */
     static boolean endsConnection(Throwable error) {
         if (error instanceof ClosedChannelException) {
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -39,6 +39,8 @@
      */
     static final long REST_US = 6_000;
     private static final long SWEEP_MS = 1_000;
+    /** A connection that this machine fails to open is tried so often, a few milliseconds apart. */
+    private static final int MOST_DIALS = 12;
     /** A first byte that can't be written for so long is not written any more: its message tells a time that runs on. */
     private static final long MOST_FIRST_BYTE_US = 50_000;
 
@@ -86,6 +88,8 @@
         private Target target;
         private Channel channel;
         private Future<?> timeout;
+        /** Connections that this machine has failed to open for it. */
+        private int dials;
         /** It waits for its connection's rest to be over: its upstream has no part in that. */
         private boolean awaitsRest;
         /** Its first byte has been handed to a connection. */
@@ -463,24 +467,41 @@
             return;
         }
         connections++;
-        call.channel = Dialling.connect(bootstrap, loop, call.target.address, failure -> {
-            if (failure == null) {
-                call.channel.closeFuture().addListener(closed -> connections--);
-            } else {
-                connections--;
-            }
-            if (call.channel == null) {
-                // The want of descriptors is this process's own, and no fault of the upstream's.
-                call.end(Outcome.NOT_SENT, null, null);
-            } else if (call.ended) {
-                close(call.channel, CloseReason.CALL_ENDED_BEFORE);
-            } else if (failure != null) {
-                call.broke();
-            } else {
-                // What came while the connection did is looked at first: the client's end, or news of the list.
-                sockets.before(loop, () -> connected(call));
-            }
-        });
+        call.channel = Dialling.connect(bootstrap, loop, call.target.address, failure -> dialled(call, failure));
+    }
+
+    /** {@code failure} is null where the connection is up; it then counts until it is closed. */
+    private void dialled(Call call, Throwable failure) {
+        if (failure == null) {
+            call.channel.closeFuture().addListener(closed -> connections--);
+        } else {
+            connections--;
+        }
+        if (call.ended && call.channel != null) {
+            close(call.channel, CloseReason.CALL_ENDED_BEFORE);
+        } else if (!call.ended && failure != null) {
+            notConnected(call, failure);
+        } else if (!call.ended) {
+            // What came while the connection did is looked at first: the client's end, or news of the list.
+            sockets.before(loop, () -> connected(call));
+        }
+    }
+
+    /** What this machine fails, as for want of descriptors or ports, is tried again; it is no fault of the upstream's. */
+    private void notConnected(Call call, Throwable failure) {
+        if (SocketErrors.isOfPeer(failure)) {
+            call.broke();
+        } else if (++call.dials < MOST_DIALS) {
+            loop.schedule(() -> connectAgain(call), FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
+        } else {
+            call.end(Outcome.NOT_SENT, null, null);
+        }
+    }
+
+    private void connectAgain(Call call) {
+        if (!call.ended) {
+            connect(call);
+        }
     }
 
     private void connected(Call call) {
