--- a/src/main/java/rushproxy/sidecar/LingeringClose.java
+++ b/src/main/java/rushproxy/sidecar/LingeringClose.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
 
@@ -24,13 +23,17 @@
     private LingeringClose() {}
 
     /** Nothing may be waiting to be written. The socket is closed after {@code mostUs} at the latest. */
-    static void begin(SocketChannel channel, long mostUs) {
+    static void begin(Sockets.Connection channel, long mostUs) {
         if (!channel.isActive() || mostUs <= 0) {
             channel.close();
             return;
         }
         channel.pipeline().addFirst(new LingeringClose());
-        channel.shutdownOutput();
+        channel.shutdownOutput().addListener(ended -> {
+            if (!ended.isSuccess()) {
+                channel.endOutput();
+            }
+        });
         channel.config().setAutoRead(true);
         var end = channel.eventLoop().schedule(() -> {
             RequestLog.closes(channel, CloseReason.LINGERED);
--- a/src/main/java/rushproxy/sidecar/Sockets.java
+++ b/src/main/java/rushproxy/sidecar/Sockets.java
@@ -100,6 +100,20 @@
             return n < END ? 0 : n;
         }
 
+        /** Ends the output where the transport could not for a moment; it counts as ended there. Nothing may wait to be written. */
+        void endOutput() {
+            if (!isOpen()) {
+                return;
+            }
+            try {
+                javaChannel().shutdownOutput();
+            } catch (IOException e) {
+                if (!SocketErrors.endsConnection(e)) {
+                    eventLoop().schedule(this::endOutput, FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
+                }
+            }
+        }
+
         @Override
         protected void addAndSubmit(NioIoOps ops) {
             int before = interestOps();
