Clients: a handler that throws loses no request

Change: a request in hand is answered 502, half a request 500, and an answer on its way is written first; then the connection ends. A read for which no buffer can be had is closed by Netty itself and stays so.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -122,6 +122,10 @@
         activeUs = openedUs = clock.now();
     }
 
+    Sockets.Connection channel() {
+        return channel;
+    }
+
     /** Stands before the decoder. */
     ClientInput input() {
         return input;
@@ -712,15 +716,22 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        // A client that leaves, also within a request, is no fault.
-        if (!(cause instanceof IOException)) {
-            Log.trouble("a client's connection failed", cause);
+        if (cause instanceof IOException) {
+            // A client that leaves, also within a request, is no fault.
+            RequestLog.closes(channel, CloseReason.PEER_ENDED);
+            ctx.close();
+            return;
         }
-        boolean ofSocket = cause instanceof IOException;
-        if (!ofSocket) {
-            channel.history().failed(ConnectionHistory.Call.HANDLER, cause);
+        channel.history().failed(ConnectionHistory.Call.HANDLER, cause);
+        Log.trouble("a client's connection failed", cause);
+        if (busy && !answered && current == null) {
+            last = true;
+            reject(HttpResponseStatus.INTERNAL_SERVER_ERROR);
+        } else if (busy && answered && !written) {
+            // Its answer is on its way, and the connection ends behind it.
+            last = true;
+        } else {
+            close(CloseReason.FAILED);
         }
-        RequestLog.closes(channel, ofSocket ? CloseReason.PEER_ENDED : CloseReason.FAILED);
-        ctx.close();
     }
 }
--- a/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
@@ -76,6 +76,33 @@
         }
     }
 
+    /** A fault of this program, or want of memory, in a handler. */
+    @Test
+    void aHandlerThatThrowsLosesNoRequest() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            try (Peer.Client whole = rig.client().send(Rig.get("a1", 20_000))) {
+                rig.await("request a1");
+                onLoop(rig, connection -> connection.channel().pipeline().fireExceptionCaught(new IllegalStateException("as the test wants")));
+                assertEquals(502, whole.status(), "a request in hand");
+            }
+        }
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            try (Peer.Client half = rig.client().send("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: a2\r\nX-Lane: c\r\nX-Remaining-Ms: 20000\r\n"
+                    + "Content-Length: 9\r\n\r\nhalf")) {
+                while (rig.sidecar.loop().submit(() -> rig.sidecar.clients().connections().stream().noneMatch(c -> !c.quiet()))
+                        .get(20, TimeUnit.SECONDS)) {
+                    Thread.onSpinWait();
+                }
+                onLoop(rig, connection -> connection.channel().pipeline().fireExceptionCaught(new OutOfMemoryError("as the test wants")));
+                assertEquals(500, half.status(), "half a request");
+            }
+        }
+    }
+
     /** It has been quiet for long, and its request lies in the socket: it is read before it could be closed. */
     @Test
     void whatLiesUnreadOnAQuietConnectionIsReadBeforeItCloses() throws Exception {
