Sockets: connection, listener and retries of registrations each in a file of their own

Need: Sockets had grown to two channels and their repairs in 360 lines, the same interest bookkeeping in each. Change: TcpConnection, TcpListener; RegistrationRetry holds what was said twice. No behaviour is changed.

--- a/src/main/java/rushproxy/sidecar/AdminServer.java
+++ b/src/main/java/rushproxy/sidecar/AdminServer.java
@@ -83,7 +83,7 @@
     }
 
     private ServerBootstrap accepting() {
-        return new ServerBootstrap().group(loop).channelFactory(Sockets.Listener::new)
+        return new ServerBootstrap().group(loop).channelFactory(TcpListener::new)
                 .option(ChannelOption.SO_BACKLOG, 128)
                 // A caller may end its side with its line and still read the answer.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -51,7 +51,7 @@
     /** What the client has been given of an answer that broke off waits for the client to take it so long. */
     private static final long BROKEN_US = 1_000_000;
 
-    private final Sockets.Connection channel;
+    private final TcpConnection channel;
     private final Clock clock;
     private final Requests requests;
     private final Set<String> classes;
@@ -108,7 +108,7 @@
 
     private record Arrival(HttpObject part, long atUs) {}
 
-    ClientConnection(Sockets.Connection channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
+    ClientConnection(TcpConnection channel, Clock clock, Requests requests, Set<String> classes, ClientServer server,
                      Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines, RequestGuard guard) {
         this.channel = channel;
         this.clock = clock;
@@ -122,7 +122,7 @@
         activeUs = openedUs = clock.now();
     }
 
-    Sockets.Connection channel() {
+    TcpConnection channel() {
         return channel;
     }
 
@@ -698,7 +698,7 @@
     /** While reads fail the client's end can't be seen: no attempt begins any more for what has been read whole. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event == Sockets.ReadsFail.FOR_LONG && current != null && current.body.whole()) {
+        if (event == TcpConnection.ReadsFail.FOR_LONG && current != null && current.body.whole()) {
             requests.unwatched(current);
         }
         ctx.fireUserEventTriggered(event);
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -123,7 +123,7 @@
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        listener = Listening.at(() -> accepting().channelFactory(Sockets.Listener::new), address);
+        listener = Listening.at(() -> accepting().channelFactory(TcpListener::new), address);
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -133,7 +133,7 @@
             // A stop that came during the rehearsal has left them to the others.
             if (stopAtUs == 0) {
                 shared = true;
-                listener = accepting().channelFactory(() -> new Sockets.Listener(socket)).register().channel();
+                listener = accepting().channelFactory(() -> new TcpListener(socket)).register().channel();
             }
         }).sync();
     }
@@ -153,7 +153,7 @@
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelRead(ChannelHandlerContext ctx, Object accepted) {
-                        unanswered.watch(Window.sized((Sockets.Connection) accepted));
+                        unanswered.watch(Window.sized((TcpConnection) accepted));
                         ctx.fireChannelRead(accepted);
                     }
 
@@ -165,7 +165,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        accepted((Sockets.Connection) channel);
+                        accepted((TcpConnection) channel);
                     }
                 });
     }
@@ -180,7 +180,7 @@
         }
     }
 
-    private void accepted(Sockets.Connection channel) {
+    private void accepted(TcpConnection channel) {
         stuck = false;
         acceptedUs = clock.now();
         ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this, budget, loopDelay, deadlines, guard);
--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/sidecar/Dialling.java
@@ -20,13 +20,13 @@
     /** Each connection gets a handler of its own, which sees whole answers of at most {@code maxBody} bytes. */
     static Bootstrap whole(EventLoop loop, int connectMs, int maxBody, Supplier<ChannelHandler> handler) {
         return dialling(loop, connectMs, channel -> channel.pipeline().addLast(new HttpRequestEncoder(),
-                new AnswerDecoder(), new HttpObjectAggregator(maxBody), handler.get())).channelFactory(Sockets.Connection::new);
+                new AnswerDecoder(), new HttpObjectAggregator(maxBody), handler.get())).channelFactory(TcpConnection::new);
     }
 
     /** As {@link #whole}, but the handler sees each part of an answer as it comes. */
     static Bootstrap http(EventLoop loop, int connectMs, Supplier<ChannelHandler> handler) {
         return Window.on(dialling(loop, connectMs, channel -> channel.pipeline().addLast(new HttpRequestEncoder(),
-                new AnswerDecoder(), handler.get()))).channelFactory(() -> Window.sized(new Sockets.Connection()));
+                new AnswerDecoder(), handler.get()))).channelFactory(() -> Window.sized(new TcpConnection()));
     }
 
     /** How a connection came up, or did not: told once, on the loop. */
--- a/src/main/java/rushproxy/sidecar/LingeringClose.java
+++ b/src/main/java/rushproxy/sidecar/LingeringClose.java
@@ -23,7 +23,7 @@
     private LingeringClose() {}
 
     /** Nothing may be waiting to be written. The socket is closed after {@code mostUs} at the latest. */
-    static void begin(Sockets.Connection channel, long mostUs) {
+    static void begin(TcpConnection channel, long mostUs) {
         if (!channel.isActive() || mostUs <= 0) {
             channel.close();
             return;
--- a/src/main/java/rushproxy/sidecar/RegistrationRetry.java
+++ b/src/main/java/rushproxy/sidecar/RegistrationRetry.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import java.nio.channels.SelectionKey;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -17,31 +18,37 @@
     /** The selector has to see the interest gone before it comes back. */
     private static final long GONE_MS = 1;
 
-    /** A channel's interest, as the bits of its selection key. */
-    interface Interest {
-        /** 0 where it is interested in nothing or closed. */
-        int now();
+    /** A channel and its interest, as the bits of a selection key. */
+    interface Registered {
+        EventLoop eventLoop();
 
-        void withdraw();
+        /** 0 where it is interested in nothing, or closed. */
+        int interestOps();
 
-        /** What is still wanted of this interest. */
-        void restore(int ops);
+        void withdrawInterest();
 
-        EventLoop loop();
+        /** What is still wanted of this interest. */
+        void restoreInterest(int ops);
     }
 
-    private final Interest interest;
+    private final Registered channel;
     private Future<?> next;
     private int retries;
     private boolean retrying;
 
-    RegistrationRetry(Interest interest) {
-        this.interest = interest;
+    RegistrationRetry(Registered channel) {
+        this.channel = channel;
+    }
+
+    /** The interest of a key; 0 where there is none any more. */
+    static int interestOps(SelectionKey key) {
+        return key != null && key.isValid() ? key.interestOps() : 0;
     }
 
-    /** The channel's interest has changed; told also of changes made here, which count for nothing. */
-    void changed() {
-        if (!retrying) {
+    /** The channel's interest may have changed; {@code before} is what it was. Changes made here count for nothing. */
+    void changedFrom(int before) {
+        int now = channel.interestOps();
+        if (!retrying && now != before && now != 0) {
             retries = 0;
             schedule();
         }
@@ -57,17 +64,17 @@
 
     private void schedule() {
         proven();
-        next = interest.loop().schedule(this::retry, FIRST_MS << retries, TimeUnit.MILLISECONDS);
+        next = channel.eventLoop().schedule(this::retry, FIRST_MS << retries, TimeUnit.MILLISECONDS);
     }
 
     private void retry() {
         next = null;
-        int ops = interest.now();
+        int ops = channel.interestOps();
         if (ops == 0) {
             return;
         }
-        quietly(interest::withdraw);
-        interest.loop().schedule(() -> quietly(() -> interest.restore(ops)), GONE_MS, TimeUnit.MILLISECONDS);
+        quietly(channel::withdrawInterest);
+        channel.eventLoop().schedule(() -> quietly(() -> channel.restoreInterest(ops)), GONE_MS, TimeUnit.MILLISECONDS);
         if (++retries < MOST_RETRIES) {
             schedule();
         }
--- a/src/main/java/rushproxy/sidecar/RequestLog.java
+++ b/src/main/java/rushproxy/sidecar/RequestLog.java
@@ -66,7 +66,7 @@
     }
 
     static void closes(Channel channel, CloseReason reason) {
-        if (channel instanceof Sockets.Connection connection) {
+        if (channel instanceof TcpConnection connection) {
             connection.history().closes(reason);
         }
         if (Log.debugs()) {
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -0,0 +1,222 @@
+package rushproxy.sidecar;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.NioIoOps;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/**
+ * A TCP connection, opened or accepted, to which only the peer's end is an end: any other error of a call is this machine's own, and
+ * the call is tried again ({@link SocketErrors}). Netty closes a connection at each error of a read or write. The JDK returns a
+ * negative number other than -1 for a read that a signal interrupted (EINTR); Netty takes every negative number for the peer's end.
+ */
+final class TcpConnection extends NioSocketChannel implements RegistrationRetry.Registered {
+    /** Told to the handlers where it could not be read for so long that its peer may have gone unseen. */
+    enum ReadsFail { FOR_LONG }
+
+    private static final int END = -1;
+
+    private final ConnectionHistory history = new ConnectionHistory();
+    private final SocketOptions options = new SocketOptions(javaChannel());
+    private final RegistrationRetry registration = new RegistrationRetry(this);
+    private final FailureSpell reads = new FailureSpell(System::nanoTime);
+    /** Not asked for readiness to read until the next try. */
+    private boolean readPaused;
+    private boolean toldUnwatched;
+    private final FailureSpell writes = new FailureSpell(System::nanoTime);
+    private boolean writePaused;
+    /** Asked before a failed write is tried again, as long as no byte of what it writes has left; null where nobody asks. */
+    private BooleanSupplier mayBegin;
+
+    /** One that is to be opened. */
+    TcpConnection() {
+        options.set(StandardSocketOptions.TCP_NODELAY, true);
+    }
+
+    /** One that was accepted. */
+    TcpConnection(Channel parent, SocketChannel socket) {
+        super(parent, socket);
+        options.set(StandardSocketOptions.TCP_NODELAY, true);
+    }
+
+    SocketOptions options() {
+        return options;
+    }
+
+    ConnectionHistory history() {
+        return history;
+    }
+
+    // ---- reading
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        options.tryAgainOn(eventLoop());
+        if (readPaused) {
+            setReadPending(true);
+        } else {
+            super.doBeginRead();
+        }
+    }
+
+    @Override
+    protected int doReadBytes(ByteBuf to) throws Exception {
+        int n;
+        try {
+            n = super.doReadBytes(to);
+        } catch (IOException e) {
+            history.failed(ConnectionHistory.Call.READ, e);
+            if (!reads.mayTryAgain(e)) {
+                throw e;
+            }
+            readAgainLater();
+            return 0;
+        }
+        reads.over();
+        toldUnwatched = false;
+        if (n == END) {
+            history.peerEnded();
+        } else if (n > 0) {
+            history.read(n);
+            if (interestOps() == SelectionKey.OP_READ) {
+                registration.proven();
+            }
+        }
+        // After an interrupted read the socket stays readable, and the next turn of the loop reads it.
+        return n < END ? 0 : n;
+    }
+
+    /** Reads what lies in the socket by now, without waiting to be told of it; nothing where reading waits. */
+    void readNow() {
+        if (isActive() && isRegistered() && config().isAutoRead() && !readPaused) {
+            unsafe().read();
+        }
+    }
+
+    /** The socket may stay readable all the while: until the next try it is not asked for. */
+    private void readAgainLater() {
+        readPaused = true;
+        removeAndSubmit(NioIoOps.READ);
+        eventLoop().schedule(this::readAgain, FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
+        if (reads.lastsMs() >= ClientInput.UNWATCHED_MS && !toldUnwatched) {
+            toldUnwatched = true;
+            pipeline().fireUserEventTriggered(ReadsFail.FOR_LONG);
+        }
+    }
+
+    private void readAgain() {
+        readPaused = false;
+        if (isActive() && wantsRead()) {
+            read();
+        }
+    }
+
+    private boolean wantsRead() {
+        return !readPaused && (config().isAutoRead() || isReadPending());
+    }
+
+    // ---- writing
+
+    /**
+     * {@code now} is asked before each further try of a write of which no byte has left: false, and it is not tried. It is forgotten
+     * with the first byte.
+     */
+    void beginsIf(BooleanSupplier now) {
+        mayBegin = now;
+    }
+
+    /** Whether such a write has not begun to leave. */
+    boolean waitsToBegin() {
+        return mayBegin != null;
+    }
+
+    @Override
+    protected void doWrite(ChannelOutboundBuffer out) throws Exception {
+        long pendingBefore = out.totalPendingWriteBytes();
+        try {
+            super.doWrite(out);
+            writes.over();
+        } catch (IOException e) {
+            history.failed(ConnectionHistory.Call.WRITE, e);
+            if (!writes.mayTryAgain(e)) {
+                throw e;
+            }
+            writeAgainLater();
+        } finally {
+            if (out.isEmpty() || out.currentProgress() > 0 || out.totalPendingWriteBytes() < pendingBefore) {
+                mayBegin = null;
+            }
+        }
+    }
+
+    /** The socket may stay writable all the while: until the next try it is not asked for. */
+    private void writeAgainLater() {
+        clearOpWrite();
+        if (!writePaused) {
+            writePaused = true;
+            eventLoop().schedule(this::writeAgain, FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void writeAgain() {
+        writePaused = false;
+        if (isOpen() && (mayBegin == null || mayBegin.getAsBoolean())) {
+            unsafe().forceFlush();
+        }
+    }
+
+    /** Ends the output where the transport could not for a moment; it counts as ended there. Nothing may wait to be written. */
+    void endOutput() {
+        if (!isOpen()) {
+            return;
+        }
+        try {
+            javaChannel().shutdownOutput();
+        } catch (IOException e) {
+            if (!SocketErrors.endsConnection(e)) {
+                eventLoop().schedule(this::endOutput, FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    // ---- interest in readiness
+
+    @Override
+    protected void addAndSubmit(NioIoOps ops) {
+        int before = interestOps();
+        super.addAndSubmit(ops);
+        registration.changedFrom(before);
+    }
+
+    @Override
+    protected void removeAndSubmit(NioIoOps ops) {
+        int before = interestOps();
+        super.removeAndSubmit(ops);
+        registration.changedFrom(before);
+    }
+
+    @Override
+    public int interestOps() {
+        return isRegistered() ? RegistrationRetry.interestOps(selectionKey()) : 0;
+    }
+
+    @Override
+    public void withdrawInterest() {
+        removeAndSubmit(NioIoOps.valueOf(interestOps()));
+    }
+
+    @Override
+    public void restoreInterest(int ops) {
+        int wanted = wantsRead() ? ops : ops & ~SelectionKey.OP_READ;
+        if (isOpen() && isRegistered() && wanted != 0) {
+            addAndSubmit(NioIoOps.valueOf(wanted));
+        }
+    }
+}
--- a/src/main/java/rushproxy/sidecar/UnansweredConnections.java
+++ b/src/main/java/rushproxy/sidecar/UnansweredConnections.java
@@ -15,11 +15,11 @@
     private final Map<String, Integer> counts = new TreeMap<>();
 
     /** From its acceptance on, whether or not it is ever registered with the event loop. */
-    void watch(Sockets.Connection connection) {
+    void watch(TcpConnection connection) {
         connection.closeFuture().addListener(closed -> ended(connection));
     }
 
-    private void ended(Sockets.Connection connection) {
+    private void ended(TcpConnection connection) {
         ConnectionHistory history = connection.history();
         if (!history.endsUnanswered()) {
             return;
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -256,7 +256,7 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        long read = ((Sockets.Connection) ctx.channel()).history().readBytes();
+        long read = ((TcpConnection) ctx.channel()).history().readBytes();
         boolean any = read > readBefore;
         readBefore = read;
         if (!whole) {
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -137,7 +137,7 @@
 
         /** Whether a byte of it has left: the write of the first one may be failing for a moment. */
         private boolean hasLeft() {
-            return started && !((Sockets.Connection) channel).waitsToBegin();
+            return started && !((TcpConnection) channel).waitsToBegin();
         }
 
         /** Whether its upstream may work on it, or has. */
@@ -539,7 +539,7 @@
         }
         call.startsNow();
         call.startedUs = clock.now();
-        ((Sockets.Connection) call.channel).beginsIf(() -> stillBegins(call));
+        ((TcpConnection) call.channel).beginsIf(() -> stillBegins(call));
         HttpRequest head = call.message.apply(call.untilUs - clock.now());
         head.headers().set(HttpHeaderNames.HOST, "api.internal");
         connection(call.channel).begin(call, this::release);
--- a/src/main/java/rushproxy/sidecar/Window.java
+++ b/src/main/java/rushproxy/sidecar/Window.java
@@ -27,7 +27,7 @@
     }
 
     /** What the kernel holds. Not by the transport's own options: a connection whose option can't be set is closed by it. */
-    static Sockets.Connection sized(Sockets.Connection connection) {
+    static TcpConnection sized(TcpConnection connection) {
         connection.options().set(StandardSocketOptions.SO_SNDBUF, SOCKET);
         connection.options().set(StandardSocketOptions.SO_RCVBUF, SOCKET);
         return connection;
