Peers: a socket whose registration fails for a moment is registered anew

Cause: as for connections (the runtime drops epoll_ctl's error): the socket stays open and hears nobody for good. Change: RegistrationRetry, by the transport's autoRead, since its datagram channel can't be extended. No test fails an epoll_ctl of a peers' socket.

--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,8 @@
     private final InetSocketAddress all;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private volatile Channel channel;
+    /** Null until the socket is told to be bound. */
+    private RegistrationRetry registration;
     private boolean refused;
     /** Null where the fleet plane is off: then whatever comes is the module's. */
     private Fleet fleet;
@@ -72,6 +75,8 @@
     /** The transport closes a socket that fails to read for a moment: then another one takes its place. */
     private void heardOn(Channel now, EventLoop loop, InetSocketAddress address) {
         channel = now;
+        registration = new RegistrationRetry(new Registration(now, loop));
+        registration.changedFrom(0);
         now.closeFuture().addListener(closed -> {
             channel = null;
             if (!loop.isShuttingDown()) {
@@ -99,9 +104,30 @@
         }
     }
 
+    /** The socket's interest, as its transport lets it be changed: it can't be extended. */
+    private record Registration(Channel socket, EventLoop eventLoop) implements RegistrationRetry.Registered {
+        @Override
+        public int interestOps() {
+            return socket.isOpen() && socket.config().isAutoRead() ? SelectionKey.OP_READ : 0;
+        }
+
+        @Override
+        public void withdrawInterest() {
+            socket.config().setAutoRead(false);
+        }
+
+        @Override
+        public void restoreInterest(int ops) {
+            socket.config().setAutoRead(true);
+        }
+    }
+
     private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            if (registration != null) {
+                registration.proven();
+            }
             Integer number = numbers.get(packet.sender());
             if (number == null || packet.content().readableBytes() > MAX_BYTES) {
                 return;
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/RegistrationRetryTest.java
@@ -0,0 +1,103 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** An interest is registered anew until its readiness is told, and no more than a few times. */
+@Timeout(60)
+class RegistrationRetryTest {
+    private static final int READ = 1;
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+
+    @AfterEach
+    void end() {
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    /** A channel whose interest is as told; all on its loop. */
+    private final class Channel implements RegistrationRetry.Registered {
+        private final CountDownLatch restored;
+        private final RegistrationRetry retry = new RegistrationRetry(this);
+        private int ops;
+        private int withdrawn;
+        private int restores;
+
+        Channel(int restores) {
+            restored = new CountDownLatch(restores);
+        }
+
+        void interested(int now) {
+            int before = ops;
+            ops = now;
+            retry.changedFrom(before);
+        }
+
+        @Override
+        public EventLoop eventLoop() {
+            return loop;
+        }
+
+        @Override
+        public int interestOps() {
+            return ops;
+        }
+
+        @Override
+        public void withdrawInterest() {
+            withdrawn++;
+            interested(0);
+        }
+
+        @Override
+        public void restoreInterest(int now) {
+            restores++;
+            interested(now);
+            restored.countDown();
+        }
+    }
+
+    @Test
+    void anInterestIsRegisteredAnewSomeTimes() throws Exception {
+        Channel channel = new Channel(6);
+        loop.execute(() -> channel.interested(READ));
+        assertTrue(channel.restored.await(30, TimeUnit.SECONDS));
+        // The retries of a retry would come within the first time again.
+        loop.schedule(() -> { }, 60, TimeUnit.MILLISECONDS).sync();
+        loop.submit(() -> {
+            assertEquals(6, channel.withdrawn);
+            assertEquals(6, channel.restores);
+            assertEquals(READ, channel.ops);
+        }).sync();
+    }
+
+    @Test
+    void readinessThatWasToldEndsIt() throws Exception {
+        Channel channel = new Channel(1);
+        loop.submit(() -> {
+            channel.interested(READ);
+            channel.retry.proven();
+        }).sync();
+        loop.schedule(() -> { }, 60, TimeUnit.MILLISECONDS).sync();
+        loop.submit(() -> assertEquals(0, channel.withdrawn)).sync();
+    }
+
+    @Test
+    void whatIsInterestedInNothingIsLeftAlone() throws Exception {
+        Channel channel = new Channel(1);
+        loop.submit(() -> {
+            channel.interested(READ);
+            channel.interested(0);
+        }).sync();
+        loop.schedule(() -> { }, 60, TimeUnit.MILLISECONDS).sync();
+        loop.submit(() -> assertEquals(0, channel.withdrawn)).sync();
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/SocketErrorsTest.java
@@ -0,0 +1,74 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
+import java.nio.channels.ClosedChannelException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What ends a connection is told apart from what this machine fails for a moment. */
+class SocketErrorsTest {
+    @ParameterizedTest
+    @ValueSource(strings = {"Connection reset by peer", "Broken pipe", "Connection timed out", "No route to host"})
+    void thePeersEndIsFinal(String words) {
+        assertTrue(SocketErrors.endsConnection(new IOException(words)));
+        assertFalse(new FailureSpell(() -> 0).mayTryAgain(new IOException(words)));
+    }
+
+    @Test
+    void whatTheRuntimeHasTypesForIsFinal() {
+        assertTrue(SocketErrors.endsConnection(new SocketException("Connection reset")));
+        assertTrue(SocketErrors.endsConnection(new ClosedChannelException()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Cannot allocate memory", "No buffer space available", "No space left on device", "Interrupted system call",
+        "Too many open files", "Input/output error", "an error of another system"})
+    void whateverElseIsForAMoment(String words) {
+        assertFalse(SocketErrors.endsConnection(new IOException(words)));
+        assertTrue(new FailureSpell(() -> 0).mayTryAgain(new IOException(words)));
+    }
+
+    @Test
+    void noErrorIsNoEnd() {
+        assertFalse(SocketErrors.endsConnection(null));
+        assertFalse(SocketErrors.endsConnection(new IOException()));
+        assertFalse(SocketErrors.endsConnection(new IllegalStateException("Broken pipe")));
+    }
+
+    @Test
+    void aDialIsFailedByThePeerOrByThisMachine() {
+        assertTrue(SocketErrors.isOfPeer(new ConnectException("Connection refused")));
+        assertTrue(SocketErrors.isOfPeer(new NoRouteToHostException("No route to host")));
+        assertFalse(SocketErrors.isOfPeer(new BindException("Cannot assign requested address")));
+        assertFalse(SocketErrors.isOfPeer(new SocketException("Network is unreachable")));
+        assertFalse(SocketErrors.isOfPeer(new SocketException("No buffer space available")));
+    }
+
+    @Test
+    void whatFailsWithoutABreakEnds() {
+        long[] now = {0};
+        FailureSpell spell = new FailureSpell(() -> now[0]);
+        IOException error = new IOException("Cannot allocate memory");
+        assertEquals(0, spell.lastsMs());
+        assertTrue(spell.mayTryAgain(error));
+        now[0] = TimeUnit.SECONDS.toNanos(19);
+        assertTrue(spell.mayTryAgain(error));
+        assertEquals(19_000, spell.lastsMs());
+        spell.over();
+        assertEquals(0, spell.lastsMs());
+        now[0] = TimeUnit.SECONDS.toNanos(30);
+        assertTrue(spell.mayTryAgain(error), "a new spell");
+        now[0] = TimeUnit.SECONDS.toNanos(51);
+        assertFalse(spell.mayTryAgain(error));
+    }
+}
