--- a/src/test/java/rushproxy/sidecar/CrowdTest.java
+++ b/src/test/java/rushproxy/sidecar/CrowdTest.java
@@ -77,6 +77,56 @@
         }
     }
 
+    /** It waited in the kernel's queue, with its client's end behind it: how long can't be known, so nothing is sent for it. */
+    @Test
+    void whoLeftBeforeItWasLetInIsSentNothingFor() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer upstream = rig.upstream((m, line) -> {
+                if (m.header("X-Txn").startsWith("warm")) {
+                    line.answer("200 OK", "", "fine");
+                }
+            });
+            rig.sockets = 48 + 2 * 16;
+            rig.start();
+            // As under load: the loop looks at its sockets all the time.
+            rig.sidecar.loop().scheduleAtFixedRate(() -> { }, 1, 1, TimeUnit.MILLISECONDS);
+            List<Peer.Client> clients = new ArrayList<>();
+            try {
+                for (int i = 0; i < 12; i++) {
+                    clients.add(rig.client());
+                }
+                // Connections to the upstream that rest: a call on one of them begins at once.
+                for (int i = 0; i < 12; i++) {
+                    clients.get(i).send(Rig.get("warm" + i, 20_000));
+                }
+                for (Peer.Client c : clients) {
+                    assertEquals(200, c.status());
+                }
+                for (int i = 0; i < 4; i++) {
+                    clients.add(rig.client().send(Rig.get("busy" + i, 20_000)));
+                    rig.await("request busy" + i);
+                }
+                for (int i = 0; i < 12; i++) {
+                    clients.get(i).send("GET /api HT");
+                }
+                for (int i = 0; i < 10; i++) {
+                    try (Peer.Client leaves = rig.client()) {
+                        leaves.send(Rig.get("left" + i, 20_000));
+                    }
+                }
+                Thread.sleep(150);
+                clients.get(12).close();
+                rig.await("request left9");
+                Thread.sleep(300);
+                assertEquals(List.of(), upstream.messages.stream().map(m -> m.header("X-Txn")).filter(id -> id.startsWith("left")).toList());
+            } finally {
+                for (Peer.Client c : clients) {
+                    c.close();
+                }
+            }
+        }
+    }
+
     /** Its time runs from the last byte: counted from the first it would be over before it has begun. */
     @Test
     void aHeadThatIsWrittenSlowlyHasItsWholeTime() throws Exception {
