Sockets are looked at once more before every attempt, by one rule

Change: one look before every attempt and once more before a new connection's first byte, as before; the timed handler and its case are gone. For it: fewer calls. Against it: an attempt may begin more than 0.1 s after its client's end, which is a lost request.

--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -30,12 +30,12 @@
     private int out;
 
     /** {@code done} runs once, on the loop, also if no call succeeds. */
-    Rehearsal(EventLoop loop, Clock clock, SocketLook sockets, InetSocketAddress self, Runnable done) {
+    Rehearsal(EventLoop loop, Clock clock, InetSocketAddress self, Runnable done) {
         this.loop = loop;
         this.clock = clock;
         this.done = done;
         untilUs = clock.now() + MOST_US;
-        upstreams = new Upstreams(loop, clock, MOST_US, 0, MOST_US, () -> AT_ONCE, new Budget(AT_ONCE * Body.KEPT), sockets);
+        upstreams = new Upstreams(loop, clock, MOST_US, 0, MOST_US, () -> AT_ONCE, new Budget(AT_ONCE * Body.KEPT));
         upstreams.update(new UpstreamList(0, true, List.of(new UpstreamList.Entry(
                 new Upstream(SELF, "", "", -1, 0, 1, UpstreamState.READY), self))));
     }
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -26,7 +26,6 @@
     private final Decisions decisions;
     private final Upstreams upstreams;
     private final RequestGuard guard;
-    private final SocketLook sockets;
     private final int maxAttempts;
     private final Map<String, Exchange> open = new HashMap<>();
     /** When the process may be killed, once it is to end. */
@@ -41,9 +40,7 @@
     private int broken;
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
-    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, RequestGuard guard, int maxAttempts,
-             SocketLook sockets) {
-        this.sockets = sockets;
+    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, RequestGuard guard, int maxAttempts) {
         this.guard = guard;
         this.loop = loop;
         this.clock = clock;
@@ -252,7 +249,7 @@
 
     /** What lies in the sockets goes first: it may say that this must not be sent any more. */
     private void begin(Upstreams.Call call) {
-        sockets.before(loop, () -> {
+        SocketLook.before(loop, () -> {
             if (!call.ended()) {
                 upstreams.start(call);
             }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -42,8 +42,7 @@
     private final Config config;
     private final ServerSocketChannel inherited;
     private final Module module;
-    private final SocketLook sockets = new SocketLook();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, sockets.handlers());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, SocketLook.handlers());
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final Decisions decisions = new Decisions();
@@ -89,9 +88,9 @@
         int ofClients = free - Math.max(LEAST_PER_SIDE, free / 4);
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
                 () -> free - Math.min(ofClients, clients().open()),
-                budget, sockets);
+                budget);
         guard = new RequestGuard(clock, settings.classes(), invariants);
-        requests = new Requests(loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts(), sockets);
+        requests = new Requests(loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts());
         starts = new StartTimes(clock, System::currentTimeMillis);
         known = starts.known(config.known());
         discovery = new Discovery(loop, clock, decisions, upstreams, starts, config.discovery(), config.known().generation(),
@@ -291,7 +290,7 @@
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
             clients.rehearsing(true);
-            new Rehearsal(loop, clock, sockets, listening, done::countDown).begin();
+            new Rehearsal(loop, clock, listening, done::countDown).begin();
         });
         done.await();
         if (inherited != null) {
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -37,7 +37,6 @@
 
     private final Budget budget;
     private final Clock clock;
-    private final SocketLook sockets;
     long idleSinceUs;
     private Call call;
     private BiConsumer<Call, Channel> release;
@@ -61,8 +60,7 @@
     /** Of the answer that is being read; null between answers. */
     private AnswerProgress progress;
 
-    UpstreamConnection(Budget budget, Clock clock, SocketLook sockets) {
-        this.sockets = sockets;
+    UpstreamConnection(Budget budget, Clock clock) {
         this.budget = budget;
         this.clock = clock;
     }
@@ -232,7 +230,7 @@
         }
         AnswerProgress of = progress;
         // After a hold-up of the loop more of it may lie in the socket.
-        sockets.before((EventLoop) ctx.executor(), () -> {
+        SocketLook.before((EventLoop) ctx.executor(), () -> {
             if (progress != of || !ctx.channel().isActive()) {
                 return;
             }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -257,7 +257,6 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final SocketLook sockets;
     private final long idleUs;
     private final long restUs;
     private final IntSupplier maxConnections;
@@ -270,14 +269,13 @@
 
     /** {@code restUs}: connections are used again no earlier than this after an answer. */
     Upstreams(EventLoop loop, Clock clock, long connIdleUs, long restUs, long dialTimeoutUs, IntSupplier maxConnections,
-              Budget budget, SocketLook sockets) {
-        this.sockets = sockets;
+              Budget budget) {
         this.loop = loop;
         this.clock = clock;
         this.restUs = restUs;
         this.maxConnections = maxConnections;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
-        bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), () -> new UpstreamConnection(budget, clock, sockets));
+        bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), () -> new UpstreamConnection(budget, clock));
         sweep = Recurring.every(loop, SWEEP_MS, this::dropIdle);
     }
 
@@ -483,7 +481,7 @@
             notConnected(call, failure);
         } else if (!call.ended) {
             // What came while the connection did is looked at first: the client's end, or news of the list.
-            sockets.before(loop, () -> connected(call));
+            SocketLook.before(loop, () -> connected(call));
         }
     }
 
