--- a/src/main/java/rushproxy/sidecar/LoopDelay.java
+++ b/src/main/java/rushproxy/sidecar/LoopDelay.java
@@ -11,19 +11,22 @@
     /** The sockets are read once more before a timer of this length runs. */
     static final long LOOK_MS = 1;
 
-    /** At each heartbeat a recent delay loses a 32nd, so half of it in 1.1 s: hold-ups come in groups, some tenths of a second apart. */
-    private static final int DECAY_SHIFT = 5;
+    /** A recent delay counts for half after this. */
+    private static final double HALF_LIFE_US = 250_000;
 
     private long beatAtUs;
     private long recentUs;
+    private long delayedAtUs;
 
     void beat(long now) {
         beatAtUs = now;
     }
 
-    /** A heartbeat came late by so much. */
-    void delayed(long byUs) {
-        recentUs = Math.max(byUs, recentUs - (recentUs >> DECAY_SHIFT));
+    /** A heartbeat came late by so much. Several may come at once, the missed ones after a delay. */
+    void delayed(long now, long byUs) {
+        double left = Math.pow(0.5, Math.max(0, now - delayedAtUs) / HALF_LIFE_US);
+        recentUs = Math.max(byUs, (long) (recentUs * left));
+        delayedAtUs = now;
     }
 
     /** A decaying maximum of the delays: what is to be in time has to be begun sooner by this. */
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -244,7 +244,7 @@
         long now = clock.now();
         long behindUs = loopDelay.behindUs(now);
         worstLagUs = Math.max(worstLagUs, behindUs);
-        loopDelay.delayed(behindUs);
+        loopDelay.delayed(now, behindUs);
         tellThreads(behindUs);
         if (behindUs < LoopDelay.LATE_US) {
             loopDelay.beat(now);
--- a/src/test/java/rushproxy/sidecar/AnswerDeadlinesTest.java
+++ b/src/test/java/rushproxy/sidecar/AnswerDeadlinesTest.java
@@ -36,17 +36,24 @@
 
     @Test
     void holdUpsOfLateAddToItAndFade() {
-        loopDelay.delayed(50_000);
+        loopDelay.delayed(SENT, 50_000);
         assertEquals(AnswerDeadlines.LEAST_MARGIN_US + 50_000, marginUs("tight", 800_000));
-        for (int beat = 0; beat < 200; beat++) {
-            loopDelay.delayed(0);
+        // The beats that were missed meanwhile come at once, and are no time that has passed.
+        for (int beat = 0; beat < 20; beat++) {
+            loopDelay.delayed(SENT, 0);
+        }
+        assertEquals(AnswerDeadlines.LEAST_MARGIN_US + 50_000, marginUs("tight", 800_000));
+        loopDelay.delayed(SENT + 250_000, 0);
+        assertEquals(AnswerDeadlines.LEAST_MARGIN_US + 25_000, marginUs("tight", 800_000));
+        for (int beat = 0; beat < 40; beat++) {
+            loopDelay.delayed(SENT + 250_000 + beat * LoopDelay.BEAT_US, 0);
         }
         assertTrue(marginUs("tight", 800_000) < AnswerDeadlines.LEAST_MARGIN_US + 1_000);
     }
 
     @Test
     void noMoreThanAQuarterOfAShortTimeIsTakenAway() {
-        loopDelay.delayed(500_000);
+        loopDelay.delayed(SENT, 500_000);
         assertEquals(5_000, marginUs("c", 20_000));
         assertEquals(200_000, marginUs("c", 800_000));
     }
