Log: the processor time of threads in late loops is no longer told

Change: taken out, with its lines at the debug level and its reading of /proc at each late beat. The 5 s line still tells the loop's worst delay. Measured (2026-12-02): compiled; StartTest, RequestLogTest and LogTest pass. It ran at the debug level alone, so plays at the usual one can't differ.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -34,8 +34,6 @@
 
     private static final long BEAT_MS = LoopDelay.BEAT_US / 1000;
     private static final int BEATS = 100;
-    /** Processor time by thread is told once a second, and at each late beat. */
-    private static final int THREAD_BEATS = 20;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
     private static final long LAG_US = 15_000;
 
@@ -66,7 +64,6 @@
     private InetSocketAddress administered;
     private final LoopDelay loopDelay = new LoopDelay();
     private final AnswerDeadlines deadlines;
-    private final ThreadTimes threadTimes = new ThreadTimes();
     private long worstLagUs;
     private long beats;
     private boolean leaving;
@@ -245,7 +242,6 @@
         long behindUs = loopDelay.behindUs(now);
         worstLagUs = Math.max(worstLagUs, behindUs);
         loopDelay.delayed(now, behindUs);
-        tellThreads(behindUs);
         if (behindUs < LoopDelay.LATE_US) {
             loopDelay.beat(now);
         } else {
@@ -273,18 +269,6 @@
         }
     }
 
-    /** At the debug level: which threads ran while the loop was late, or in a second in which it was not. */
-    private void tellThreads(long behindUs) {
-        if (!Log.debugs()) {
-            return;
-        }
-        boolean late = behindUs >= LoopDelay.LATE_US;
-        if (late || beats % THREAD_BEATS == 0) {
-            Log.event(Log.Level.DEBUG, "the event loop was " + (late ? behindUs / 1000 + " ms late; threads" : "in time; threads")
-                    + threadTimes.sinceLast(), "late_ms", behindUs / 1000);
-        }
-    }
-
     /** Readies the program's own code before {@link ClientServer} tells the application that it may come. */
     void rehearse() throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
