Clients: room is made by the one quiet for longest that has not just come

Need: the order of the commit before closed clients' resting connections before silent ones that never sent a request, which takes places from those who use them.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -556,11 +556,6 @@
         return !proven && clock.now() - openedUs < YOUNG_US;
     }
 
-    /** Whether a whole request has come on it. */
-    boolean isProven() {
-        return proven;
-    }
-
     /** A whole request has come, and its answer is not wholly with the kernel yet. */
     boolean owes() {
         return busy && !receiving && !lingers;
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -202,7 +202,7 @@
 
     /**
      * One that only waits for its client's end goes, else one between requests: its client opens another where it needs one. One that
-     * has not brought a request yet may be about to, and has no other to bring it on. Where none can go they are looked at again soon.
+     * has just come may be about to bring its first request. Where none can go they are looked at again soon.
      */
     private void makeRoom() {
         ClientConnection lingers = lingering.poll();
@@ -233,8 +233,8 @@
     }
 
     private Optional<ClientConnection> quietest() {
-        return connections.stream().filter(c -> c.quiet() && !c.isYoung()).min(
-                Comparator.comparing(ClientConnection::isProven).reversed().thenComparingLong(ClientConnection::activeUs));
+        return connections.stream().filter(c -> c.quiet() && !c.isYoung())
+                .min(Comparator.comparingLong(ClientConnection::activeUs));
     }
 
     /** Its output has ended. No more than a few wait so at once, and none where its descriptor is wanted. */
