Tests: the guard on an ordered end is asked on a connection that has had an answer

Need: with the guard taken out of end() GuardedCloseTest passed, since a connection without an answer is closed by close(), which has its own.

--- a/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
@@ -41,13 +41,19 @@
         }
     }
 
-    /** The same where the connection is to end in order. */
+    /** The same where the connection, which has had an answer before, is to end in order. */
     @Test
     void aRequestInHandIsAnsweredBeforeItsConnectionEnds() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {
+                if (m.header("X-Txn").equals("a0")) {
+                    line.answer("200 OK", "", "fine");
+                }
+            });
             rig.start();
-            try (Peer.Client client = rig.client().send(Rig.get("a1", 20_000))) {
+            try (Peer.Client client = rig.client().send(Rig.get("a0", 20_000))) {
+                assertEquals(200, client.status());
+                client.send(Rig.get("a1", 20_000));
                 rig.await("request a1");
                 onLoop(rig, connection -> connection.end(CloseReason.STOPPING));
                 assertEquals(502, client.status());
