--- a/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
@@ -109,6 +109,20 @@
         }
     }
 
+    /** Its client's end could not be seen: no attempt may begin any more, and without one it is refused. */
+    @Test
+    void whatCanNotBeReadForLongIsRefusedIfNothingWasSent() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.onRequest = (now, r, out) -> { };
+            rig.start();
+            try (Peer.Client client = rig.client().send(Rig.get("a1", 20_000))) {
+                rig.await("request a1");
+                onLoop(rig, connection -> connection.channel().pipeline().fireUserEventTriggered(TcpConnection.ReadsFail.FOR_LONG));
+                assertEquals(503, client.status());
+            }
+        }
+    }
+
     /** It has been quiet for long, and its request lies in the socket: it is read before it could be closed. */
     @Test
     void whatLiesUnreadOnAQuietConnectionIsReadBeforeItCloses() throws Exception {
--- a/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
+++ b/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.AfterEach;
@@ -155,6 +156,30 @@
         assertEquals(List.of(), failed);
     }
 
+    /** A first byte that could not be written while its client was there is not written once it has gone. */
+    @Test
+    void nothingIsSentForAClientThatLeftMeanwhile() throws Exception {
+        start();
+        try (Peer.Client connection = sidecar.client()) {
+            request(connection, "safe-first");
+        }
+        faults.set(Call.SEND_FAILS, 1);
+        for (int i = 0; i < CLIENTS; i++) {
+            try (Peer.Client connection = sidecar.client()) {
+                connection.send(SidecarProcess.get("safe-left" + i, "safe", REMAINING_MS));
+                pause();
+            }
+        }
+        faults.clear();
+        try (Peer.Client connection = sidecar.client()) {
+            request(connection, "safe-last");
+        }
+        pause();
+        assertEquals(List.of(), List.copyOf(wrong));
+        assertEquals(Set.of("safe-first", "safe-last"), runs.keySet());
+        assertEquals(0, sidecar.violations());
+    }
+
     /** The end of such an answer is the end of its connection. */
     @Test
     void theEndOfAnAnswerIsToldInTime() throws Exception {
