--- a/src/main/java/rushproxy/lab/world/Clients.java
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -48,9 +48,6 @@
     private static final int SLOW_PIECE = 16;
     private static final int MAX_ANSWER = 1 << 20;
     private static final double IDLE_US = 4e6;
-    /** Connections of a crowd that come with one request, and how long they stay. */
-    private static final int CROWD = 16;
-    private static final long CROWD_STAYS_US = 3_000_000;
     /** After SIGTERM new connections come for this long to twice as long, as the protocol has it. */
     private static final long CONNECTS_ON_US = 200_000;
     /** An answer may come as late as the rules and the sockets allow before its client takes it for lost. */
@@ -68,6 +65,8 @@
     final Histogram lateness = new Histogram(3);
     /** By node: from then on nobody connects anew, as its platform has told it to leave. */
     private final long[] connectsUntilUs;
+    /** Those that send no whole request. */
+    private final Strangers strangers;
     private int next;
     private int open;
     /** How a part of the clients misbehaves; null where none does. */
@@ -83,6 +82,7 @@
         this.chance = chance;
         this.arrivals = arrivals;
         this.sidecars = sidecars;
+        strangers = new Strangers(loop, seen, sidecars);
         connectsUntilUs = new long[sidecars.size()];
         Arrays.fill(connectsUntilUs, Long.MAX_VALUE);
         idle = sidecars.stream().map(s -> new ArrayDeque<Line>()).toList();
@@ -119,61 +119,6 @@
         return how.equals(misbehaves) && chance.getAsDouble() < misbehaving;
     }
 
-    /** Stops in the middle of a request and stays: it is owed an error or a close. */
-    private void stopHalfWay(int node) {
-        long sinceUs = seen.us();
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInboundHandlerAdapter() {
-                    @Override
-                    public void channelActive(ChannelHandlerContext ctx) {
-                        ctx.writeAndFlush(Unpooled.copiedBuffer("POST /api HTTP/1.1\r\nHost: a\r\nX-Tx", StandardCharsets.US_ASCII));
-                    }
-
-                    @Override
-                    public void channelRead(ChannelHandlerContext ctx, Object message) {
-                        io.netty.util.ReferenceCountUtil.release(message);
-                    }
-
-                    @Override
-                    public void channelInactive(ChannelHandlerContext ctx) {
-                        seen.see(What.DISMISSED, "n" + node, null, null, null, null, (seen.us() - sinceUs) / 1e3, sinceUs);
-                    }
-
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        ctx.close();
-                    }
-                }).connect(sidecars.get(node));
-    }
-
-    /** Connections that take places and stay for a while: half of them are asked something once, the others say nothing. */
-    private void crowd(int node) {
-        for (int i = 0; i < CROWD; i++) {
-            boolean asks = i % 2 == 0;
-            new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                    .handler(new ChannelInboundHandlerAdapter() {
-                        @Override
-                        public void channelActive(ChannelHandlerContext ctx) {
-                            if (asks) {
-                                ctx.writeAndFlush(Unpooled.copiedBuffer("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n",
-                                        StandardCharsets.US_ASCII));
-                            }
-                            loop.schedule(() -> ctx.close(), CROWD_STAYS_US, TimeUnit.MICROSECONDS);
-                        }
-
-                        @Override
-                        public void channelRead(ChannelHandlerContext ctx, Object message) {
-                            io.netty.util.ReferenceCountUtil.release(message);
-                        }
-
-                        @Override
-                        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                            ctx.close();
-                        }
-                    }).connect(sidecars.get(node));
-        }
-    }
-
     /** No further first tries. */
     void stop() {
         next = arrivals.size();
@@ -348,13 +293,13 @@
                 loop.schedule(this::leave, Math.round(waitUs * chance.getAsDouble()), TimeUnit.MICROSECONDS);
             }
             if (misbehavesNow("crowd") && seen.us() < connectsUntilUs[of.arrival.node()]) {
-                crowd(of.arrival.node());
+                strangers.crowd(of.arrival.node());
             }
             if (misbehavesNow("slow-read")) {
                 readSlowly(to);
             }
             if (misbehavesNow("stop")) {
-                stopHalfWay(of.arrival.node());
+                strangers.stopHalfWay(of.arrival.node());
             }
             if (!again && misbehavesNow("slow")) {
                 writeSlowly(to, m);
--- /dev/null
+++ b/src/main/java/rushproxy/lab/world/Strangers.java
@@ -0,0 +1,90 @@
+package rushproxy.lab.world;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import rushproxy.lab.world.Observation.What;
+
+/** Connections to sidecars that bring no request of the application: some stop within one, others only take places. */
+final class Strangers {
+    private static final int CONNECT_MS = 1_000;
+    private static final String HALF_A_REQUEST = "POST /api HTTP/1.1\r\nHost: a\r\nX-Tx";
+    private static final String QUESTION = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    /** Connections of one crowd, and how long they stay. */
+    private static final int CROWD = 16;
+    private static final long CROWD_STAYS_US = 3_000_000;
+
+    private final EventLoop loop;
+    private final Observations seen;
+    private final List<InetSocketAddress> sidecars;
+
+    Strangers(EventLoop loop, Observations seen, List<InetSocketAddress> sidecars) {
+        this.loop = loop;
+        this.seen = seen;
+        this.sidecars = sidecars;
+    }
+
+    /** Stops in the middle of a request and stays: it is owed an error or a close. */
+    void stopHalfWay(int node) {
+        long sinceUs = seen.us();
+        connect(node, new Stranger(HALF_A_REQUEST) {
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                seen.see(What.DISMISSED, "n" + node, null, null, null, null, (seen.us() - sinceUs) / 1e3, sinceUs);
+            }
+        });
+    }
+
+    /** Connections that take places and stay for a while: half of them ask something once, the others say nothing. */
+    void crowd(int node) {
+        for (int i = 0; i < CROWD; i++) {
+            connect(node, new Stranger(i % 2 == 0 ? QUESTION : "") {
+                @Override
+                public void channelActive(ChannelHandlerContext ctx) {
+                    super.channelActive(ctx);
+                    loop.schedule(() -> ctx.close(), CROWD_STAYS_US, TimeUnit.MICROSECONDS);
+                }
+            });
+        }
+    }
+
+    private void connect(int node, Stranger stranger) {
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(stranger).connect(sidecars.get(node));
+    }
+
+    /** Says its words, and reads what comes without a look at it. */
+    private abstract static class Stranger extends ChannelInboundHandlerAdapter {
+        private final String words;
+
+        Stranger(String words) {
+            this.words = words;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (!words.isEmpty()) {
+                ctx.writeAndFlush(Unpooled.copiedBuffer(words, StandardCharsets.US_ASCII));
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ReferenceCountUtil.release(message);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
