--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -565,9 +565,12 @@
         return activeUs;
     }
 
-    /** Half a request is waited for as long as its client may still wait for the answer, not for ever. True where it closes. */
-    boolean closeIfQuiet(long sinceUs, long halfSinceUs, CloseReason reason) {
-        if (!isQuietSince(sinceUs, halfSinceUs) || isYoung()) {
+    /**
+     * Half a request is waited for as long as its client may still wait for the answer, not for ever. {@code sparesYoung}: not one that has
+     * just come. True where it closes.
+     */
+    boolean closeIfQuiet(long sinceUs, long halfSinceUs, boolean sparesYoung, CloseReason reason) {
+        if (!isQuietSince(sinceUs, halfSinceUs) || sparesYoung && isYoung()) {
             return false;
         }
         channel.readNow();
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -332,7 +332,8 @@
         if (age >= DRAIN_ON_US) {
             long quietUs = age < DRAIN_ALL_US ? DRAIN_QUIET_US : 0;
             for (ClientConnection c : Set.copyOf(connections)) {
-                c.closeIfQuiet(now - quietUs, age >= DRAIN_DUE_US ? now : 0, CloseReason.DRAINING);
+                boolean due = age >= DRAIN_DUE_US;
+                c.closeIfQuiet(now - quietUs, due ? now : 0, !due, CloseReason.DRAINING);
             }
         }
         loop.schedule(this::lookDrained, LOOK_MS, TimeUnit.MILLISECONDS);
@@ -383,7 +384,8 @@
                 && now - closedUs >= CROSSED_US;
         if (shared ? now - stopAtUs >= SERVE_ON_US : left < GOODBYE_US) {
             for (ClientConnection c : Set.copyOf(connections)) {
-                if (c.closeIfQuiet(left < LAST_CALL_US ? now : now - QUIET_US, left < LAST_CALL_US ? now : now - longestUs, CloseReason.STOPPING)) {
+                boolean lastCall = left < LAST_CALL_US;
+                if (c.closeIfQuiet(lastCall ? now : now - QUIET_US, lastCall ? now : now - longestUs, true, CloseReason.STOPPING)) {
                     closedUs = now;
                 }
             }
--- a/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -17,6 +18,12 @@
         return rig.sidecar.clients().connections().iterator().next();
     }
 
+    private static void awaitOpen(Rig rig) throws Exception {
+        while (rig.sidecar.loop().submit(() -> rig.sidecar.clients().open()).get(20, TimeUnit.SECONDS) == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     private interface Work {
         void on(ClientConnection connection);
     }
@@ -67,9 +74,7 @@
             rig.upstream((m, line) -> line.answer("200 OK", "", "fine"));
             rig.start();
             try (Peer.Client client = rig.client()) {
-                while (rig.sidecar.loop().submit(() -> rig.sidecar.clients().open()).get(20, TimeUnit.SECONDS) == 0) {
-                    Thread.onSpinWait();
-                }
+                awaitOpen(rig);
                 onLoop(rig, connection -> {
                     if (connection.isYoung()) {
                         connection.close(CloseReason.ROOM_NEEDED);
@@ -82,6 +87,20 @@
         }
     }
 
+    /** Until the end of a drain is due; from then on none may be idle. */
+    @Test
+    void aNewConnectionIsSparedUntilADrainIsDue() throws Exception {
+        try (Rig rig = new Rig(); Peer.Client client = rig.start().client()) {
+            awaitOpen(rig);
+            onLoop(rig, connection -> {
+                if (connection.isYoung()) {
+                    assertFalse(connection.closeIfQuiet(Long.MAX_VALUE, Long.MAX_VALUE, true, CloseReason.DRAINING));
+                    assertTrue(connection.closeIfQuiet(Long.MAX_VALUE, Long.MAX_VALUE, false, CloseReason.DRAINING));
+                }
+            });
+        }
+    }
+
     /** A fault of this program, or want of memory, in a handler. */
     @Test
     void aHandlerThatThrowsLosesNoRequest() throws Exception {
