Tests: a configuration and an address that can't be had for a moment; known red

Measured (2026-12-02): after SIGHUP with a half written file that is whole 20 ms later discovery's new address is never asked (20 s); an address that another holds ends the start after 0.8 s.

--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -97,6 +97,47 @@
         }
     }
 
+    /** It can't be read whole for a moment, as while it is being written: what it says counts from the signal on all the same. */
+    @Test
+    void aConfigurationThatCanNotBeReadForAMomentIsReadAgain() throws Exception {
+        try (ServerSocket before = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+             ServerSocket after = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            after.setSoTimeout(20_000);
+            String config = CONFIG.replace("on_request", "pushed");
+            Process p = start(config.replace("127.0.0.1:9", "127.0.0.1:" + before.getLocalPort()));
+            try (Socket old = before.accept()) {
+                awaitLog(p, " serves on ");
+                Files.writeString(folder.resolve("config.json"), "{");
+                hangUp(p);
+                awaitLog(p, "nothing reloaded");
+                Files.writeString(folder.resolve("config.json"),
+                        config.replace("127.0.0.1:9", "127.0.0.1:" + after.getLocalPort()));
+                try (Socket fresh = after.accept()) {
+                    assertTrue(p.isAlive(), log().toString());
+                }
+            } finally {
+                p.destroy();
+                p.waitFor();
+            }
+        }
+    }
+
+    /** An address that another has for a moment, as while the process before ends, is no reason not to start. */
+    @Test
+    void anAddressThatIsTakenForAMomentIsWaitedFor() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Process p = start(CONFIG.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + taken.getLocalPort() + "\""));
+            try {
+                assertTrue(!p.waitFor(1_500, TimeUnit.MILLISECONDS), log().toString());
+                taken.close();
+                awaitLog(p, " serves on ");
+            } finally {
+                p.destroy();
+                p.waitFor();
+            }
+        }
+    }
+
     /** The runtime leaves an ignored signal ignored: whoever looks for the reload that never came finds why. */
     @Test
     void startedWithTheReloadSignalIgnoredItSaysSo() throws Exception {
