--- a/src/main/java/rushproxy/sidecar/SocketErrors.java
+++ b/src/main/java/rushproxy/sidecar/SocketErrors.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
-import java.net.SocketException;
 import java.nio.channels.ClosedChannelException;
 import java.util.Set;
 
@@ -30,7 +29,10 @@
         if (error instanceof ClosedChannelException) {
             return true;
         }
-        boolean ofSystem = error instanceof SocketException || error instanceof IOException;
-        return ofSystem && error.getMessage() != null && ENDS.contains(error.getMessage());
+        if (!(error instanceof IOException)) {
+            return false;
+        }
+        // Netty adds the address to the words of a failed dial, and has the system's error as its cause.
+        return error.getMessage() != null && ENDS.contains(error.getMessage()) || endsConnection(error.getCause());
     }
 }
--- a/src/test/java/rushproxy/sidecar/SocketErrorsTest.java
+++ b/src/test/java/rushproxy/sidecar/SocketErrorsTest.java
@@ -30,6 +30,17 @@
         assertTrue(SocketErrors.endsConnection(new ClosedChannelException()));
     }
 
+    /** As Netty hands on what a dial failed by. */
+    @Test
+    void theAddressInTheWordsChangesNothing() {
+        IOException reset = new SocketException("Connection reset by peer: /127.0.0.1:80");
+        reset.initCause(new SocketException("Connection reset by peer"));
+        assertTrue(SocketErrors.isOfPeer(reset));
+        IOException local = new SocketException("Network is unreachable: /127.0.0.1:80");
+        local.initCause(new SocketException("Network is unreachable"));
+        assertFalse(SocketErrors.isOfPeer(local));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"Cannot allocate memory", "No buffer space available", "No space left on device", "Interrupted system call",
         "Too many open files", "Input/output error", "an error of another system"})
