Reload and start: what can't be read or had for a moment is asked for again

Cause: after SIGHUP a configuration that could not be read was dropped for good, and an address that was taken ended a start. Change: it is read again every 0.1 s, 3 s long, on a thread of its own, one at a time; Listening tries for 5 s whatever the error. A listener is not closed by what an accept fails by, want of memory included. The listener's rule has no test.

--- a/src/main/java/rushproxy/sidecar/Listening.java
+++ b/src/main/java/rushproxy/sidecar/Listening.java
@@ -3,15 +3,14 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
 
 /** How this program begins to listen: a call that fails for a moment is no reason not to start. */
 final class Listening {
     private static final long AGAIN_MS = 20;
-    /** Two seconds of tries, which a process that is replaced can wait for the one that takes its place. */
-    private static final int MOST_TRIES = 100;
+    /** Five seconds of tries: who may take a while to give an address back is the process before. */
+    private static final int MOST_TRIES = 250;
 
     private Listening() {}
 
@@ -22,7 +21,7 @@
     static Channel at(Supplier<ServerBootstrap> bootstrap, InetSocketAddress address) throws InterruptedException {
         for (int tries = 1; ; tries++) {
             ChannelFuture bound = bootstrap.get().bind(address).await();
-            if (bound.isSuccess() || tries == MOST_TRIES || bound.cause() instanceof BindException) {
+            if (bound.isSuccess() || tries == MOST_TRIES) {
                 return bound.sync().channel();
             }
             Thread.sleep(AGAIN_MS);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -32,6 +32,10 @@
     /** An answer to a probe that takes longer tells nothing of now. */
     private static final long PROBE_US = 50_000;
 
+    /** A configuration counts 4 s after the signal: by then it was read if it could be. */
+    private static final int MOST_RELOAD_TRIES = 30;
+    private static final long RELOAD_AGAIN_MS = 100;
+
     private static final long BEAT_MS = LoopDelay.BEAT_US / 1000;
     private static final int BEATS = 100;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
@@ -188,20 +192,44 @@
         }
     }
 
-    /** The configuration was replaced: of all that it says only where discovery is may change while running. */
+    /**
+     * The configuration was replaced: of all that it says only where discovery is may change while running. Read on a thread of its own,
+     * since one that can't be read yet, as while it is being written, is read again.
+     */
     private void reload(Map<String, String> environment) {
         // The file tells of the change; what the environment said at the start is old.
         Map<String, String> now = new HashMap<>(environment);
         now.remove("BALANCER_DISCOVERY");
-        try {
-            InetSocketAddress address = Config.read(now).discovery();
-            loop.execute(() -> discovery.moveTo(address));
-            Log.line("discovery is at " + address);
-        } catch (Config.Broken e) {
-            Log.warn("nothing reloaded: " + e.getMessage());
+        Thread reader = new Thread(() -> reloadFrom(now), "reload");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void reloadFrom(Map<String, String> environment) {
+        for (int tries = 1; tries <= MOST_RELOAD_TRIES; tries++) {
+            try {
+                moveDiscovery(environment);
+                return;
+            } catch (Config.Broken e) {
+                if (tries == 1 || tries == MOST_RELOAD_TRIES) {
+                    Log.warn("nothing reloaded" + (tries == 1 ? " yet: " : ": ") + e.getMessage());
+                }
+            }
+            try {
+                Thread.sleep(RELOAD_AGAIN_MS);
+            } catch (InterruptedException e) {
+                return;
+            }
         }
     }
 
+    /** One at a time, so that what was read last is what is done last. */
+    private synchronized void moveDiscovery(Map<String, String> environment) throws Config.Broken {
+        InetSocketAddress address = Config.read(environment).discovery();
+        loop.execute(() -> discovery.moveTo(address));
+        Log.line("discovery is at " + address);
+    }
+
     void start() throws InterruptedException {
         // Where the selector's own wake-up could not be registered, a loop without timers would never see what is handed to it.
         Future<?> wakes = Recurring.every(loop, BEAT_MS, () -> { });
--- a/src/main/java/rushproxy/sidecar/TcpListener.java
+++ b/src/main/java/rushproxy/sidecar/TcpListener.java
@@ -92,6 +92,12 @@
         }
     }
 
+    /** Whatever an accept fails by, also want of memory, those who come next are let in. */
+    @Override
+    protected boolean closeOnReadError(Throwable cause) {
+        return !isActive();
+    }
+
     // ---- interest in readiness
 
     @Override
