Laboratory: orders that end a node's process and start the next come one at a time

Change: each node has a lock for its lifecycle; act() is parted into what replaces a process and what is done to it.

--- a/src/main/java/rushproxy/lab/Lab.java
+++ b/src/main/java/rushproxy/lab/Lab.java
@@ -53,6 +53,7 @@
     private static final long LONGEST_MS = 3_000;
     private static final long THEN_KILL_MS = 700;
     private static final int RELOADS_IN_A_ROW = 3;
+    private static final Set<String> REPLACES_PROCESS = Set.of("kill", "start", "restart", "restart-series", "jar", "replace");
     /** Calls on sockets that fail for a moment and end no connection. */
     private static final List<SystemFaults.Call> SOCKET_CALLS = List.of(SystemFaults.Call.OPTION_FAILS, SystemFaults.Call.NAME_FAILS,
             SystemFaults.Call.REGISTER_FAILS, SystemFaults.Call.READ_FAILS, SystemFaults.Call.SEND_FAILS, SystemFaults.Call.SHUTDOWN_FAILS);
@@ -266,6 +267,24 @@
 
     /** One node's part in a fault. What it throws is the run's trouble, not only this thread's. */
     private void act(Scenario.Fault f, Node node, World world) {
+        try {
+            if (REPLACES_PROCESS.contains(f.what())) {
+                replaceProcess(f, node, world);
+            } else {
+                actOnProcess(f, node, world);
+            }
+        } catch (InterruptedException e) {
+            // The run is over.
+        } catch (IOException | Node.Trouble | RuntimeException e) {
+            if (!stopped.isDone()) {
+                troubles.add(e.getMessage() == null ? e.toString() : e.getMessage());
+            }
+        }
+    }
+
+    /** One after the other for each node: a platform does not start two processes in one's place. */
+    private void replaceProcess(Scenario.Fault f, Node node, World world) throws IOException, InterruptedException, Node.Trouble {
+        node.lifecycle().lockInterruptibly();
         try {
             switch (f.what()) {
                 case "kill" -> {
@@ -282,31 +301,33 @@
                 }
                 case "restart" -> restart(node, world);
                 case "restart-series" -> restartBySeries(node, world);
-                case "reload-series" -> reloadInARow(node, world);
                 case "jar" -> {
                     node.build(build.with(f.jar()));
                     restart(node, world);
                 }
                 case "replace" -> node.replace(patienceMs());
-                case "stall" -> {
-                    node.signal("STOP");
-                    TimeUnit.MICROSECONDS.sleep(f.forUs());
-                    node.signal("CONT");
-                }
-                case "system" -> system(f, node);
-                case "call" -> node.call(f.call());
-                case "discovery-moves" -> {
-                    world.moveDiscovery(node.number);
-                    node.reload();
-                }
                 default -> throw new IllegalStateException(f.what());
             }
-        } catch (InterruptedException e) {
-            // The run is over.
-        } catch (IOException | Node.Trouble | RuntimeException e) {
-            if (!stopped.isDone()) {
-                troubles.add(e.getMessage() == null ? e.toString() : e.getMessage());
+        } finally {
+            node.lifecycle().unlock();
+        }
+    }
+
+    private void actOnProcess(Scenario.Fault f, Node node, World world) throws IOException, InterruptedException {
+        switch (f.what()) {
+            case "reload-series" -> reloadInARow(node, world);
+            case "stall" -> {
+                node.signal("STOP");
+                TimeUnit.MICROSECONDS.sleep(f.forUs());
+                node.signal("CONT");
+            }
+            case "system" -> system(f, node);
+            case "call" -> node.call(f.call());
+            case "discovery-moves" -> {
+                world.moveDiscovery(node.number);
+                node.reload();
             }
+            default -> throw new IllegalStateException(f.what());
         }
     }
 
--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
 import org.apache.commons.rng.UniformRandomProvider;
 import rushproxy.lab.scenario.Scenario;
 import rushproxy.lab.world.Addresses;
@@ -56,6 +58,7 @@
     private boolean ended;
     /** Null where its processes meet the machine as it is. */
     private SystemFaults systemFaults;
+    private final Lock lifecycle = new ReentrantLock();
 
     public Node(int number, Scenario scenario, World world, Addresses addresses, Observations seen, Path folder, Build build,
                 UniformRandomProvider random, Keeper keeper) {
@@ -82,6 +85,11 @@
         systemFaults = SystemFaults.with(library, folder.resolve("faults"), seed);
     }
 
+    /** Held by whoever ends this node's process and starts the next. */
+    public Lock lifecycle() {
+        return lifecycle;
+    }
+
     /** Null where it has none. */
     public SystemFaults systemFaults() {
         return systemFaults;
