--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -183,6 +183,9 @@
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
         while (!ready()) {
             if (!running()) {
+                if (isEnded()) {
+                    throw new InterruptedException("the run is over");
+                }
                 throw new Trouble(name + " ended before it was ready, with " + last().exitValue() + ": " + lastWords());
             }
             if (System.nanoTime() > until) {
@@ -193,6 +196,10 @@
         seen.see(What.NODE, name, null, null, null, "ready", last().pid(), 0);
     }
 
+    private synchronized boolean isEnded() {
+        return ended;
+    }
+
     private boolean ready() {
         try (Socket s = new Socket()) {
             s.connect(addresses.listen(number), CALL_MS);
