--- a/src/main/java/rushproxy/sidecar/RequestGuard.java
+++ b/src/main/java/rushproxy/sidecar/RequestGuard.java
@@ -95,18 +95,13 @@
         return false;
     }
 
-    /** The time that an upstream is told: never more than the client has left. */
-    long tellUs(Exchange x, long leftUs) {
-        if (!x.body.complete()) {
-            // Its client's time begins with its last byte.
-            return leftUs;
+    /** The time that an upstream is told for a request that has come whole: up to then, and never more than the client has left. */
+    long tellUs(Exchange x, long untilUs) {
+        long clientUntilUs = x.sentUs + x.remainingUs;
+        if (untilUs > clientUntilUs) {
+            invariants.breached(Breach.TOLD_TOO_MUCH_TIME, x.request.id(), "was to be told " + (untilUs - clientUntilUs) + " us too much");
         }
-        long clientUs = x.sentUs + x.remainingUs - clock.now();
-        if (leftUs > clientUs) {
-            invariants.breached(Breach.TOLD_TOO_MUCH_TIME, x.request.id(), "has " + clientUs + " us left, not " + leftUs);
-            return clientUs;
-        }
-        return leftUs;
+        return Math.min(untilUs, clientUntilUs) - clock.now();
     }
 
     /** Whether a client's connection may be closed for others' sake: not while its first request may be on its way. */
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -160,7 +160,7 @@
         long now = clock.now();
         long until = !x.body.complete() ? now + UPLOAD_US : untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
         String moot = whyMoot(x, number, until <= now);
-        Upstreams.Call call = new Upstreams.Call(upstream, until, false, left -> message(x, left), x.body,
+        Upstreams.Call call = new Upstreams.Call(upstream, until, false, left -> message(x, number), x.body,
                 new Upstreams.Result() {
                     @Override
                     public void ended(Upstreams.Call c, Outcome outcome, LoadReport report, ByteBuf body) {
@@ -271,9 +271,10 @@
         expired(x);
     }
 
-    private HttpRequest message(Exchange x, long leftUs) {
+    private HttpRequest message(Exchange x, int number) {
         HttpRequest message = new DefaultHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri);
-        long left = guard.tellUs(x, x.body.complete() ? leftUs : x.request.remainingUs());
+        // Where the request still comes its client's time has not begun.
+        long left = x.body.complete() ? guard.tellUs(x, x.attempts.get(number).untilUs()) : x.request.remainingUs();
         message.headers().set(Headers.TXN, x.request.id()).set(Headers.REMAINING, Math.max(1, left / 1000));
         if (x.idempotencyKey != null) {
             message.headers().set(Headers.IDEMPOTENCY_KEY, x.idempotencyKey);
