--- a/src/test/java/rushproxy/known/KnownRed.java
+++ b/src/test/java/rushproxy/known/KnownRed.java
@@ -5,14 +5,15 @@
 import java.lang.reflect.Method;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.extension.ConditionEvaluationResult;
 import org.junit.jupiter.api.extension.ExecutionCondition;
 import org.junit.jupiter.api.extension.ExtensionContext;
 
 /**
- * Leaves out exactly the tests that the file named by the environment variable {@code KNOWN_RED} lists, as
- * {@code Class#method: cause, issue}. Without the variable, as in a run by hand, every test runs.
+ * Leaves out exactly the tests that the file named by the environment variable {@code KNOWN_RED} lists, a
+ * {@link KnownRedEntry} a line. Without the variable, as in a run by hand, every test runs.
  */
 public final class KnownRed implements ExecutionCondition {
     private static final String FILE = System.getenv("KNOWN_RED");
@@ -26,14 +27,16 @@
         if (method.isEmpty()) {
             return ConditionEvaluationResult.enabled("a class");
         }
-        String name = context.getRequiredTestClass().getSimpleName() + "#" + method.get().getName();
-        return line(name).map(line -> ConditionEvaluationResult.disabled("known red: " + line))
+        String test = context.getRequiredTestClass().getSimpleName() + "#" + method.get().getName();
+        return read(Path.of(FILE)).stream().filter(entry -> entry.test().equals(test)).findFirst()
+                .map(entry -> ConditionEvaluationResult.disabled("known red: " + entry))
                 .orElse(ConditionEvaluationResult.enabled("not listed"));
     }
 
-    private static Optional<String> line(String name) {
+    /** All entries of a list; throws for a line that lacks a part. */
+    static List<KnownRedEntry> read(Path list) {
         try {
-            return Files.readAllLines(Path.of(FILE)).stream().filter(l -> l.startsWith(name + ":")).findFirst();
+            return Files.readAllLines(list).stream().map(KnownRedEntry::parse).toList();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
