Hold-ups: what this process misses by itself is held against no server

Symptom: after a hold-up of the sidecar (stopped, or without a processor) healthy idle servers were left out and callers refused within milliseconds. Cause: timers of a late loop run before it asks which sockets are ready, so dials that were up and answers that had come counted as failed; and a call's time that this process used up itself (hold-up, last milliseconds of a request) counted as its server's. Change: time-outs of dials and calls look at the sockets first; RunningTime tells hold-ups by the loop's heartbeat; a call that its server had too little time for ends NOT_SENT or CANCELLED, latencies are told without hold-ups, probes that were not sent are no failures. Seen to fail without it: UpstreamsTest (five, by taking out each part), PolicyTest's probe.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -1034,9 +1034,11 @@
         Server s = servers.get(upstream);
         if (s == null) return;
         s.askedAt = 0;
-        if (outcome != Outcome.OK) {
+        // A probe that was not sent, or not heard out, is this instance's own doing.
+        boolean asked = outcome != Outcome.NOT_SENT && outcome != Outcome.CANCELLED;
+        if (asked && outcome != Outcome.OK) {
             failed(now, s, outcome == Outcome.CONNECT_FAILED ? EJECT_AFTER : 1, Evidence.SILENT);
-        } else if (report == null) {
+        } else if (asked && report == null) {
             // It answers but tells no load, as it did before: rather busy than idle.
             countAsFull(s, now);
         }
--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/sidecar/Dialling.java
@@ -6,26 +6,31 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /** How this program opens HTTP connections, to upstreams and to discovery alike. */
 final class Dialling {
+    private static final int NO_TIMEOUT_OF_NETTY = 0;
+
     private Dialling() {}
 
     /** Each connection gets a handler of its own, which sees whole answers of at most {@code maxBody} bytes. */
-    static Bootstrap whole(EventLoop loop, int connectMs, int maxBody, Supplier<ChannelHandler> handler) {
-        return dialling(loop, connectMs, channel -> channel.pipeline().addLast(new HttpRequestEncoder(),
+    static Bootstrap whole(EventLoop loop, int maxBody, Supplier<ChannelHandler> handler) {
+        return dialling(loop, channel -> channel.pipeline().addLast(new HttpRequestEncoder(),
                 new AnswerDecoder(), new HttpObjectAggregator(maxBody), handler.get())).channelFactory(TcpConnection::new);
     }
 
     /** As {@link #whole}, but the handler sees each part of an answer as it comes. */
-    static Bootstrap http(EventLoop loop, int connectMs, Supplier<ChannelHandler> handler) {
-        return Window.on(dialling(loop, connectMs, channel -> channel.pipeline().addLast(new HttpRequestEncoder(),
+    static Bootstrap http(EventLoop loop, Supplier<ChannelHandler> handler) {
+        return Window.on(dialling(loop, channel -> channel.pipeline().addLast(new HttpRequestEncoder(),
                 new AnswerDecoder(), handler.get()))).channelFactory(() -> Window.sized(new TcpConnection()));
     }
 
@@ -36,23 +41,55 @@
     }
 
     /**
-     * Connects. Null where not even a socket could be opened, for want of descriptors: that is told on the loop like any other
-     * failure, but there is no connection, not even one to be closed.
+     * Connects, or fails {@code timeoutUs} later. Null where not even a socket could be opened, for want of descriptors: that is told
+     * on the loop like any other failure, but there is no connection, not even one to be closed.
+     *
+     * <p>A loop that was held up runs its timers before it sees which connections have come up meanwhile. So the time-out looks at the
+     * sockets first: Netty's own would end a connection that is up.
      */
-    static Channel connect(Bootstrap by, EventLoop loop, InetSocketAddress to, Dialled dialled) {
+    static Channel connect(Bootstrap by, EventLoop loop, InetSocketAddress to, long timeoutUs, Dialled dialled) {
         ChannelFuture connecting = by.connect(to);
         if (connecting.isDone() && !connecting.channel().isRegistered()) {
             // It belongs to no loop, and would be told on a thread of nobody's.
             loop.execute(() -> dialled.told(connecting.cause()));
             return null;
         }
-        connecting.addListener(f -> dialled.told(f.cause()));
+        Attempt attempt = new Attempt(connecting, dialled);
+        Future<?> timeout = loop.schedule(() -> SocketLook.before(loop, attempt::giveUp), timeoutUs, TimeUnit.MICROSECONDS);
+        connecting.addListener(f -> {
+            timeout.cancel(false);
+            attempt.tell(f.cause());
+        });
         return connecting.channel();
     }
 
-    private static Bootstrap dialling(EventLoop loop, int connectMs, Consumer<Channel> init) {
+    /** One connection that is coming up. */
+    private static final class Attempt {
+        private final ChannelFuture connecting;
+        private final Dialled dialled;
+        private boolean gaveUp;
+
+        Attempt(ChannelFuture connecting, Dialled dialled) {
+            this.connecting = connecting;
+            this.dialled = dialled;
+        }
+
+        /** Its time is over: the close fails what is still connecting. */
+        void giveUp() {
+            if (!connecting.isDone()) {
+                gaveUp = true;
+                connecting.channel().close();
+            }
+        }
+
+        void tell(Throwable failure) {
+            dialled.told(gaveUp && failure != null ? new ConnectTimeoutException("no connection in its time") : failure);
+        }
+    }
+
+    private static Bootstrap dialling(EventLoop loop, Consumer<Channel> init) {
         return new Bootstrap().group(loop).disableResolver()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_TIMEOUT_OF_NETTY)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -38,7 +38,7 @@
     private static final String PATH = "/registry/instances";
     /** A list of some thousands of upstreams, indented too; more is no list. Held in memory only while it comes. */
     private static final int MAX_ANSWER = 4 << 20;
-    private static final int CONNECT_MS = 1_000;
+    private static final long CONNECT_US = 1_000_000;
     private static final long WAIT_MS = 2_000;
     private static final long SILENT_MS = 500;
     private static final long NOW_MS = 400;
@@ -92,7 +92,7 @@
         this.address = address;
         this.generation = generation;
         waitMs = askEveryUs <= 0 ? WAIT_MS : Math.min(WAIT_MS, askEveryUs / 1000);
-        bootstrap = Dialling.whole(loop, CONNECT_MS, MAX_ANSWER, Handler::new);
+        bootstrap = Dialling.whole(loop, MAX_ANSWER, Handler::new);
     }
 
     void start() {
@@ -170,7 +170,7 @@
             write(number);
             return;
         }
-        channel = Dialling.connect(bootstrap, loop, address, failure -> {
+        channel = Dialling.connect(bootstrap, loop, address, CONNECT_US, failure -> {
             if (failure != null) {
                 failed(number, "no connection");
             } else if (call == number) {
--- a/src/main/java/rushproxy/sidecar/LoopDelay.java
+++ b/src/main/java/rushproxy/sidecar/LoopDelay.java
@@ -15,10 +15,12 @@
     private static final double HALF_LIFE_US = 250_000;
 
     private long beatAtUs;
+    private long heldUpUs;
     private long recentUs;
     private long delayedAtUs;
 
     void beat(long now) {
+        heldUpUs = heldUpUs(now);
         beatAtUs = now;
     }
 
@@ -34,6 +36,15 @@
         return recentUs;
     }
 
+    /**
+     * For how long the loop has been held up in all: the sum of the delays of {@link #LATE_US} and more. The difference between two
+     * moments is time in between that nobody else can be blamed for.
+     */
+    long heldUpUs(long now) {
+        long behindUs = behindUs(now);
+        return heldUpUs + (behindUs >= LATE_US ? behindUs : 0);
+    }
+
     /** For how long the heartbeat that is due has been late; 0 where none is. */
     long behindUs(long now) {
         return beatAtUs == 0 ? 0 : Math.max(0, now - beatAtUs - BEAT_US);
--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -35,7 +35,7 @@
         this.clock = clock;
         this.done = done;
         untilUs = clock.now() + MOST_US;
-        upstreams = new Upstreams(loop, clock, MOST_US, 0, MOST_US, () -> AT_ONCE, new Budget(AT_ONCE * Body.KEPT));
+        upstreams = new Upstreams(loop, new RunningTime(clock, new LoopDelay()), MOST_US, 0, MOST_US, () -> AT_ONCE, new Budget(AT_ONCE * Body.KEPT));
         upstreams.update(new UpstreamList(0, true, List.of(new UpstreamList.Entry(
                 new Upstream(SELF, "", "", -1, 0, 1, UpstreamState.READY), self))));
     }
--- a/src/main/java/rushproxy/sidecar/RequestGuard.java
+++ b/src/main/java/rushproxy/sidecar/RequestGuard.java
@@ -74,7 +74,7 @@
             return true;
         }
         // The module has been asked just before, by its own clock reading.
-        if (clock.now() - earlier.sentUs >= c.windowUs() + CLOCK_SLACK_US) {
+        if (clock.now() - earlier.sentUs() >= c.windowUs() + CLOCK_SLACK_US) {
             return false;
         }
         Upstream at = earlier.target();
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -65,7 +65,8 @@
     }
 
     private void await(Exchange x) {
-        x.overdue = loop.schedule(() -> overdue(x), x.deadlineUs + OVERDUE_US - clock.now(), TimeUnit.MICROSECONDS);
+        // After a hold-up its answer may lie in a socket, and what its attempts are told comes first.
+        x.overdue = loop.schedule(() -> SocketLook.before(loop, () -> overdue(x)), x.deadlineUs + OVERDUE_US - clock.now(), TimeUnit.MICROSECONDS);
     }
 
     /** The last byte of the request has come: its time runs from now. */
@@ -189,7 +190,7 @@
                         }
                     }
                 });
-        call.sentUs = now;
+        upstreams.sentNow(call);
         x.attempts.add(call);
         x.times.attempted(now);
         if (moot != null) {
@@ -293,13 +294,14 @@
         upstreams.endBy(call, endUs);
         x.answer.begins(length, resume);
         long now = clock.now();
-        decisions.call(m -> m.onStreamStart(now, x.request.id(), number, call.upstream, now - call.sentUs), () -> { });
+        decisions.call(m -> m.onStreamStart(now, x.request.id(), number, call.upstream, upstreams.tookUs(call)), () -> { });
         return true;
     }
 
     private void ended(Exchange x, int number, Upstreams.Call call, Outcome outcome, LoadReport report, ByteBuf body) {
         outcomes.merge(outcome, 1, Integer::sum);
-        RequestLog.outcome(x.request.id(), number, call.upstream, outcome, clock.now() - call.sentUs);
+        long tookUs = upstreams.tookUs(call);
+        RequestLog.outcome(x.request.id(), number, call.upstream, outcome, tookUs);
         if (x.passing == call) {
             endPassing(x, outcome == Outcome.OK);
         } else if (outcome == Outcome.OK && !x.state.isOver() && finish(x, RequestState.ANSWERED)) {
@@ -308,8 +310,8 @@
         }
         forgetIfSettled(x);
         long now = clock.now();
-        watch.ended(call.upstream, x.request.requestClass(), outcome, now - call.sentUs);
-        decisions.call(m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, now - call.sentUs, x.state.isOver(),
+        watch.ended(call.upstream, x.request.requestClass(), outcome, tookUs);
+        decisions.call(m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, tookUs, x.state.isOver(),
                 report), () -> failUnlessOut(x));
     }
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -87,7 +87,7 @@
         // Those who only come to stay are on the clients' side. What that does not use upstreams may have.
         int free = Math.max(2 * LEAST_PER_SIDE, config.sockets() - OWN_DESCRIPTORS);
         int ofClients = free - Math.max(LEAST_PER_SIDE, free / 4);
-        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
+        upstreams = new Upstreams(loop, new RunningTime(clock, loopDelay), settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
                 () -> free - Math.min(ofClients, clients().open()),
                 budget);
         guard = new RequestGuard(clock, settings.classes(), invariants);
@@ -500,7 +500,7 @@
         public void probe(String upstream) {
             upstreams.start(new Upstreams.Call(upstream, clock.now() + PROBE_US, true, left -> probe(), null,
                     (call, outcome, report, body) -> decisions.call(m -> m.onProbe(clock.now(), upstream, outcome,
-                            clock.now() - call.sentUs, report), () -> { })));
+                            upstreams.tookUs(call), report), () -> { })));
         }
 
         private static HttpRequest probe() {
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -43,6 +44,8 @@
     private static final int MOST_DIALS = 12;
     /** A first byte that can't be written for so long is not written any more: its message tells a time that runs on. */
     private static final long MOST_FIRST_BYTE_US = 50_000;
+    /** A connection that had less time to come up, since its call's was over, says nothing of its upstream. */
+    private static final long LEAST_DIAL_US = 20_000;
 
     /** What a call brings. */
     interface Result {
@@ -84,7 +87,9 @@
         private final Body body;
         private final Result result;
         private final boolean reportInBody;
-        long sentUs;
+        private RunningTime.Mark sent;
+        /** When its upstream was given something to act on: a connection to accept, or a message on an old one; null before. */
+        private RunningTime.Mark offered;
         private Target target;
         private Channel channel;
         private Future<?> timeout;
@@ -126,6 +131,14 @@
             return untilUs;
         }
 
+        long sentUs() {
+            return sent.atUs();
+        }
+
+        void sentAt(RunningTime.Mark mark) {
+            sent = mark;
+        }
+
         boolean written() {
             return written;
         }
@@ -227,11 +240,11 @@
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
 
-        private void timedOut() {
-            if (awaitsRest) {
-                withdraw();
-            } else {
-                abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        /** Its time is over, and its upstream had too little of it to be judged by. */
+        private void endUnjudged() {
+            end(written ? Outcome.CANCELLED : Outcome.NOT_SENT, null, null);
+            if (channel != null) {
+                Upstreams.close(channel, CloseReason.CALL_ABANDONED);
             }
         }
     }
@@ -257,8 +270,10 @@
 
     private final EventLoop loop;
     private final Clock clock;
+    private final RunningTime time;
     private final long idleUs;
     private final long restUs;
+    private final long dialTimeoutUs;
     private final IntSupplier maxConnections;
     private final Bootstrap bootstrap;
     private final Map<String, Target> targets = new HashMap<>();
@@ -268,14 +283,16 @@
     private int connections;
 
     /** {@code restUs}: connections are used again no earlier than this after an answer. */
-    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long restUs, long dialTimeoutUs, IntSupplier maxConnections,
+    Upstreams(EventLoop loop, RunningTime time, long connIdleUs, long restUs, long dialTimeoutUs, IntSupplier maxConnections,
               Budget budget) {
         this.loop = loop;
-        this.clock = clock;
+        this.time = time;
+        this.clock = time.clock();
         this.restUs = restUs;
+        this.dialTimeoutUs = dialTimeoutUs;
         this.maxConnections = maxConnections;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
-        bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), () -> new UpstreamConnection(budget, clock));
+        bootstrap = Dialling.http(loop, () -> new UpstreamConnection(budget, clock));
         sweep = Recurring.every(loop, SWEEP_MS, this::dropIdle);
     }
 
@@ -375,7 +392,7 @@
 
     void start(Call call) {
         long now = clock.now();
-        call.sentUs = now;
+        sentNow(call);
         call.target = targets.get(call.upstream);
         if (call.target == null || !mayBegin(call)) {
             call.end(Outcome.NOT_SENT, null, null);
@@ -426,7 +443,41 @@
         if (call.timeout != null) {
             call.timeout.cancel(false);
         }
-        call.timeout = loop.schedule(call::timedOut, untilUs - clock.now(), TimeUnit.MICROSECONDS);
+        // After a hold-up its answer may lie in the socket, and its connection may have come up.
+        call.timeout = loop.schedule(() -> SocketLook.before(loop, () -> timedOut(call)), untilUs - clock.now(), TimeUnit.MICROSECONDS);
+    }
+
+    private void timedOut(Call call) {
+        if (call.ended || call.begun || clock.now() < call.untilUs) {
+            return;
+        }
+        if (call.awaitsRest) {
+            call.withdraw();
+        } else if (mayBeJudged(call)) {
+            call.abandon(call.written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        } else {
+            call.endUnjudged();
+        }
+    }
+
+    /** Whether most of the time that has passed since the call was sent was its upstream's, and none of this process's hold-ups. */
+    private boolean mayBeJudged(Call call) {
+        boolean upAndUnused = !call.started && call.channel != null && call.channel.isActive();
+        if (call.offered == null || upAndUnused) {
+            return false;
+        }
+        long offeredUs = time.runningUs(call.offered);
+        return 2 * offeredUs >= time.passedUs(call.sent) && (call.written || offeredUs >= LEAST_DIAL_US);
+    }
+
+    /** The call counts as sent from now on. */
+    void sentNow(Call call) {
+        call.sentAt(time.mark());
+    }
+
+    /** For how long the call has been out, without this process's own hold-ups. */
+    long tookUs(Call call) {
+        return time.runningUs(call.sent);
     }
 
     /**
@@ -465,7 +516,8 @@
             return;
         }
         connections++;
-        call.channel = Dialling.connect(bootstrap, loop, call.target.address, failure -> dialled(call, failure));
+        call.offered = time.mark();
+        call.channel = Dialling.connect(bootstrap, loop, call.target.address, dialTimeoutUs, failure -> dialled(call, failure));
     }
 
     /** {@code failure} is null where the connection is up; it then counts until it is closed. */
@@ -487,7 +539,9 @@
 
     /** What this machine fails, as for want of descriptors or ports, is tried again; it is no fault of the upstream's. */
     private void notConnected(Call call, Throwable failure) {
-        if (SocketErrors.isOfPeer(failure)) {
+        if (failure instanceof ConnectTimeoutException && time.mostlyHeldUp(call.offered)) {
+            call.end(Outcome.NOT_SENT, null, null);
+        } else if (SocketErrors.isOfPeer(failure)) {
             call.broke();
         } else if (++call.dials < MOST_DIALS) {
             loop.schedule(() -> connectAgain(call), FailureSpell.AGAIN_MS, TimeUnit.MILLISECONDS);
@@ -509,7 +563,8 @@
             // Closed as soon as it was up.
             call.broke();
         } else if (clock.now() >= call.untilUs) {
-            call.abandon(Outcome.CONNECT_FAILED);
+            // It is up: what took too long was not its upstream.
+            call.endUnjudged();
         } else {
             write(call);
         }
@@ -537,6 +592,9 @@
         }
         call.startsNow();
         call.startedUs = clock.now();
+        if (call.offered == null) {
+            call.offered = time.mark();
+        }
         ((TcpConnection) call.channel).beginsIf(() -> stillBegins(call));
         HttpRequest head = call.message.apply(call.untilUs - clock.now());
         head.headers().set(HttpHeaderNames.HOST, "api.internal");
@@ -551,7 +609,8 @@
             call.channel.write(head).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
             call.body.flow(call.channel, () -> {
                 call.written = true;
-                call.sentUs = clock.now();
+                sentNow(call);
+                call.offered = call.sent;
                 call.result.sent(call);
             });
             return;
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -590,6 +590,19 @@
         assertEquals("b", rig.sentTo("r", 0));
     }
 
+    /** What this instance did not send, or did not hear out, says nothing of the server that was to be asked. */
+    @Test
+    void aProbeThatWasNotSentLeavesNoServerOut() {
+        for (Outcome own : new Outcome[] {Outcome.NOT_SENT, Outcome.CANCELLED}) {
+            Rig rig = new Rig();
+            rig.start().list(A);
+            for (int i = 0; i < 5; i++) {
+                rig.policy.onProbe(rig.now, "a", own, 1_000, null);
+            }
+            assertEquals("a", rig.request("r").sentTo("r", 0), own.toString());
+        }
+    }
+
     // ---- the ordinary path ----------------------------------------------------------------------
 
     @Test
--- a/src/test/java/rushproxy/sidecar/RequestGuardTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestGuardTest.java
@@ -43,7 +43,7 @@
     private Upstreams.Call attempt(Exchange x) {
         Upstreams.Call call = new Upstreams.Call("u", clock.now() + SECOND_US, false, left -> null, null,
                 (c, outcome, report, body) -> { });
-        call.sentUs = clock.now();
+        call.sentAt(new RunningTime.Mark(clock.now(), 0));
         x.attempts.add(call);
         return call;
     }
@@ -136,7 +136,7 @@
         Exchange x = exchange("keyed");
         Upstreams.Call earlier = begun(x);
         assertNull(guard.whyNotSend(x, attempt(x)));
-        earlier.sentUs = clock.now() - 11 * SECOND_US;
+        earlier.sentAt(new RunningTime.Mark(clock.now() - 11 * SECOND_US, 0));
         assertEquals("it may have run", guard.whyNotSend(x, attempt(x)));
     }
 
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -23,6 +23,7 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
+    private final LoopDelay loopDelay = new LoopDelay();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
 
     @AfterEach
@@ -35,8 +36,12 @@
     }
 
     private Upstreams upstreams(long idleUs, long restUs, int most) throws Exception {
-        return loop.submit(() -> new Upstreams(loop, clock, idleUs, restUs, 2_000_000, () -> most, new Budget(1 << 20)))
-                .get();
+        return upstreams(idleUs, restUs, 2_000_000, most);
+    }
+
+    private Upstreams upstreams(long idleUs, long restUs, long dialTimeoutUs, int most) throws Exception {
+        return loop.submit(() -> new Upstreams(loop, new RunningTime(clock, loopDelay), idleUs, restUs, dialTimeoutUs, () -> most,
+                new Budget(1 << 20))).get();
     }
 
     private static UpstreamList list(boolean whole, String... entries) {
@@ -245,4 +250,124 @@
             up.accepted.take().getInputStream().read();
         }
     }
+
+    private static final long DIAL_US = 100_000;
+    private static final long HOLD_UP_MS = 3 * DIAL_US / 1_000;
+
+    /** The loop does nothing for a while, as in a process that gets no processor. */
+    private static void holdUp() {
+        try {
+            Thread.sleep(HOLD_UP_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** With an upstream that has answered once before, so that no code runs for the first time. */
+    private Upstreams used(Peer up) throws Exception {
+        Upstreams upstreams = upstreams(15_000_000, 0, DIAL_US, 100);
+        loop.submit(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0)))).get();
+        loop.execute(() -> upstreams.start(call("u")));
+        assertEquals("u OK", outcome());
+        return upstreams;
+    }
+
+    /**
+     * Starts the call while the loop handles a socket, and holds the loop up there: its timers run next, and only then does it ask
+     * which sockets are ready.
+     */
+    private void startAndHoldUp(Upstreams upstreams, Upstreams.Call call) {
+        loop.execute(() -> upstreams.start(new Upstreams.Call("u", clock.now() + 20_000_000, false,
+                left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), null, (c, outcome, report, body) -> {
+                    upstreams.start(call);
+                    holdUp();
+                })));
+    }
+
+    /** The dial's time-out is due when the loop goes on, and so is the news that the connection is up: the news counts. */
+    @Test
+    void aConnectionThatCameUpInAHoldUpIsUsed() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "Connection: close\r\n", "sent"))) {
+            Upstreams upstreams = used(up);
+            startAndHoldUp(upstreams, call("u"));
+            assertEquals("u OK", outcome());
+        }
+    }
+
+    /** It is up, but its call's time was used up here. */
+    @Test
+    void aCallWhoseTimeEndsInAHoldUpIsNoFailureOfItsUpstream() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "Connection: close\r\n", "sent"))) {
+            Upstreams upstreams = used(up);
+            startAndHoldUp(upstreams, call("u", DIAL_US / 2));
+            assertEquals("u NOT_SENT", outcome());
+            assertEquals(2, up.messages.size(), "it was sent too late");
+        }
+    }
+
+    /** As it is with a call that had but a moment left for its connection to come up in. */
+    @Test
+    void aConnectionThatHadButAMomentIsNoFailureOfItsUpstream() throws Exception {
+        try (java.net.ServerSocket full = full()) {
+            Upstreams upstreams = upstreams(15_000_000, 0, DIAL_US, 100);
+            loop.submit(() -> upstreams.update(list(true, Rig.entry("u", "127.0.0.1:" + full.getLocalPort(), "Ready", 0)))).get();
+            loop.execute(() -> upstreams.start(call("u", 2_000)));
+            assertEquals("u NOT_SENT", outcome());
+        }
+    }
+
+    @Test
+    void anAnswerThatCameInAHoldUpIsTaken() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = used(up);
+            startAndHoldUp(upstreams, call("u", DIAL_US));
+            assertEquals("u OK", outcome());
+        }
+    }
+
+    /** It may have run, but whether its upstream is silent is not known. */
+    @Test
+    void aCallThatWasHeldUpForMostOfItsTimeIsNoSilenceOfItsUpstream() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = used(up);
+            up.script = (m, line) -> { };
+            Upstreams.Call call = call("u", DIAL_US);
+            loop.execute(() -> {
+                loopDelay.beat(clock.now());
+                upstreams.start(call);
+                holdUp();
+            });
+            assertEquals("u CANCELLED", outcome());
+            assertTrue(call.mayRun());
+            long tookUs = loop.submit(() -> upstreams.tookUs(call)).get();
+            assertTrue(tookUs < HOLD_UP_MS * 1_000, "the hold-up counts as the upstream's: " + tookUs);
+        }
+    }
+
+    /** Without a hold-up both are what they were. */
+    @Test
+    void silenceAndConnectionsThatNeverComeUpAreTheUpstreams() throws Exception {
+        try (Peer silent = new Peer((m, line) -> line.answer("200 OK", "", "sent")); java.net.ServerSocket full = full()) {
+            Upstreams upstreams = used(silent);
+            silent.script = (m, line) -> { };
+            loop.submit(() -> upstreams.update(list(false, Rig.entry("full", "127.0.0.1:" + full.getLocalPort(), "Ready", 0)))).get();
+            loop.execute(() -> upstreams.start(call("u", DIAL_US)));
+            assertEquals("u TIMEOUT", outcome());
+            long sinceUs = clock.now();
+            loop.execute(() -> upstreams.start(call("full")));
+            assertEquals("full CONNECT_FAILED", outcome());
+            assertTrue(clock.now() - sinceUs >= DIAL_US, "given up early");
+            loop.execute(() -> upstreams.start(call("full", DIAL_US / 2)));
+            assertEquals("full CONNECT_FAILED", outcome());
+        }
+    }
+
+    /** Listens, and has no room for further connections: the kernel lets them wait. */
+    private static java.net.ServerSocket full() throws java.io.IOException {
+        java.net.ServerSocket full = new java.net.ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"));
+        for (int i = 0; i < 2; i++) {
+            new java.net.Socket("127.0.0.1", full.getLocalPort());
+        }
+        return full;
+    }
 }
