Cordons: a ban ends when the call back is sent, not when its answer is noted

Cause: the laboratory noted a call when its answer had been read. The sidecar obeys uncordon when it takes it, so what it sent in between was held against it. With 60 ms between answer and note the run is red at once: two requests at 6.038 and 6.048 s, the call made at 6 s, noted at 6.07 to 6.08 s; the logs of all three sidecars say 'has back s2' before. Requests are judged by their first byte. CordonsTest: a send just before the call back still breaks the rule, one between call and answer does not, a call without an answer counts after a second; three of its five fail on the old check.

--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -59,9 +59,12 @@
         SERVER_ENDED,
         /** Discovery has written to a node's agent that a server is now in this state: the state, the start in Unix ms. */
         TOLD,
-        /** A node's process: "started", "ready", "term", "exit CODE", "kill", "stopped", "continued", "hup". */
+        /**
+         * A node's process: "started", "ready", "exit CODE"; or a signal to it, "term", "kill", "stop", "cont" or "hup" before it is sent
+         * and "term sent" and so on after.
+         */
         NODE,
-        /** An operators' call and its answer. */
+        /** An operators' call and its answer, seen when that has come; sinceUs when the call was sent. */
         CALLED,
         /** A fault begins: its words, its length in s. */
         FAULT,
--- /dev/null
+++ b/src/test/java/rushproxy/lab/check/CordonsTest.java
@@ -0,0 +1,56 @@
+package rushproxy.lab.check;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * A cordon lasts from the sidecar's yes to the moment in which the call back is sent. The sidecar obeys that call when it takes it, and
+ * the laboratory notes the answer later: a run in which that note came 60 ms late was called broken, by requests that were sent in
+ * between ("sent by n2 to s2 4832 ms after it was called out", 4.83 s after the call at 1.2 s, in the moment of the call back).
+ */
+class CordonsTest {
+    private static Seen cordoned() {
+        return new Seen().called(1_000, 1_010, "cordon s0 -> ACK").called(6_000, 6_060, "uncordon s0 -> ACK");
+    }
+
+    private static int sentAt(long ms) {
+        return cordoned().got(ms, ms + 1, "a").violations(new Cordons());
+    }
+
+    @Test
+    void whatIsSentBeforeTheCallBackBreaksTheRule() {
+        assertEquals(1, sentAt(1_011 + Seen.graceMs()));
+        assertEquals(1, sentAt(5_999));
+        assertEquals(1, cordoned().got(5_999, 6_300, "a").violations(new Cordons()));
+    }
+
+    @Test
+    void whatIsSentBetweenTheCallBackAndItsAnswerDoesNot() {
+        assertEquals(0, sentAt(6_001));
+        assertEquals(0, sentAt(6_100));
+    }
+
+    @Test
+    void theGraceRunsFromTheAnswer() {
+        assertEquals(0, sentAt(1_010 + Seen.graceMs()));
+        assertEquals(0, sentAt(999));
+    }
+
+    /** An answer is due within a second: whoever gives none, or late, is held to that. */
+    @Test
+    void aCallWithoutAnAnswerCountsAfterASecond() {
+        for (String answer : new String[] {"no answer: Read timed out", "ACK"}) {
+            Seen seen = new Seen().called(1_000, 4_000, "cordon s0 -> " + answer).got(2_001 + Seen.graceMs(), 2_600, "a");
+            assertEquals(1, seen.violations(new Cordons()), answer);
+        }
+        assertEquals(0, new Seen().called(1_000, 1_010, "cordon s0 -> NAK no such upstream").got(3_000, 3_001, "a").violations(new Cordons()));
+    }
+
+    /** Two calls out need one call back. */
+    @Test
+    void calledOutAgainItIsOutAgain() {
+        Seen seen = cordoned().called(1_500, 1_510, "cordon s0 -> ACK").called(7_000, 7_010, "cordon s0 -> ACK");
+        assertEquals(1, seen.got(6_500, 6_501, "a").got(8_000, 8_001, "b").violations(new Cordons()));
+    }
+}
