Checkers: events are placed by their own time, not by when somebody heard of them

Too strict: ColdBudget counted what was sent before the news; clients told a sidecar the time that they had used up connecting.

--- a/src/main/java/rushproxy/lab/check/ColdBudget.java
+++ b/src/main/java/rushproxy/lab/check/ColdBudget.java
@@ -3,10 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import rushproxy.lab.scenario.Scenario;
 import rushproxy.lab.world.Observation;
 
@@ -19,12 +17,16 @@
     private static final double CHANCE = 1.1;
     private static final double INFORMED = 2.0 / 3;
 
+    /** Work that a server was sent, and the part of it whose sender had been told of the start when it sent the first byte. */
+    private record Sent(long us, double work, double informed) {}
+
     /** A server that has just started, and what it was sent in the last window. */
     private static final class Cold {
         private final long startedUs;
         private final double startedMs;
-        private final Set<String> told = new HashSet<>();
-        private final ArrayDeque<Observation> window = new ArrayDeque<>();
+        /** By node, when it was told of the start. */
+        private final Map<String, Long> toldUs = new HashMap<>();
+        private final ArrayDeque<Sent> window = new ArrayDeque<>();
         private double work;
         private double informed;
 
@@ -34,13 +36,15 @@
         }
 
         void add(Observation got, long fallUs) {
-            window.add(got);
-            work += got.number();
-            informed += told.contains(got.node()) ? got.number() : 0;
-            while (window.peek().us() <= got.us() - fallUs) {
-                Observation old = window.poll();
-                work -= old.number();
-                informed -= told.contains(old.node()) ? old.number() : 0;
+            Long told = toldUs.get(got.node());
+            Sent sent = new Sent(got.us(), got.number(), told != null && got.sinceUs() >= told ? got.number() : 0);
+            window.add(sent);
+            work += sent.work;
+            informed += sent.informed;
+            while (window.peek().us <= got.us() - fallUs) {
+                Sent old = window.poll();
+                work -= old.work;
+                informed -= old.informed;
             }
         }
     }
@@ -78,7 +82,7 @@
                 }
                 case TOLD -> {
                     if (c != null && o.text().equals("Ready") && o.number() == c.startedMs) {
-                        c.told.add(o.node());
+                        c.toldUs.putIfAbsent(o.node(), o.us());
                     }
                 }
                 case GOT -> {
--- a/src/main/java/rushproxy/lab/check/OneAnswer.java
+++ b/src/main/java/rushproxy/lab/check/OneAnswer.java
@@ -21,23 +21,79 @@
 
     /** When a node was killed, and when it was stopped and went on. */
     private static final class Life {
-        private final List<long[]> stalls = new ArrayList<>();
+        private final List<Span> stalls = new ArrayList<>();
         /** From the order to kill it to its end: on a busy machine the signal takes its time, and requests come meanwhile. */
-        private final List<long[]> kills = new ArrayList<>();
+        private final List<Span> kills = new ArrayList<>();
         private final List<Long> terms = new ArrayList<>();
+        /** Orders to kill a process whose end has not been heard of yet, by its id. */
+        private final Map<Double, Long> killsBegun = new HashMap<>();
+        /** Null where it runs. */
+        private Long stopUs;
+        /** By then it had stopped. */
+        private long stoppedUs;
+        /** By then it had not gone on; null before the order. */
+        private Long contUs;
+
+        void see(Observation o) {
+            switch (o.text()) {
+                case "kill" -> killsBegun.put(o.number(), o.us());
+                case "term" -> terms.add(o.us());
+                case "stop" -> {
+                    stopUs = stoppedUs = o.us();
+                    contUs = null;
+                }
+                case "stop sent" -> stoppedUs = o.us();
+                case "cont" -> contUs = o.us();
+                case "cont sent" -> goesOn(o.us());
+                // The end of the process before it may be heard of later than this.
+                case "started" -> killed(List.copyOf(killsBegun.keySet()), o.us());
+                default -> {
+                    if (o.text().startsWith("exit")) {
+                        killed(List.of(o.number()), o.us());
+                    }
+                }
+            }
+        }
+
+        private void killed(List<Double> pids, long us) {
+            for (Double pid : pids) {
+                Long sinceUs = killsBegun.remove(pid);
+                if (sinceUs != null) {
+                    kills.add(new Span(sinceUs, us));
+                }
+            }
+        }
+
+        /** It is excused by what is sure: signals take their time, so its hold-up may have been shorter than between the first and the last. */
+        private void goesOn(long us) {
+            if (stopUs != null && contUs != null && contUs - stoppedUs > SHORT_STALL_US) {
+                stalls.add(new Span(stopUs, us));
+            }
+            stopUs = null;
+        }
+
+        /** The run is over. */
+        void end() {
+            if (stopUs != null) {
+                stalls.add(new Span(stopUs, Math.max(stopUs, stoppedUs)));
+            }
+            killed(List.copyOf(killsBegun.keySet()), killsBegun.values().stream().mapToLong(us -> us).max().orElse(0));
+        }
 
         boolean stalled(long fromUs, long toUs) {
-            return stalls.stream().anyMatch(s -> s[0] <= toUs && fromUs <= s[1] + AFTER_STALL_US);
+            return stalls.stream().anyMatch(s -> s.sinceUs <= toUs && fromUs <= s.untilUs + AFTER_STALL_US);
         }
 
         /** Killed between the two, with no word of the stop long before the request. */
         boolean killed(long askedUs, long endUs) {
-            boolean killed = kills.stream().anyMatch(k -> k[1] >= askedUs - 1_000 && k[0] <= endUs + 1_000);
+            boolean killed = kills.stream().anyMatch(k -> k.untilUs >= askedUs - 1_000 && k.sinceUs <= endUs + 1_000);
             return killed && terms.stream().noneMatch(t -> t <= askedUs - TERM_US
-                    && kills.stream().anyMatch(k -> k[0] >= t && k[0] <= endUs + 1_000));
+                    && kills.stream().anyMatch(k -> k.sinceUs >= t && k.sinceUs <= endUs + 1_000));
         }
     }
 
+    private record Span(long sinceUs, long untilUs) {}
+
     @Override
     public String rule() {
         return "lost";
@@ -84,28 +140,10 @@
 
     private static Map<String, Life> lives(Run run) {
         Map<String, Life> lives = new HashMap<>();
-        Map<String, Long> stopped = new HashMap<>();
         for (Observation o : run.of(What.NODE)) {
-            Life life = lives.computeIfAbsent(o.node(), n -> new Life());
-            switch (o.text()) {
-                case "kill" -> life.kills.add(new long[] {o.us(), o.us()});
-                case "term" -> life.terms.add(o.us());
-                case "stop" -> stopped.put(o.node(), o.us());
-                case "cont" -> {
-                    Long sinceUs = stopped.remove(o.node());
-                    if (sinceUs != null && o.us() - sinceUs > SHORT_STALL_US) {
-                        life.stalls.add(new long[] {sinceUs, o.us()});
-                    }
-                }
-                default -> {
-                    if (o.text().startsWith("exit") && !life.kills.isEmpty()) {
-                        long[] last = life.kills.get(life.kills.size() - 1);
-                        last[1] = last[1] == last[0] ? o.us() : last[1];
-                    }
-                }
-            }
+            lives.computeIfAbsent(o.node(), n -> new Life()).see(o);
         }
-        stopped.forEach((node, us) -> lives.get(node).stalls.add(new long[] {us, us}));
+        lives.values().forEach(Life::end);
         return lives;
     }
 }
--- a/src/main/java/rushproxy/lab/world/Clients.java
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -208,6 +208,8 @@
         private final long waitUs;
         private Line line;
         private Future<?> patience;
+        /** Its client waits until then. */
+        private long waitsUntilUs;
         private long sentUs;
         private boolean again;
         private boolean over;
@@ -225,6 +227,7 @@
 
         void begin(boolean pooled) {
             if (patience == null) {
+                waitsUntilUs = seen.us() + waitUs;
                 patience = loop.schedule(this::giveUp, waitUs + SLACK_US, TimeUnit.MICROSECONDS);
             }
             ArrayDeque<Line> pool = idle.get(of.arrival.node());
@@ -269,7 +272,8 @@
         private void send(Line to) {
             line = to;
             to.busy = this;
-            long left = Math.max(1, waitUs / 1_000);
+            // What it has waited for its connection it does not wait again.
+            long left = Math.max(1, (waitsUntilUs - seen.us()) / 1_000);
             boolean get = of.arrival.spec().semantics().equals("safe");
             DefaultFullHttpRequest m = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, get ? HttpMethod.GET : HttpMethod.POST,
                     "/api/" + of.arrival.spec().name(), get ? Unpooled.EMPTY_BUFFER
--- /dev/null
+++ b/src/test/java/rushproxy/lab/check/DeparturesTest.java
@@ -0,0 +1,31 @@
+package rushproxy.lab.check;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** An attempt for a client that has gone is found, whatever the laboratory was late by at another time. */
+class DeparturesTest {
+    private static final long TOO_LATE_MS = 201;
+
+    private static Seen left() {
+        return new Seen().asked(1_000, "a").left(1_100, "a");
+    }
+
+    @Test
+    void whatBeginsLongAfterItsClientLeftIsFound() {
+        assertEquals(1, left().got(1_100 + TOO_LATE_MS, 1_400, "a").violations(new Departures()));
+        assertEquals(0, left().got(1_099 + TOO_LATE_MS, 1_400, "a").violations(new Departures()));
+    }
+
+    @Test
+    void aClientThatGaveUpHasGoneToo() {
+        assertEquals(1, new Seen().asked(1_000, "a").gaveUp(1_870, "a").got(1_870 + TOO_LATE_MS, 2_100, "a").violations(new Departures()));
+    }
+
+    @Test
+    void onlyLatenessInBetweenIsTheLaboratorys() {
+        assertEquals(1, left().late(500, 300).late(9_000, 300).got(1_400, 1_410, "a").violations(new Departures()));
+        assertEquals(0, left().late(2_000, 300).got(1_400, 1_410, "a").violations(new Departures()));
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/lab/check/DrainsTest.java
@@ -0,0 +1,26 @@
+package rushproxy.lab.check;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** What a server got is judged by when its first byte was sent, not by what the laboratory had noted last when it had all of it. */
+class DrainsTest {
+    private static Seen draining() {
+        return new Seen().told(1_000, "Terminating");
+    }
+
+    @Test
+    void nothingNewIsSentAfterTheGrace() {
+        assertEquals(1, draining().got(1_001 + Seen.graceMs(), 3_000, "a").violations(new Drains()));
+        assertEquals(0, draining().got(1_000 + Seen.graceMs(), 3_000, "a").violations(new Drains()));
+    }
+
+    /** Its last byte came when the server was back, or the sidecar's process another one; its first did not. */
+    @Test
+    void whatBeganBeforeTheEndOfTheDrainIsJudgedToo() {
+        assertEquals(1, draining().told(4_000, "Ready").got(3_990, 4_010, "a").violations(new Drains()));
+        assertEquals(1, draining().node(4_000, "started").got(3_990, 4_010, "a").violations(new Drains()));
+        assertEquals(0, draining().told(4_000, "Ready").got(4_001, 4_010, "a").violations(new Drains()));
+    }
+}
--- a/src/test/java/rushproxy/lab/check/OneAnswerTest.java
+++ b/src/test/java/rushproxy/lab/check/OneAnswerTest.java
@@ -40,4 +40,20 @@
         assertEquals(1, lost(3_100_000, 3_200_000));
         assertEquals(1, lost(8_000_000, 8_100_000));
     }
+
+    /** Its end was heard of after the next process had started: what that one is asked is its own to answer. */
+    @Test
+    void anEndThatIsHeardOfLateExcusesNothingOfTheNextProcess() throws Exception {
+        Seen seen = new Seen().node(3_000, "kill").node(3_100, "started").node(3_400, "exit 137");
+        assertEquals(1, seen.asked(3_200, "a").gaveUp(4_070, "a").violations(new OneAnswer()));
+    }
+
+    /** Signals take their time to be sent: only a stop that was longer than a short one for certain excuses. */
+    @Test
+    void aStopIsExcusedByWhatIsSureOfItsLength() throws Exception {
+        Seen slowSignal = new Seen().node(1_000, "stop").node(1_300, "stop sent").node(1_450, "cont").node(1_460, "cont sent");
+        assertEquals(1, slowSignal.asked(1_350, "a").gaveUp(2_220, "a").violations(new OneAnswer()));
+        Seen longStop = new Seen().node(1_000, "stop").node(1_010, "stop sent").node(1_450, "cont").node(1_900, "cont sent");
+        assertEquals(0, longStop.asked(1_350, "a").gaveUp(2_220, "a").violations(new OneAnswer()));
+    }
 }
