Clients: what follows on a connection opened in a hold-up is not as old as that

Cause: how long the first bytes had lain in the kernel nobody can tell, so they count as old as the hold-up; the same age was given to whatever else was read on that connection. Change: a look at the sockets that finds no more bytes proves that what is read later is new.

--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
@@ -42,6 +43,9 @@
     /** What is read without a pause may have lain there since then, nothing having been read meanwhile; 0 otherwise. */
     private long unreadSinceUs;
     private long readAtUs;
+    /** The socket was found empty after this: what is read from then on has come since. */
+    private long emptySinceUs;
+    private int reads;
     private boolean held;
     private boolean paused;
     /** No more may be kept until the decoder has taken what is. */
@@ -80,6 +84,8 @@
         if (unreadSinceUs > 0) {
             sentUs = Math.min(sentUs, unreadSinceUs);
         }
+        sentUs = Math.max(sentUs, emptySinceUs);
+        lookIfEmpty(now);
         ByteBuf bytes = (ByteBuf) message;
         if (held || paused || passing || !kept.isEmpty()) {
             keep(bytes);
@@ -88,6 +94,22 @@
         }
     }
 
+    /**
+     * After a hold-up what is read counts as old as that. But what comes after all of it has been read is new, and its client has all
+     * of its time.
+     */
+    private void lookIfEmpty(long now) {
+        int read = ++reads;
+        if (now - sentUs < LoopDelay.LATE_US) {
+            return;
+        }
+        SocketLook.before((EventLoop) context.executor(), () -> {
+            if (read == reads && context.channel() instanceof TcpConnection connection && connection.reads()) {
+                emptySinceUs = now;
+            }
+        });
+    }
+
     /** What is read from now on, up to the first pause, may have lain there since then. */
     void unreadSince(long us) {
         unreadSinceUs = us;
--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -93,9 +93,14 @@
         return n < END ? 0 : n;
     }
 
+    /** Whether what comes is read as soon as it comes. */
+    boolean reads() {
+        return isActive() && isRegistered() && config().isAutoRead() && !readPaused;
+    }
+
     /** Reads what lies in the socket by now, without waiting to be told of it; nothing where reading waits. */
     void readNow() {
-        if (isActive() && isRegistered() && config().isAutoRead() && !readPaused) {
+        if (reads()) {
             unsafe().read();
         }
     }
--- a/src/test/java/rushproxy/sidecar/HoldUpIT.java
+++ b/src/test/java/rushproxy/sidecar/HoldUpIT.java
@@ -99,6 +99,21 @@
         sidecar.signal("CONT");
     }
 
+    /** The first request after a hold-up may be as old as that, but not the ones that follow on its connection. */
+    @Test
+    void whoGoesOnAskingOnAConnectionIsServed() throws Exception {
+        for (int round = 0; round < HOLD_UPS / 2; round++) {
+            holdUp();
+            try (Peer.Client connection = sidecar.client()) {
+                awaitAnswer(connection, "first-" + round);
+                for (int i = 0; i < REQUESTS_AFTER; i++) {
+                    ask(connection, "next-" + round + "-" + i);
+                }
+            }
+        }
+        assertEquals(List.of(), failed, () -> String.join("\n", sidecar.log));
+    }
+
     @Test
     void whoAsksRightAfterAHoldUpIsServed() throws Exception {
         for (int n = 0; n < CLIENTS; n++) {
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -82,6 +82,29 @@
         }
     }
 
+    /**
+     * A connection that was opened in a hold-up brought one request that counts as old as that, and then others: these are new, since
+     * everything before them had been read. They were told to have no time left and refused within a millisecond, for the first 50 ms.
+     */
+    @Test
+    void whatFollowsOnAConnectionThatWasOpenedInAHoldUpIsNew() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.onRequest = (now, r, out) -> out.refuse(r.id(), 0);
+            rig.start();
+            Peer.Client[] fresh = new Peer.Client[1];
+            rig.holdUp(500, () -> fresh[0] = rig.client().send(Rig.get("a1", 300)));
+            try (Peer.Client client = fresh[0]) {
+                assertEquals(503, client.status());
+                assertEquals(1, remaining(rig, "a1"));
+                Thread.sleep(15);
+                client.send(Rig.get("a2", 300));
+                assertEquals(503, client.status());
+                long given = remaining(rig, "a2");
+                assertTrue(given > 100_000, given + " us");
+            }
+        }
+    }
+
     /** The way to the client runs through the core that was busy just now. */
     @Test
     void afterAHoldUpAnAnswerIsDueEarlierAndThenAsBefore() throws Exception {
