Laboratory: a run whose loops had no processor is void, by the kernel's figures

Change: every 0.1 s the waits of its loop and of each sidecar's are noted (schedstat); a lost request for most of whose time one of the two waited does not break the rule, and a run with one is void, never held. Other rules and other losses are judged as before. No bound is touched.

--- a/src/main/java/rushproxy/lab/Lab.java
+++ b/src/main/java/rushproxy/lab/Lab.java
@@ -27,10 +27,12 @@
 import org.apache.commons.rng.simple.RandomSource;
 import rushproxy.lab.check.Checker;
 import rushproxy.lab.check.Run;
+import rushproxy.lab.check.Starvation;
 import rushproxy.lab.check.Violation;
 import rushproxy.lab.node.Build;
 import rushproxy.lab.node.Keeper;
 import rushproxy.lab.node.Node;
+import rushproxy.lab.node.ProcessorWaits;
 import rushproxy.lab.node.SystemFaults;
 import rushproxy.lab.report.Figures;
 import rushproxy.lab.report.Report;
@@ -154,6 +156,8 @@
                 for (Scenario.Fault f : scenario.faults()) {
                     times.schedule(() -> begin(f, world, times, hands), f.atUs(), TimeUnit.MICROSECONDS);
                 }
+                ProcessorWaits waits = new ProcessorWaits(seen, world.processorFigures());
+                times.scheduleWithFixedDelay(() -> waits.look(nodes), 0, ProcessorWaits.EVERY_MS, TimeUnit.MILLISECONDS);
                 times.scheduleAtFixedRate(() -> progress.says(counts.line((System.nanoTime() - zero) / 1_000_000_000)), 1, 1,
                         TimeUnit.SECONDS);
                 await(settled, world);
@@ -456,10 +460,16 @@
                     100 * scenario.lateness().most()));
         } else {
             why.addAll(Expectations.missed(run, violations));
+            Starvation starvation = new Starvation(run);
             Map<String, Integer> rules = new LinkedHashMap<>();
-            violations.forEach(v -> rules.merge(v.rule(), 1, Integer::sum));
+            violations.stream().filter(v -> !starvation.explains(v)).forEach(v -> rules.merge(v.rule(), 1, Integer::sum));
             rules.forEach((rule, times) -> why.add("rule broken: " + rule + ", " + times + " times"));
-            verdict = why.isEmpty() ? "held" : "broken";
+            long starved = violations.stream().filter(starvation::explains).count();
+            verdict = !why.isEmpty() ? "broken" : starved > 0 ? "void" : "held";
+            if (starved > 0) {
+                why.add(starved + " requests were lost while the laboratory's loop or their sidecar's waited for a processor for most of"
+                        + " their time: the machine had no room");
+            }
         }
         return new Summary(scenario.name(), scenario.seed(), verdict, why, figures, violations, late, costs);
     }
--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Lock;
@@ -178,6 +179,11 @@
         return !processes.isEmpty() && last().isAlive();
     }
 
+    /** Of the process that was started last, while it runs. */
+    synchronized OptionalLong pid() {
+        return running() ? OptionalLong.of(last().pid()) : OptionalLong.empty();
+    }
+
     /** Throws, with the end of its log, where it ends before it is ready, or is not within 30 s. */
     public void awaitReady() throws InterruptedException, Trouble {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -72,6 +72,8 @@
         HELD,
         /** The laboratory itself has a fault. */
         TROUBLE,
+        /** A node's event loop, or the laboratory's where no node is named, waited for a processor: ms of the time since sinceUs. */
+        WAITED,
         /** The laboratory was late: by how many ms at most in the last second. */
         LATE
     }
--- a/src/main/java/rushproxy/lab/world/World.java
+++ b/src/main/java/rushproxy/lab/world/World.java
@@ -7,6 +7,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -52,6 +54,7 @@
     /** Lateness of the loop's beats, in microseconds. Read after {@link #close}. */
     private final Histogram lateness = new Histogram(3);
     private long beatAtNanos;
+    private Path processorFigures;
     private long worstUs;
     private int beats;
 
@@ -161,6 +164,7 @@
             }
             binds.addAll(registry.start(scenario.nodeNames(), agents, addresses::upstream, servers));
             binds.addAll(relay.start());
+            processorFigures = figuresOfThisThread();
             beatAtNanos = System.nanoTime();
             loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
         });
@@ -185,6 +189,20 @@
         }
     }
 
+    /** How much processor the calling thread has had and waited for, as the kernel tells; null where it does not. */
+    private static Path figuresOfThisThread() {
+        try {
+            return Path.of("/proc").resolve(Files.readSymbolicLink(Path.of("/proc/thread-self"))).resolve("schedstat");
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
+    /** The kernel's figures for the event loop on which all of this runs, once it is open; null where there are none. */
+    public Path processorFigures() {
+        return processorFigures;
+    }
+
     /** The first tries begin; the result is done when all are settled. */
     public CompletableFuture<Void> ask() {
         CompletableFuture<Void> settled = new CompletableFuture<>();
