Log: reasons and ages of what was not served, and what a late loop was doing

Without them the known failures could not be told apart: a 502 or 503 was a count, a late loop a number of ms. The line of each 5 s now counts refused, failed and overdue requests by the outcomes of their attempts and their age; a late loop tells the processor time that it had and waited for (schedstat). MomentaryFailuresIT tells id, status and time of what failed and the log.

--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -38,6 +38,7 @@
     private int overdue;
     private int left;
     private int broken;
+    private final UnservedRequests unserved = new UnservedRequests();
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
     Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, RequestGuard guard, int maxAttempts) {
@@ -134,7 +135,7 @@
         if (!x.state.isOver()) {
             overdue++;
             RequestLog.state(x.request.id(), "overdue");
-            fail(x);
+            fail(x, "overdue");
             expired(x);
         }
     }
@@ -330,6 +331,7 @@
             fail(x);
         } else if (finish(x, RequestState.ANSWERED)) {
             refused++;
+            unserved.add(x, "refused", clock.now());
             RequestLog.state(x.request.id(), "refused");
             x.answer.refused(retryAfterUs);
         }
@@ -342,8 +344,13 @@
     }
 
     private void fail(Exchange x) {
+        fail(x, "failed");
+    }
+
+    private void fail(Exchange x, String reason) {
         if (!x.state.isOver() && finish(x, RequestState.ANSWERED)) {
             failed++;
+            unserved.add(x, reason, clock.now());
             RequestLog.state(x.request.id(), "failed");
             x.answer.failed();
         }
@@ -371,8 +378,10 @@
         String words = taken + " requests: " + served + " served (" + broken + " broken off), " + refused + " refused, "
                 + failed + " failed (" + overdue + " overdue), " + left + " left by their client; " + open.size()
                 + " held; attempts " + outcomes;
+        Map<String, Integer> reasons = unserved.sinceLast();
+        words += reasons.isEmpty() ? "" : "; not served " + reasons;
         to.of(words, "taken", taken, "served", served, "broken_off", broken, "refused", refused, "failed", failed, "overdue",
-                overdue, "left", left, "held", open.size(), "attempts", outcomes);
+                overdue, "left", left, "held", open.size(), "attempts", outcomes, "not_served", reasons);
         taken = served = refused = failed = overdue = left = broken = 0;
         outcomes.clear();
     }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -69,6 +69,8 @@
     private final LoopDelay loopDelay = new LoopDelay();
     private final AnswerDeadlines deadlines;
     private long worstLagUs;
+    /** At the last line of the log; null where the kernel does not tell. */
+    private ThreadFigures figures;
     private long beats;
     private boolean leaving;
 
@@ -281,12 +283,25 @@
             tellUnanswered();
             requests.tally((words, fields) ->
                     Log.event(Log.Level.INFO, "in " + BEATS * BEAT_MS / 1000 + " s " + words + "; " + held() + broken(), fields));
-            if (worstLagUs >= LAG_US) {
-                Log.event(Log.Level.WARN, "the event loop was late by up to " + worstLagUs / 1000 + " ms in "
-                        + BEATS * BEAT_MS / 1000 + " s", "late_ms", worstLagUs / 1000);
+            tellLag();
+        }
+    }
+
+    /** Whether it worked then or waited for a processor says whose the delay was. */
+    private void tellLag() {
+        ThreadFigures before = figures;
+        figures = ThreadFigures.ofCallingThread().orElse(null);
+        if (worstLagUs >= LAG_US) {
+            String words = "the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s";
+            if (before == null || figures == null) {
+                Log.event(Log.Level.WARN, words, "late_ms", worstLagUs / 1000);
+            } else {
+                ThreadFigures since = figures.since(before);
+                Log.event(Log.Level.WARN, words + ", in which it ran for " + since.ranMs() + " ms and waited for a processor for "
+                        + since.waitedMs() + " ms", "late_ms", worstLagUs / 1000, "ran_ms", since.ranMs(), "waited_ms", since.waitedMs());
             }
-            worstLagUs = 0;
         }
+        worstLagUs = 0;
     }
 
     private void tellUnanswered() {
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -103,6 +103,7 @@
         private boolean written;
         private boolean ended;
         private boolean mayHaveRun;
+        private Outcome outcome;
         /** Its body goes on coming while it is sent. */
         private boolean flowing;
         /** Its answer is being passed on. */
@@ -127,6 +128,11 @@
             return ended;
         }
 
+        /** Null while it is out. */
+        Outcome outcome() {
+            return outcome;
+        }
+
         long untilUs() {
             return untilUs;
         }
@@ -200,6 +206,7 @@
                 return;
             }
             ended = true;
+            this.outcome = outcome;
             mayHaveRun = outcome.mayHaveRun;
             if (flowing) {
                 this.body.stop();
--- a/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
+++ b/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.BeforeEach;
@@ -145,15 +146,19 @@
         List<String> failed = new ArrayList<>();
         try (Peer.Client connection = sidecar.client()) {
             for (int i = 0; i < REQUESTS_EACH; i++) {
+                long sentNanos = System.nanoTime();
                 connection.send(SidecarProcess.get(id(0, i), "unsafe", REMAINING_MS));
                 int status = connection.status();
                 if (status != 200) {
-                    failed.add(i + ": " + status);
+                    failed.add(id(0, i) + ": " + status + " after " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos) + " ms");
                 }
             }
         }
         faults.clear();
-        assertEquals(List.of(), failed);
+        assertEquals(List.of(), failed, () -> {
+            Peer.await(() -> sidecar.log.stream().anyMatch(line -> line.contains("not served")));
+            return String.join("\n", sidecar.log);
+        });
     }
 
     /** A first byte that could not be written while its client was there is not written once it has gone. */
--- a/src/test/java/rushproxy/sidecar/Peer.java
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -128,6 +128,19 @@
         }
     }
 
+    /** Waits for what is not told; 10 s at most, which is no failure. */
+    static void await(java.util.function.BooleanSupplier what) {
+        long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!what.getAsBoolean() && System.nanoTime() < untilNanos) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(10);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
     /** A client's connection to a sidecar. */
     static final class Client implements AutoCloseable {
         final Socket socket;
--- a/src/test/java/rushproxy/sidecar/RequestLogTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLogTest.java
@@ -84,6 +84,25 @@
         }
     }
 
+    /** What became of those that were not served can be told from the counts alone, without a line for each. */
+    @Test
+    void theCountsTellReasonAndAgeOfEachThatWasNotServed() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.reset());
+            rig.start();
+            try (Peer.Client c = rig.client()) {
+                c.send(Rig.get("failed", 20_000));
+                assertEquals(502, c.status());
+                rig.onRequest = (now, r, out) -> out.refuse(r.id(), 1_000);
+                c.send(Rig.get("refused", 20_000));
+                assertEquals(503, c.status());
+            }
+            Peer.await(() -> any(".*not served.*"));
+            assertTrue(any(".*not served \\{failed, attempts \\[RESET\\], under \\d+ ms=1, refused, attempts \\[\\], under \\d+ ms=1\\}.*"),
+                    lines.toString());
+        }
+    }
+
     @Test
     void otherLevelsTellNothingOfSingleRequests() throws Exception {
         Log.style(Log.Style.DEFAULT);
