--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -592,8 +592,8 @@
             ask(now, r.second);
             return null;
         }
-        boolean answered = r.first.reportedAt >= r.askedAt
-                && (r.second == null || r.second.reportedAt >= r.askedAt);
+        boolean secondAnswered = r.second == null || r.second.reportedAt >= r.askedAt;
+        boolean answered = r.first.reportedAt >= r.askedAt && secondAnswered;
         if (!answered && now - r.askedAt < SWEEP_US) return null;
         Server best = null;
         for (Server s : new Server[] {r.first, r.second}) {
@@ -796,8 +796,9 @@
         if (r == null || r.over || number >= r.attempts.size()) return false;
         Attempt begins = r.attempts.get(number);
         Server s = begins.server;
-        return s.ready && r.attempts.stream().limit(number)
-                .allMatch(a -> !a.mayHaveRun || repeatable(r.spec, a, s, now))
+        boolean mayFollow = r.attempts.stream().limit(number)
+                .allMatch(a -> !a.mayHaveRun || repeatable(r.spec, a, s, now));
+        return s.ready && mayFollow
                 && slowStart.mayBegin(now, s, begins.sentAt, r.work, meanWork);
     }
 
