--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -796,9 +796,10 @@
         if (r == null || r.over || number >= r.attempts.size()) return false;
         Attempt begins = r.attempts.get(number);
         Server s = begins.server;
-        boolean mayFollow = r.attempts.stream().limit(number)
-                .allMatch(a -> !a.mayHaveRun || repeatable(r.spec, a, s, now));
-        return s.ready && mayFollow
+        for (Attempt a : r.attempts.subList(0, number)) {
+            if (a.mayHaveRun && !repeatable(r.spec, a, s, now)) return false;
+        }
+        return s.ready
                 && slowStart.mayBegin(now, s, begins.sentAt, r.work, meanWork);
     }
 
--- a/src/test/java/rushproxy/StartTest.java
+++ b/src/test/java/rushproxy/StartTest.java
@@ -14,6 +14,9 @@
 /** A sidecar's start loads nothing of what only people use. */
 @Timeout(120)
 class StartTest {
+    private static final String NOT_OF_SERVE = "rushproxy\\.(lab|cli)|picocli|com\\.fasterxml\\.jackson\\.(databind|dataformat)"
+            + "|org\\.HdrHistogram|org\\.apache\\.commons";
+
     private static final String CONFIG = """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","known":{"generation":1,"reset":true,"instances":[]},
              "settings":{"me":0,"balancers":1,"zone":"z","discovery":"on_request",
@@ -43,8 +46,6 @@
         }
         List<String> classes = Files.readAllLines(loaded);
         assertTrue(classes.stream().anyMatch(l -> l.contains(" rushproxy.sidecar.Sidecar ")), "nothing was written down");
-        assertEquals(List.of(), classes.stream().filter(l -> l.matches(
-                ".* (rushproxy\\.(lab|cli)|picocli|com\\.fasterxml\\.jackson\\.(databind|dataformat)|org\\.HdrHistogram|org\\.apache\\.commons)\\..*"))
-                .toList());
+        assertEquals(List.of(), classes.stream().filter(l -> l.matches(".* (" + NOT_OF_SERVE + ")\\..*")).toList());
     }
 }
