--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -10,24 +10,51 @@
  */
 public interface Balancer {
     /** Whether a request may be sent again: freely, under its key while that is remembered, or never once it may have run. */
-    enum Semantics { SAFE, KEYED, UNSAFE }
+    enum Semantics {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Which upstreams drop repeats of a keyed request. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** As the list has it. */
-    enum UpstreamState { GONE, READY, DRAINING }
+    enum UpstreamState {
+        GONE,
+        READY,
+        DRAINING
+    }
 
     /** What a list is: changes, the whole, none (the call failed), or the one of the configuration. */
-    enum ListKind { DELTA, FULL, FAILED, CACHED }
+    enum ListKind {
+        DELTA,
+        FULL,
+        FAILED,
+        CACHED
+    }
 
     /** How upstreams tell of their load. */
-    enum Reports { NONE, INLINE, ON_PROBE }
+    enum Reports {
+        NONE,
+        INLINE,
+        ON_PROBE
+    }
 
     /** How an attempt ended. */
     enum Outcome {
-        OK(true), ERROR(true), REJECTED(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
-        CANCELLED(true), NOT_SENT(false);
+        OK(true),
+        ERROR(true),
+        REJECTED(false),
+        TIMEOUT(true),
+        CONNECT_FAILED(false),
+        RESET(true),
+        CANCELLED(true),
+        NOT_SENT(false);
 
         /** False where the outcome proves that the attempt never ran. */
         public final boolean mayHaveRun;
@@ -38,43 +65,94 @@
     }
 
     /** A class of requests; times in microseconds, the deadline from the client's first try. */
-    record RequestClass(String name, Semantics semantics, Group group, long windowUs, long aimUs,
-                        double aimStretch, long deadlineUs, double worth, double lateWorth, boolean stream) {}
+    record RequestClass(
+            String name,
+            Semantics semantics,
+            Group group,
+            long windowUs,
+            long aimUs,
+            double aimStretch,
+            long deadlineUs,
+            double worth,
+            double lateWorth,
+            boolean stream) {}
 
     /** Who asks, and what part of the fleet it may use. */
     record Tenant(String name, double share, double quotaPerSecond) {}
 
     /** What the deployment allows. */
-    record Limits(int maxAttempts, boolean secondCopies, boolean cancelling, boolean probing, boolean peers,
-                  boolean retryAfter, long maxRetryAfterUs, long connIdleUs, double cpuUsPerRequest) {}
+    record Limits(
+            int maxAttempts,
+            boolean secondCopies,
+            boolean cancelling,
+            boolean probing,
+            boolean peers,
+            boolean retryAfter,
+            long maxRetryAfterUs,
+            long connIdleUs,
+            double cpuUsPerRequest) {}
 
     /** {@code closeOnDrainUs} is 0 where idle connections to a draining upstream may stay open. */
-    record Rules(long drainGraceUs, double coldShare, long rampUs, double fallMultiple, long fallWindowUs,
-                 long askEveryUs, long answerSlackUs, long closeOnDrainUs) {}
+    record Rules(
+            long drainGraceUs,
+            double coldShare,
+            long rampUs,
+            double fallMultiple,
+            long fallWindowUs,
+            long askEveryUs,
+            long answerSlackUs,
+            long closeOnDrainUs) {}
 
     /** Points of the result for each unit of use; 0 where it is free. */
     record Prices(double crossZone, double peer, double probe, double connection, double handshake) {}
 
     /** All that an instance is told of its deployment; {@code me} is its number among {@code balancers}. */
-    record Settings(int me, int balancers, String zone, List<String> zones, List<String> kinds,
-                    List<RequestClass> classes, List<Tenant> tenants, Limits limits, Rules rules,
-                    Reports reports, boolean discoveryOnRequest, boolean worthByWork,
-                    double overShareWorth, Prices prices, long tickUs) {}
+    record Settings(
+            int me,
+            int balancers,
+            String zone,
+            List<String> zones,
+            List<String> kinds,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            Limits limits,
+            Rules rules,
+            Reports reports,
+            boolean discoveryOnRequest,
+            boolean worthByWork,
+            double overShareWorth,
+            Prices prices,
+            long tickUs) {}
 
     /** One line of the list. {@code startedUs} is 0 where it started long ago. */
-    record Upstream(String id, String zone, String kind, int cell, long startedUs, double weight,
-                    UpstreamState state) {}
+    record Upstream(
+            String id, String zone, String kind, int cell, long startedUs, double weight, UpstreamState state) {}
 
     /**
      * {@code costHintUs} is 0 where there is none; {@code remainingUs} is the time until the client gives
      * up, from the request's last byte on. {@code partial}: its body is still coming, and an attempt can't be repeated
      * once it has taken of it; {@link #onSent} tells when the upstream has all.
      */
-    record Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
-                   String tenant, String requestClass, boolean partial) {
+    record Request(
+            String id,
+            long key,
+            boolean repeat,
+            boolean write,
+            double costHintUs,
+            long remainingUs,
+            String tenant,
+            String requestClass,
+            boolean partial) {
         /** A request of which all is here. */
-        public Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
-                       String tenant, String requestClass) {
+        public Request(
+                String id,
+                long key,
+                boolean repeat,
+                boolean write,
+                double costHintUs,
+                long remainingUs,
+                String tenant,
+                String requestClass) {
             this(id, key, repeat, write, costHintUs, remainingUs, tenant, requestClass, false);
         }
     }
@@ -83,7 +161,11 @@
     record LoadReport(double inFlight, double queued, double utilisation) {}
 
     /** Whether a sidecar sees most of the fleet, a part that may be cut off, or none but itself. */
-    enum Standing { MAJORITY, MINORITY, NOBODY }
+    enum Standing {
+        MAJORITY,
+        MINORITY,
+        NOBODY
+    }
 
     /** Word of the fleet plane: {@code here} sidecars, itself included, by zone in {@code byZone}. From {@code untilUs} on it
      * counts as never told. */
@@ -133,7 +215,11 @@
     }
 
     /** What a limit counts. */
-    enum Scope { ALL, CLASS, TENANT }
+    enum Scope {
+        ALL,
+        CLASS,
+        TENANT
+    }
 
     /** Parts of their shares that servers get, 0 to 1, by id; all of it where none is named. Until {@code untilUs}. */
     record Weights(Map<String, Double> byServer, long untilUs) {
@@ -190,8 +276,15 @@
     void onSent(long now, String request, int attempt);
 
     /** {@code done}: the request is over, by this outcome or already before it. */
-    void onOutcome(long now, String request, int attempt, String upstream, Outcome outcome, long latencyUs,
-                   boolean done, LoadReport report);
+    void onOutcome(
+            long now,
+            String request,
+            int attempt,
+            String upstream,
+            Outcome outcome,
+            long latencyUs,
+            boolean done,
+            LoadReport report);
 
     void onStreamStart(long now, String request, int attempt, String upstream, long latencyUs);
 
--- a/src/main/java/rushproxy/Knowledge.java
+++ b/src/main/java/rushproxy/Knowledge.java
@@ -24,6 +24,7 @@
     final double[] work;
     /** Mean rate a second of the fleet's sidecars, apart by zone. */
     final double[] rates;
+
     double meanWork;
     double crowding;
     private final int shape;
@@ -35,7 +36,11 @@
         answers = new double[slow.length];
         work = new double[s.classes().size()];
         rates = new double[s.zones().size()];
-        shape = List.of(s.zones(), s.kinds(), s.classes().stream().map(Balancer.RequestClass::name).toList()).hashCode();
+        shape = List.of(
+                        s.zones(),
+                        s.kinds(),
+                        s.classes().stream().map(Balancer.RequestClass::name).toList())
+                .hashCode();
     }
 
     private List<double[]> columns() {
--- a/src/main/java/rushproxy/PeerWord.java
+++ b/src/main/java/rushproxy/PeerWord.java
@@ -8,6 +8,7 @@
     final double[] rates;
     /** Of each kind the slowness and the number of answers behind it. */
     final double[] slow;
+
     final int[] answers;
     /** How many times longer than at their best the answers take. */
     double crowding;
@@ -37,7 +38,9 @@
         for (int i = 0; i < slow.length; i++) {
             b.putShort(unsigned(slow[i] * 256)).put((byte) Math.min(255, answers[i]));
         }
-        return b.putShort(unsigned(crowding * 256)).putShort(unsigned(idleLimitUs / 1000.0)).array();
+        return b.putShort(unsigned(crowding * 256))
+                .putShort(unsigned(idleLimitUs / 1000.0))
+                .array();
     }
 
     private static short unsigned(double value) {
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -36,6 +36,7 @@
     private static final long SWEEP_US = 5_000;
     /** Failures in a row after which a server is left alone for a while. */
     private static final int EJECT_AFTER = 2;
+
     private static final long EJECT_US = 500_000, EJECT_MOST_US = 8_000_000;
     /** Each sidecar tells one other its rate this often. */
     private static final long TELL_US = 500_000;
@@ -49,6 +50,7 @@
     private static final double CALM = 1.5, STEEP = 2;
     /** The best is forgotten by this at each solution, so that a lucky start does not count for ever. */
     private static final double CREEP = 1.0005;
+
     private static final long HEARD_US = 5_000_000;
     /** Own answers that are younger speak louder than peers. */
     private static final long FRESH_US = 2_000_000;
@@ -58,6 +60,7 @@
     private static final double BURST = 0.25;
     /** Points of the result that the probes of one pair may cost at most. */
     private static final double TOLL = 0.005;
+
     private static final long ASK_FIRST_US = 500_000;
     /** A probe not answered for this long may be sent again. */
     private static final long PROBE_US = 100_000;
@@ -69,6 +72,7 @@
     private static final int FEWEST = 3;
     /** A connection idle for less than this is not suspected of having been dropped meanwhile. */
     private static final long IDLE_LEAST_US = 200_000;
+
     private static final long IDLE_FORGET_US = 5_000_000;
 
     private final Settings cfg;
@@ -78,11 +82,13 @@
     private double topWorth;
     /** The two drawn servers are asked for their load by probes: the paper's sampled load itself. */
     private final boolean sampling;
+
     private final SlowStart slowStart;
     /** Connections and handshakes have a price: a sidecar keeps to a few servers of each kind. */
     private final boolean subset;
     /** No load is told, and more sidecars than share a server: own requests say little of it. */
     private final boolean blind;
+
     private final double coresGuess;
     private final int home;
 
@@ -98,7 +104,9 @@
         }
         zoneRate = new double[cfg.zones().size()];
         Limits limits = cfg.limits();
-        sampling = limits.probing() && cfg.reports() != Reports.NONE && 2 * cfg.prices().probe() <= TOLL;
+        sampling = limits.probing()
+                && cfg.reports() != Reports.NONE
+                && 2 * cfg.prices().probe() <= TOLL;
         subset = cfg.prices().connection() > 0 && cfg.prices().handshake() > 0;
         if (limits.peers() && cfg.balancers() > 1) out.timer("tell", TELL_US / 2 + random.nextLong(TELL_US));
         slowStart = new SlowStart(cfg, sampling);
@@ -116,6 +124,7 @@
     final Map<String, Kind> kinds = new LinkedHashMap<>();
     /** Ready servers; with a subset in the order that all sidecars share. */
     private final List<Server> ready = new ArrayList<>();
+
     private List<Server> members = List.of();
     private long membersAt;
     private double wantedMembers;
@@ -163,6 +172,7 @@
 
     /** What the operators leave out, and when they had the others back; ids need not be listed. */
     private final Set<String> cordoned = new HashSet<>();
+
     private final Map<String, Long> returned = new HashMap<>();
     /** Back, and not yet heard of: a cold server may have no share for seconds, yet its users wait for it. */
     private final Set<Server> owed = new LinkedHashSet<>();
@@ -223,7 +233,8 @@
         Map<List<Object>, List<Server>> parts = new LinkedHashMap<>();
         int[] size = new int[zoneRate.length];
         for (Server s : ready) {
-            parts.computeIfAbsent(List.of(s.zone, s.entry.kind()), k -> new ArrayList<>()).add(s);
+            parts.computeIfAbsent(List.of(s.zone, s.entry.kind()), k -> new ArrayList<>())
+                    .add(s);
             size[s.zone]++;
         }
         List<Server> chosen = new ArrayList<>();
@@ -666,7 +677,7 @@
         if (freeCore) return load < Math.max(1, Math.round(cores)) - 0.5;
         return load + 1 <= Math.max(1, cores + CROWD * Math.sqrt(cores)) + (sampling ? 0.5 : 0.01)
                 && (!blind && load < 0.5 && warmth(s, now) >= 1
-                || now + expected(s, r.work, load, now) <= r.usefulUntil);
+                        || now + expected(s, r.work, load, now) <= r.usefulUntil);
     }
 
     // ---- admission ------------------------------------------------------------------------------
@@ -799,8 +810,7 @@
         for (Attempt a : r.attempts.subList(0, number)) {
             if (a.mayHaveRun && !repeatable(r.spec, a, s, now)) return false;
         }
-        return s.ready
-                && slowStart.mayBegin(now, s, begins.sentAt, r.work, meanWork);
+        return s.ready && slowStart.mayBegin(now, s, begins.sentAt, r.work, meanWork);
     }
 
     private static boolean repeatable(RequestClass c, Attempt earlier, Server s, long now) {
@@ -887,8 +897,15 @@
     }
 
     @Override
-    public void onOutcome(long now, String id, int number, String upstream, Outcome outcome, long latencyUs,
-                          boolean done, LoadReport report) {
+    public void onOutcome(
+            long now,
+            String id,
+            int number,
+            String upstream,
+            Outcome outcome,
+            long latencyUs,
+            boolean done,
+            LoadReport report) {
         Req r = open.get(id);
         report(upstream, report, now);
         told = r == null ? null : told;
@@ -918,6 +935,7 @@
 
     /** Idle connections are dropped unseen after about this long, as far as known. */
     private long idleLimit = Long.MAX_VALUE;
+
     private long idleSeenAt, idleKept, idleKeptAt;
     /** Seen by own failures, which alone are told on: word of word would never end. */
     private long idleOwnAt = Long.MIN_VALUE / 2;
@@ -1078,12 +1096,14 @@
         subscribed = kind != ListKind.FAILED;
         // Jittered, so that instances that failed together do not ask together again.
         if (!subscribed) out.timer("ask", askDelay / 2 + random.nextLong(askDelay));
-        askDelay = subscribed ? ASK_FIRST_US : Math.min(askDelay * 2, cfg.rules().askEveryUs() / 2 + 1);
+        askDelay =
+                subscribed ? ASK_FIRST_US : Math.min(askDelay * 2, cfg.rules().askEveryUs() / 2 + 1);
     }
 
     // ---- peers ----------------------------------------------------------------------------------
     /** Mean rate of the fleet's sidecars, apart by their zone. */
     private final double[] zoneRate;
+
     private double[] zonePart;
     private long heardAt = Long.MIN_VALUE / 2;
     private int tells;
--- a/src/main/java/rushproxy/SlowStart.java
+++ b/src/main/java/rushproxy/SlowStart.java
@@ -40,7 +40,8 @@
         long slot = slot(s, now);
         long slotStart = s.startedAt + slot * (cfg.rules().fallWindowUs() / 2);
         double capacity = warmth(s, slotStart) * Math.max(1, s.kind.cores) / s.kind.slow;
-        double budget = USED_PART * cfg.rules().fallMultiple() * capacity * cfg.rules().fallWindowUs();
+        double budget =
+                USED_PART * cfg.rules().fallMultiple() * capacity * cfg.rules().fallWindowUs();
         long requests = (long) (budget / (sampling ? 1.5 : 3) / meanWork);
         long turn = Math.floorMod(cfg.me() - Policy.mix(s.id.hashCode(), (int) slot), cfg.balancers());
         long own = requests / cfg.balancers() + (turn < requests % cfg.balancers() ? 1 : 0);
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -11,9 +11,11 @@
     static final class Kind {
         /** Time on such a server of work that takes one unit of time on a standard core. */
         double slow = 1;
+
         double cores;
         /** The least slowness seen for long: that of uncrowded servers. */
         double least = 1;
+
         int answers;
         long heardAt;
 
@@ -29,21 +31,26 @@
         boolean ready;
         /** Start of the process as listed, or the operators' call back where that is later. */
         long startedAt;
+
         double share;
         /** Own requests in flight, and their attempts in the order of their sends. */
         int own;
+
         final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
         /** How much slower than its kind. */
         double apart = 1;
+
         long heardAt;
         /** Its last answer with success; what was sent after it has met silence so far. */
         long answeredAt;
+
         double reported;
         long reportedAt = Long.MIN_VALUE / 2;
         int failures, ejections;
         long ejectedUntil;
         /** Requests turned away in a row, and until when it is taken to be full after the last of them. */
         int refusals;
+
         long fullUntil;
         /** Own evidence against it of late, and when it was last told on that it is slow or cold. */
         long failedAt = Long.MIN_VALUE / 2, toldAt = Long.MIN_VALUE / 2;
@@ -57,6 +64,7 @@
         long askedAt;
         /** Own work sent in the last slot of the cold server's budget. */
         long coldSlot;
+
         double coldSent;
 
         double slow() {
@@ -81,12 +89,15 @@
         long firstAsked;
         /** An answer after this is worth nothing more than a late one. */
         long usefulUntil;
+
         long deadline;
         /** Waiting requests go by this: the aim, as many times longer as the work is worth less. */
         long order;
+
         boolean waiting, over, streaming;
         /** The pair asked for its load, when, and how many pairs were. */
         Server first, second;
+
         long askedAt, askNext;
         int pairs;
         final List<Attempt> attempts = new ArrayList<>(1);
@@ -109,12 +120,14 @@
         Server server;
         /** The server's line of the list at the send. */
         Upstream entry;
+
         long sentAt;
         double held, expected;
         /** What was expected of a server of slowness 1. */
         double plain;
         /** How long the connection had been idle at the send; 0 where it was in use or new. */
         long idle;
+
         boolean ended, mayHaveRun = true;
         /** It occupies its server: from when that has the whole request until its answer comes. */
         boolean running;
--- a/src/main/java/rushproxy/cli/Commands.java
+++ b/src/main/java/rushproxy/cli/Commands.java
@@ -4,10 +4,16 @@
 import picocli.CommandLine.Command;
 
 /** The commands for people. {@code serve} and {@code simhost} are {@link rushproxy.Main}'s own and never come here. */
-@Command(name = "rushproxy", mixinStandardHelpOptions = true, version = "rushproxy 0.1.0",
+@Command(
+        name = "rushproxy",
+        mixinStandardHelpOptions = true,
+        version = "rushproxy 0.1.0",
         description = "A load-balancing sidecar and its laboratory.",
-        footer = {"", "serve      runs a sidecar, configured by the file that BALANCER_CONFIG names",
-                "simhost    hosts many instances on the simulator's wire"},
+        footer = {
+            "",
+            "serve      runs a sidecar, configured by the file that BALANCER_CONFIG names",
+            "simhost    hosts many instances on the simulator's wire"
+        },
         subcommands = {LabCommand.class, FleetCommand.class, ReleaseCommand.class})
 public final class Commands implements Runnable {
     @CommandLine.Spec
--- a/src/main/java/rushproxy/cli/LabCapacity.java
+++ b/src/main/java/rushproxy/cli/LabCapacity.java
@@ -12,11 +12,15 @@
 import rushproxy.lab.scale.ScaleResult;
 
 /** {@code lab capacity}: the tables of {@code docs/CAPACITY.md}, from the files of scale runs. */
-@Command(name = "capacity", mixinStandardHelpOptions = true,
-        description = "Prints what scale runs have measured, and what follows from it for 7,800 members, as tables of Markdown.")
+@Command(
+        name = "capacity",
+        mixinStandardHelpOptions = true,
+        description =
+                "Prints what scale runs have measured, and what follows from it for 7,800 members, as tables of Markdown.")
 final class LabCapacity implements Callable<Integer> {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
+
     @Parameters(arity = "1..*", paramLabel = "FILE", description = "Files that 'lab scale' wrote.")
     private List<Path> files;
 
@@ -27,8 +31,10 @@
             try {
                 results.add(ScaleResult.read(file));
             } catch (IOException e) {
-                return LabCommand.bad(spec, new IOException(file + ": no file of a scale run: "
-                        + e.getMessage().lines().findFirst().orElse("")));
+                return LabCommand.bad(
+                        spec,
+                        new IOException(file + ": no file of a scale run: "
+                                + e.getMessage().lines().findFirst().orElse("")));
             }
         }
         spec.commandLine().getOut().print(CapacityTables.of(results));
--- a/src/main/java/rushproxy/cli/LabCommand.java
+++ b/src/main/java/rushproxy/cli/LabCommand.java
@@ -30,15 +30,29 @@
 import rushproxy.lab.scenario.ScenarioReader;
 
 /** {@code lab}: fleets of real sidecar processes with faults between them. */
-@Command(name = "lab", mixinStandardHelpOptions = true,
+@Command(
+        name = "lab",
+        mixinStandardHelpOptions = true,
         description = "Plays fleets of real sidecars in a world with faults, and checks what they do.",
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:all held", "1:a rule was broken, or something expected was missed",
-                "2:bad words, or a scenario that can't be played; nothing was started",
-                "3:void: the laboratory itself was too late", "4:a sidecar or an address could not be had",
-                "5:stopped half way"},
-        subcommands = {LabCommand.RunOne.class, LabCommand.ListAll.class, LabCommand.Check.class, LabCommand.ReportAgain.class,
-                LabSweep.class, LabSoak.class, LabScale.class, LabCapacity.class})
+        exitCodeList = {
+            "0:all held",
+            "1:a rule was broken, or something expected was missed",
+            "2:bad words, or a scenario that can't be played; nothing was started",
+            "3:void: the laboratory itself was too late",
+            "4:a sidecar or an address could not be had",
+            "5:stopped half way"
+        },
+        subcommands = {
+            LabCommand.RunOne.class,
+            LabCommand.ListAll.class,
+            LabCommand.Check.class,
+            LabCommand.ReportAgain.class,
+            LabSweep.class,
+            LabSoak.class,
+            LabScale.class,
+            LabCapacity.class
+        })
 final class LabCommand implements Runnable {
     static final int BROKEN = 1;
     static final int BAD = 2;
@@ -66,7 +80,11 @@
     static final class Changes {
         @Option(names = "--seed", description = "Another seed for all draws.")
         Long seed;
-        @Option(names = "--set", paramLabel = "PATH=VALUE", description = "Another value, as TOML: --set traffic.rate_per_s=200")
+
+        @Option(
+                names = "--set",
+                paramLabel = "PATH=VALUE",
+                description = "Another value, as TOML: --set traffic.rate_per_s=200")
         List<String> set = new ArrayList<>();
 
         Map<String, String> all() throws ScenarioException {
@@ -92,25 +110,53 @@
 
     static Path newFolder(String name) {
         String at = LocalDateTime.now().format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss", Locale.ROOT));
-        return Path.of("target", "lab", at + "-" + name + "-" + ProcessHandle.current().pid());
+        return Path.of(
+                "target", "lab", at + "-" + name + "-" + ProcessHandle.current().pid());
     }
 
     static void print(PrintWriter out, Summary s) {
         Figures f = s.figures();
-        out.printf(Locale.ROOT, "%s, seed %d: %s%n", s.scenario(), s.seed(), s.verdict().toUpperCase(Locale.ROOT));
+        out.printf(
+                Locale.ROOT,
+                "%s, seed %d: %s%n",
+                s.scenario(),
+                s.seed(),
+                s.verdict().toUpperCase(Locale.ROOT));
         s.why().forEach(w -> out.println("  " + w));
-        out.printf(Locale.ROOT, "  %d requests: served %.4f, late %.4f, refused %.4f, failed %.4f; worth %.4f; %.2f runs a request%n",
-                f.requests(), f.served(), f.late(), f.refused(), f.failed(), f.worth(), f.runsPerRequest());
-        out.printf(Locale.ROOT, "  latency from the intended send, ms: p50 %.1f, p90 %.1f, p99 %.1f, max %.1f%n", f.p50Ms(),
-                f.p90Ms(), f.p99Ms(), f.maxMs());
-        out.printf(Locale.ROOT, "  the laboratory's own lateness, ms: sends p99 %.1f, max %.1f; beats p99 %.1f, max %.1f%n",
-                s.lateness().get("send_p99"), s.lateness().get("send_max"), s.lateness().get("beat_p99"),
+        out.printf(
+                Locale.ROOT,
+                "  %d requests: served %.4f, late %.4f, refused %.4f, failed %.4f; worth %.4f; %.2f runs a request%n",
+                f.requests(),
+                f.served(),
+                f.late(),
+                f.refused(),
+                f.failed(),
+                f.worth(),
+                f.runsPerRequest());
+        out.printf(
+                Locale.ROOT,
+                "  latency from the intended send, ms: p50 %.1f, p90 %.1f, p99 %.1f, max %.1f%n",
+                f.p50Ms(),
+                f.p90Ms(),
+                f.p99Ms(),
+                f.maxMs());
+        out.printf(
+                Locale.ROOT,
+                "  the laboratory's own lateness, ms: sends p99 %.1f, max %.1f; beats p99 %.1f, max %.1f%n",
+                s.lateness().get("send_p99"),
+                s.lateness().get("send_max"),
+                s.lateness().get("beat_p99"),
                 s.lateness().get("beat_max"));
     }
 
     static void print(PrintWriter out, Run run, List<Violation> violations) {
         for (Violation v : violations.subList(0, Math.min(MOST_SHOWN, violations.size()))) {
-            out.printf(Locale.ROOT, "  %s at %.3f s%s: %s%n", v.rule(), v.us() / 1e6, v.id() == null ? "" : ", request " + v.id(),
+            out.printf(
+                    Locale.ROOT,
+                    "  %s at %.3f s%s: %s%n",
+                    v.rule(),
+                    v.us() / 1e6,
+                    v.id() == null ? "" : ", request " + v.id(),
                     v.words());
             if (v.id() != null) {
                 out.print(run.history(v.id()));
@@ -132,15 +178,22 @@
     static final class RunOne implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "SCENARIO", description = "A TOML file, or a name that 'lab list' shows.")
         private String scenario;
+
         @Mixin
         private Changes changes;
+
         @Option(names = "--out", description = "The folder for the report; by default a new one in target/lab.")
         private Path out;
+
         @Option(names = "--jar", description = "Another build of the program for all sidecars.")
         private String jar;
-        @Option(names = {"-q", "--quiet"}, description = "Only the summary.")
+
+        @Option(
+                names = {"-q", "--quiet"},
+                description = "Only the summary.")
         private boolean quiet;
 
         @Override
@@ -159,11 +212,12 @@
             Path folder = out == null ? newFolder(s.name()) : out;
             try {
                 Summary summary = new Lab(s, build, folder, line -> {
-                    if (!quiet) {
-                        print.println(line);
-                        print.flush();
-                    }
-                }).run();
+                            if (!quiet) {
+                                print.println(line);
+                                print.flush();
+                            }
+                        })
+                        .run();
                 print(print, summary);
                 if (!summary.violations().isEmpty()) {
                     print(print, Report.readRun(folder), summary.violations());
@@ -189,7 +243,10 @@
         }
     }
 
-    @Command(name = "list", mixinStandardHelpOptions = true, description = "Lists the scenarios that come with the program.")
+    @Command(
+            name = "list",
+            mixinStandardHelpOptions = true,
+            description = "Lists the scenarios that come with the program.")
     static final class ListAll implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
@@ -198,21 +255,34 @@
         public Integer call() throws ScenarioException {
             for (String name : ScenarioReader.NAMES) {
                 Scenario s = ScenarioReader.read(name, Map.of());
-                spec.commandLine().getOut().printf(Locale.ROOT, "%-18s %3d sidecars %3d upstreams %4.0f s  %s%n", name,
-                        s.fleet().nodes(), ScenarioReader.serverNames(s).size(), s.lengthUs() / 1e6, s.about());
+                spec.commandLine()
+                        .getOut()
+                        .printf(
+                                Locale.ROOT,
+                                "%-18s %3d sidecars %3d upstreams %4.0f s  %s%n",
+                                name,
+                                s.fleet().nodes(),
+                                ScenarioReader.serverNames(s).size(),
+                                s.lengthUs() / 1e6,
+                                s.about());
             }
             spec.commandLine().getOut().flush();
             return 0;
         }
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
-            description = "Reads a scenario and says what it would play, or looks through a run's folder again for broken rules.")
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Reads a scenario and says what it would play, or looks through a run's folder again for broken rules.")
     static final class Check implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "SCENARIO|FOLDER")
         private String what;
+
         @Mixin
         private Changes changes;
 
@@ -230,10 +300,21 @@
                     return violations.isEmpty() ? 0 : BROKEN;
                 }
                 Scenario s = ScenarioReader.read(what, changes.all());
-                out.printf(Locale.ROOT, "%s: %d sidecars, %d upstreams, %.0f requests a second for %.0f s%n", s.name(),
-                        s.fleet().nodes(), ScenarioReader.serverNames(s).size(), s.traffic().ratePerS(), s.lengthUs() / 1e6);
-                s.faults().forEach(f -> out.printf(Locale.ROOT, "  %8.1f s  %s%s%n", f.atUs() / 1e6, f.words(),
-                        f.forUs() > 0 ? String.format(Locale.ROOT, ", for %.1f s", f.forUs() / 1e6) : ""));
+                out.printf(
+                        Locale.ROOT,
+                        "%s: %d sidecars, %d upstreams, %.0f requests a second for %.0f s%n",
+                        s.name(),
+                        s.fleet().nodes(),
+                        ScenarioReader.serverNames(s).size(),
+                        s.traffic().ratePerS(),
+                        s.lengthUs() / 1e6);
+                s.faults()
+                        .forEach(f -> out.printf(
+                                Locale.ROOT,
+                                "  %8.1f s  %s%s%n",
+                                f.atUs() / 1e6,
+                                f.words(),
+                                f.forUs() > 0 ? String.format(Locale.ROOT, ", for %.1f s", f.forUs() / 1e6) : ""));
                 out.flush();
                 return 0;
             } catch (ScenarioException | IOException e) {
@@ -242,10 +323,14 @@
         }
     }
 
-    @Command(name = "report", mixinStandardHelpOptions = true, description = "Prints a run's summary, and writes its page anew.")
+    @Command(
+            name = "report",
+            mixinStandardHelpOptions = true,
+            description = "Prints a run's summary, and writes its page anew.")
     static final class ReportAgain implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "FOLDER")
         private Path folder;
 
--- a/src/main/java/rushproxy/cli/LabScale.java
+++ b/src/main/java/rushproxy/cli/LabScale.java
@@ -15,36 +15,70 @@
 import rushproxy.lab.scale.ScaleRun;
 
 /** {@code lab scale}: what the control plane of a large fleet costs, and how soon it knows. */
-@Command(name = "scale", mixinStandardHelpOptions = true,
-        description = "Measures the control plane of a large fleet: hollow members, without a data path, in simulated time, or in "
-                + "real time over loopback beside real sidecars.",
+@Command(
+        name = "scale",
+        mixinStandardHelpOptions = true,
+        description =
+                "Measures the control plane of a large fleet: hollow members, without a data path, in simulated time, or in "
+                        + "real time over loopback beside real sidecars.",
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:measured", "2:bad words, or a fleet that this machine can't hold; nothing was started",
-                "3:void: this host could not keep real time", "4:an address, a socket or a sidecar could not be had"})
+        exitCodeList = {
+            "0:measured",
+            "2:bad words, or a fleet that this machine can't hold; nothing was started",
+            "3:void: this host could not keep real time",
+            "4:an address, a socket or a sidecar could not be had"
+        })
 final class LabScale implements Callable<Integer> {
     private static final int VOID = 3;
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
-    @Option(names = "--members", defaultValue = "120", description = "Sidecars in the fleet (default ${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--members",
+            defaultValue = "120",
+            description = "Sidecars in the fleet (default ${DEFAULT-VALUE}).")
     private int members;
-    @Option(names = "--real", defaultValue = "0",
+
+    @Option(
+            names = "--real",
+            defaultValue = "0",
             description = "How many of them are real sidecars; with any, time is real (default ${DEFAULT-VALUE}).")
     private int real;
+
     @Option(names = "--services", defaultValue = "1", description = "Services that they belong to, in turn.")
     private int services;
-    @Option(names = "--zones", defaultValue = "12", description = "Zones that they are in, in turn (default ${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--zones",
+            defaultValue = "12",
+            description = "Zones that they are in, in turn (default ${DEFAULT-VALUE}).")
     private int zones;
-    @Option(names = "--regions", defaultValue = "4", description = "Regions of the zones, in turn (default ${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--regions",
+            defaultValue = "4",
+            description = "Regions of the zones, in turn (default ${DEFAULT-VALUE}).")
     private int regions;
-    @Option(names = "--event", defaultValue = "quiet",
+
+    @Option(
+            names = "--event",
+            defaultValue = "quiet",
             description = "What happens: quiet, kill, rack-loss, zone-loss, region-cut or rolling-restart.")
     private String event;
-    @Option(names = "--loss", defaultValue = "0.01", description = "Part of all datagrams that is lost (default ${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--loss",
+            defaultValue = "0.01",
+            description = "Part of all datagrams that is lost (default ${DEFAULT-VALUE}).")
     private double loss;
+
     @Option(names = "--seed", defaultValue = "1")
     private long seed;
-    @Option(names = "--out", description = "The folder for scale.json and the sidecars' logs; by default a new one in target/lab.")
+
+    @Option(
+            names = "--out",
+            description = "The folder for scale.json and the sidecars' logs; by default a new one in target/lab.")
     private Path out;
 
     @Override
@@ -64,7 +98,8 @@
         }
         Path file = folder.resolve("scale.json");
         try {
-            ScaleResult result = real == 0 ? ScaleRun.simulated(plan, this::say) : ScaleRun.real(plan, build, folder, this::say);
+            ScaleResult result =
+                    real == 0 ? ScaleRun.simulated(plan, this::say) : ScaleRun.real(plan, build, folder, this::say);
             result.write(file);
             print.println("figures: " + file);
             if (result.voidWhy() != null) {
--- a/src/main/java/rushproxy/cli/LabSoak.java
+++ b/src/main/java/rushproxy/cli/LabSoak.java
@@ -18,22 +18,39 @@
 import rushproxy.lab.soak.SoakPlan;
 
 /** {@code lab soak}: deployments and overlapping faults drawn from seeds, played with real sidecars. */
-@Command(name = "soak", mixinStandardHelpOptions = true,
-        description = "Draws a deployment and overlapping faults from each seed and plays them with real sidecars; the rules and the sidecars'"
-                + " own invariants must hold.")
+@Command(
+        name = "soak",
+        mixinStandardHelpOptions = true,
+        description =
+                "Draws a deployment and overlapping faults from each seed and plays them with real sidecars; the rules and the sidecars'"
+                        + " own invariants must hold.")
 final class LabSoak implements Callable<Integer> {
     private static final Pattern RANGE = Pattern.compile("([0-9]{1,3})(?:\\.\\.([0-9]{1,3}))?");
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
-    @Option(names = "--seeds", defaultValue = "1-20", description = "For example 1-20 or 3,8; default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--seeds",
+            defaultValue = "1-20",
+            description = "For example 1-20 or 3,8; default ${DEFAULT-VALUE}.")
     private String seeds;
-    @Option(names = "--nodes", defaultValue = "10..40", description = "Sidecars, a number or a range to draw from; default ${DEFAULT-VALUE}.")
+
+    @Option(
+            names = "--nodes",
+            defaultValue = "10..40",
+            description = "Sidecars, a number or a range to draw from; default ${DEFAULT-VALUE}.")
     private String nodes;
+
     @Option(names = "--length", defaultValue = "30s", description = "Of each play; default ${DEFAULT-VALUE}.")
     private String length;
-    @Option(names = "--shrink", defaultValue = "0", description = "Plays to spend on leaving out faults of a plan that fails.")
+
+    @Option(
+            names = "--shrink",
+            defaultValue = "0",
+            description = "Plays to spend on leaving out faults of a plan that fails.")
     private int shrink;
+
     @Option(names = "--out", description = "The folder for plans and reports.")
     private Path out;
 
@@ -82,10 +99,20 @@
     }
 
     private static void tell(PrintWriter print, SoakPlan plan, Summary s) {
-        print.printf(Locale.ROOT, "seed %d: %s, %d requests, served %.3f, %d faults, late sends %.3f%n", plan.seed(), s.verdict(),
-                s.figures().requests(), s.figures().served(), plan.faults().size(), s.lateness().getOrDefault("late_sends", 0.0));
+        print.printf(
+                Locale.ROOT,
+                "seed %d: %s, %d requests, served %.3f, %d faults, late sends %.3f%n",
+                plan.seed(),
+                s.verdict(),
+                s.figures().requests(),
+                s.figures().served(),
+                plan.faults().size(),
+                s.lateness().getOrDefault("late_sends", 0.0));
         s.why().forEach(w -> print.println("  " + w));
-        s.violations().stream().limit(5).forEach(v -> print.printf(Locale.ROOT, "  %.3f s %s %s %s%n", v.us() / 1e6, v.rule(), v.id(), v.words()));
+        s.violations().stream()
+                .limit(5)
+                .forEach(v ->
+                        print.printf(Locale.ROOT, "  %.3f s %s %s %s%n", v.us() / 1e6, v.rule(), v.id(), v.words()));
         print.flush();
     }
 }
--- a/src/main/java/rushproxy/cli/ReleaseCommand.java
+++ b/src/main/java/rushproxy/cli/ReleaseCommand.java
@@ -31,9 +31,19 @@
  * {@code release}: the controller of a staged release of servers. {@code start} runs until the release is over; any other
  * command is a controller of a later epoch, which the running one hears of and ends.
  */
-@Command(name = "release", mixinStandardHelpOptions = true, description = "Brings new servers in by stages, halts, and takes them back.",
-        subcommands = {ReleaseCommand.PlanOf.class, ReleaseCommand.Start.class, ReleaseCommand.Resume.class, ReleaseCommand.Status.class,
-                ReleaseCommand.Halt.class, ReleaseCommand.Back.class, ReleaseCommand.Abort.class})
+@Command(
+        name = "release",
+        mixinStandardHelpOptions = true,
+        description = "Brings new servers in by stages, halts, and takes them back.",
+        subcommands = {
+            ReleaseCommand.PlanOf.class,
+            ReleaseCommand.Start.class,
+            ReleaseCommand.Resume.class,
+            ReleaseCommand.Status.class,
+            ReleaseCommand.Halt.class,
+            ReleaseCommand.Back.class,
+            ReleaseCommand.Abort.class
+        })
 final class ReleaseCommand implements Runnable {
     static final int SUPERSEDED = 3;
     private static final int UNREACHED = 1;
@@ -69,17 +79,19 @@
         /** The answers by address, of those that gave one; all are asked at once. */
         Map<String, String> call(String line) throws InterruptedException {
             Map<String, String> answers = new ConcurrentHashMap<>();
-            callers.invokeAll(addresses.stream().map(a -> (Callable<Void>) () -> {
-                try {
-                    String answer = FleetCommand.call(a, line);
-                    if (!answer.isEmpty()) {
-                        answers.put(a, answer);
-                    }
-                } catch (IOException e) {
-                    // It is not reached: the next look may find it.
-                }
-                return null;
-            }).toList());
+            callers.invokeAll(addresses.stream()
+                    .map(a -> (Callable<Void>) () -> {
+                        try {
+                            String answer = FleetCommand.call(a, line);
+                            if (!answer.isEmpty()) {
+                                answers.put(a, answer);
+                            }
+                        } catch (IOException e) {
+                            // It is not reached: the next look may find it.
+                        }
+                        return null;
+                    })
+                    .toList());
             return new TreeMap<>(answers);
         }
 
@@ -105,10 +117,16 @@
                     if (!o.path("release").asText().equals(release)) {
                         continue;
                     }
-                    Order one = new Order(release, o.path("epoch").asInt(), o.path("step").asInt(),
-                            Order.State.valueOf(o.path("state").asText().toUpperCase(Locale.ROOT)), o.path("weight").asDouble(),
-                            o.path("safe").asDouble(), Order.Selector.of(o.path("whom").asText()));
-                    boolean later = latest == null || one.epoch() > latest.epoch()
+                    Order one = new Order(
+                            release,
+                            o.path("epoch").asInt(),
+                            o.path("step").asInt(),
+                            Order.State.valueOf(o.path("state").asText().toUpperCase(Locale.ROOT)),
+                            o.path("weight").asDouble(),
+                            o.path("safe").asDouble(),
+                            Order.Selector.of(o.path("whom").asText()));
+                    boolean later = latest == null
+                            || one.epoch() > latest.epoch()
                             || one.epoch() == latest.epoch() && one.step() > latest.step();
                     latest = later ? one : latest;
                 }
@@ -118,10 +136,21 @@
 
         /** Tells the order; how many have taken it, -1 where one knows a later controller's. */
         int tell(Order o) throws InterruptedException {
-            Map<String, String> answers = call(String.format(Locale.ROOT, "order %s %d %d %s %s %s %s", o.release(), o.epoch(), o.step(),
-                    o.state().name().toLowerCase(Locale.ROOT), o.weight(), o.safe(), o.whom().words()));
-            return answers.values().stream().anyMatch(a -> a.startsWith("NAK epoch")) ? -1
-                    : (int) answers.values().stream().filter(a -> a.equals("ACK")).count();
+            Map<String, String> answers = call(String.format(
+                    Locale.ROOT,
+                    "order %s %d %d %s %s %s %s",
+                    o.release(),
+                    o.epoch(),
+                    o.step(),
+                    o.state().name().toLowerCase(Locale.ROOT),
+                    o.weight(),
+                    o.safe(),
+                    o.whom().words()));
+            return answers.values().stream().anyMatch(a -> a.startsWith("NAK epoch"))
+                    ? -1
+                    : (int) answers.values().stream()
+                            .filter(a -> a.equals("ACK"))
+                            .count();
         }
 
         Map<String, Map<String, Watch.Pair>> reports(String release) throws InterruptedException {
@@ -130,7 +159,9 @@
                 try {
                     Map<String, Watch.Pair> strata = new TreeMap<>();
                     for (JsonNode t : view.path("tallies")) {
-                        strata.put(t.path("stratum").asText(), new Watch.Pair(tally(t.path("new")), tally(t.path("control"))));
+                        strata.put(
+                                t.path("stratum").asText(),
+                                new Watch.Pair(tally(t.path("new")), tally(t.path("control"))));
                     }
                     reports.put(a, strata);
                 } catch (IllegalArgumentException e) {
@@ -141,7 +172,11 @@
         }
 
         private static rushproxy.fleet.release.Tally tally(JsonNode t) {
-            return Watch.read(t.path(0).asLong(), t.path(1).asLong(), t.path(2).asLong(), t.path(3).asText());
+            return Watch.read(
+                    t.path(0).asLong(),
+                    t.path(1).asLong(),
+                    t.path(2).asLong(),
+                    t.path(3).asText());
         }
 
         @Override
@@ -160,7 +195,8 @@
             boolean enough = c.over() ? took == sidecars.count() : took > 0;
             reachedNs = enough || c.last() != said ? System.nanoTime() : reachedNs;
             if (System.nanoTime() - reachedNs > TimeUnit.SECONDS.toNanos(PATIENCE_S)) {
-                out.println("ends after " + PATIENCE_S + " s in which " + took + " of " + sidecars.count() + " were reached; the others hear of it by these");
+                out.println("ends after " + PATIENCE_S + " s in which " + took + " of " + sidecars.count()
+                        + " were reached; the others hear of it by these");
                 out.flush();
                 return UNREACHED;
             }
@@ -172,8 +208,15 @@
             if (c.last() != said) {
                 said = c.last();
                 Order o = said.order();
-                out.printf(Locale.ROOT, "step %d, %s: weight %.3f, taken by %d of %d: %s%n", o.step(), o.state().name().toLowerCase(Locale.ROOT),
-                        o.weight(), took, sidecars.count(), said.why());
+                out.printf(
+                        Locale.ROOT,
+                        "step %d, %s: weight %.3f, taken by %d of %d: %s%n",
+                        o.step(),
+                        o.state().name().toLowerCase(Locale.ROOT),
+                        o.weight(),
+                        took,
+                        sidecars.count(),
+                        said.why());
             }
             if (!c.waitsFor().equals(waited) && !c.waitsFor().isEmpty()) {
                 waited = c.waitsFor();
@@ -187,14 +230,21 @@
                 return 4;
             }
             TimeUnit.MILLISECONDS.sleep(LOOK_MS);
-            c.reports(System.currentTimeMillis() * 1_000, sidecars.reports(c.last().order().release()), sidecars.count());
+            c.reports(
+                    System.currentTimeMillis() * 1_000,
+                    sidecars.reports(c.last().order().release()),
+                    sidecars.count());
         }
     }
 
-    @Command(name = "plan", mixinStandardHelpOptions = true, description = "Reads a plan and prints what it says; starts nothing.")
+    @Command(
+            name = "plan",
+            mixinStandardHelpOptions = true,
+            description = "Reads a plan and prints what it says; starts nothing.")
     static final class PlanOf implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
+
         @Parameters(paramLabel = "PLAN", description = "A plan, TOML.")
         private Path file;
 
@@ -206,10 +256,20 @@
                 out.println(p.name() + ": " + p.whom().words());
                 for (Plan.Stage s : p.stages()) {
                     Gate.Rule r = s.rule();
-                    out.printf(Locale.ROOT, "  weight %.3f for %.0f to %.0f s and %d answers of each; halted falsely in at most %.4f of cases%n",
-                            s.weight(), r.leastUs() / 1e6, r.mostUs() / 1e6, r.answers(), r.falseHalts());
+                    out.printf(
+                            Locale.ROOT,
+                            "  weight %.3f for %.0f to %.0f s and %d answers of each; halted falsely in at most %.4f of cases%n",
+                            s.weight(),
+                            r.leastUs() / 1e6,
+                            r.mostUs() / 1e6,
+                            r.answers(),
+                            r.falseHalts());
                 }
-                out.printf(Locale.ROOT, "  back by halves every %.0f s; %.3f at a sidecar that is cut off%n", p.backUs() / 1e6, p.safe());
+                out.printf(
+                        Locale.ROOT,
+                        "  back by halves every %.0f s; %.3f at a sidecar that is cut off%n",
+                        p.backUs() / 1e6,
+                        p.safe());
                 out.flush();
                 return 0;
             } catch (ScenarioException e) {
@@ -223,11 +283,22 @@
     abstract static class Running implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "PLAN", description = "A plan, TOML.")
         private Path file;
-        @Parameters(index = "1..*", arity = "1..*", paramLabel = "ADDR", description = "Second addresses of all sidecars, HOST:PORT.")
+
+        @Parameters(
+                index = "1..*",
+                arity = "1..*",
+                paramLabel = "ADDR",
+                description = "Second addresses of all sidecars, HOST:PORT.")
         private List<String> addresses;
-        @Option(names = "--journal", paramLabel = "FILE", required = true, description = "Keeps each step, on disk before it is taken.")
+
+        @Option(
+                names = "--journal",
+                paramLabel = "FILE",
+                required = true,
+                description = "Keeps each step, on disk before it is taken.")
         private Path journal;
 
         abstract boolean anew();
@@ -243,22 +314,42 @@
                 err.println(e.getMessage());
                 return 2;
             }
-            try (ReleaseJournal kept = new ReleaseJournal(journal); Sidecars sidecars = new Sidecars(addresses)) {
+            try (ReleaseJournal kept = new ReleaseJournal(journal);
+                    Sidecars sidecars = new Sidecars(addresses)) {
                 if (kept.cut() != null) {
                     out.println(journal + ": " + kept.cut());
                 }
                 Order known = sidecars.latest(plan.name());
-                Conductor.Step last = kept.steps().isEmpty() ? null : kept.steps().get(kept.steps().size() - 1);
+                Conductor.Step last = kept.steps().isEmpty()
+                        ? null
+                        : kept.steps().get(kept.steps().size() - 1);
                 if (last != null && !last.order().release().equals(plan.name())) {
                     err.println(journal + ": is of release " + last.order().release());
                     return 2;
                 }
-                int epoch = 1 + Math.max(known == null ? 0 : known.epoch(), last == null ? 0 : last.order().epoch());
-                boolean gone = last != null && known == null || known != null && last != null && known.epoch() > last.order().epoch();
-                Conductor.Step after = last != null && !gone ? last : known == null ? last : new Conductor.Step(known, stage(plan, known), "");
+                int epoch = 1
+                        + Math.max(
+                                known == null ? 0 : known.epoch(),
+                                last == null ? 0 : last.order().epoch());
+                boolean gone = last != null && known == null
+                        || known != null
+                                && last != null
+                                && known.epoch() > last.order().epoch();
+                Conductor.Step after = last != null && !gone
+                        ? last
+                        : known == null ? last : new Conductor.Step(known, stage(plan, known), "");
                 if (after != null && !anew() && after.order().state() == Order.State.HALTED) {
-                    after = new Conductor.Step(new Order(plan.name(), after.order().epoch(), after.order().step(), Order.State.ON,
-                            after.order().weight(), plan.safe(), plan.whom()), after.stage(), "");
+                    after = new Conductor.Step(
+                            new Order(
+                                    plan.name(),
+                                    after.order().epoch(),
+                                    after.order().step(),
+                                    Order.State.ON,
+                                    after.order().weight(),
+                                    plan.safe(),
+                                    plan.whom()),
+                            after.stage(),
+                            "");
                 }
                 Conductor c = new Conductor(plan, epoch, after, System.currentTimeMillis() * 1_000, s -> {
                     try {
@@ -285,9 +376,18 @@
         }
     }
 
-    @Command(name = "start", mixinStandardHelpOptions = true, description = "Begins a release, or goes on where its journal stands.",
-            exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:done, or all taken back", "1:the journal can't be kept",
-                    "2:bad words or a bad plan", "3:a later controller has taken over", "4:halted"})
+    @Command(
+            name = "start",
+            mixinStandardHelpOptions = true,
+            description = "Begins a release, or goes on where its journal stands.",
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {
+                "0:done, or all taken back",
+                "1:the journal can't be kept",
+                "2:bad words or a bad plan",
+                "3:a later controller has taken over",
+                "4:halted"
+            })
     static final class Start extends Running {
         @Override
         boolean anew() {
@@ -295,7 +395,10 @@
         }
     }
 
-    @Command(name = "resume", mixinStandardHelpOptions = true, description = "Goes on with a release that was halted; its stage begins anew.")
+    @Command(
+            name = "resume",
+            mixinStandardHelpOptions = true,
+            description = "Goes on with a release that was halted; its stage begins anew.")
     static final class Resume extends Running {
         @Override
         boolean anew() {
@@ -307,9 +410,15 @@
     abstract static class ByName implements Callable<Integer> {
         @CommandLine.Spec
         protected CommandLine.Model.CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "RELEASE", description = "The release's name.")
         private String name;
-        @Parameters(index = "1..*", arity = "1..*", paramLabel = "ADDR", description = "Second addresses of all sidecars, HOST:PORT.")
+
+        @Parameters(
+                index = "1..*",
+                arity = "1..*",
+                paramLabel = "ADDR",
+                description = "Second addresses of all sidecars, HOST:PORT.")
         private List<String> addresses;
 
         abstract int act(Order known, Sidecars sidecars, PrintWriter out) throws InterruptedException;
@@ -328,18 +437,32 @@
 
         /** A controller of a later epoch that takes the release from where it stands. */
         static Conductor over(Order known) {
-            Plan plan = new Plan(known.release(), known.whom(), List.of(new Plan.Stage(Math.max(1e-3, known.weight()), Gate.Rule.USUAL)),
-                    known.safe(), 5_000_000);
-            return new Conductor(plan, known.epoch() + 1, new Conductor.Step(known, 0, ""), System.currentTimeMillis() * 1_000, s -> { });
+            Plan plan = new Plan(
+                    known.release(),
+                    known.whom(),
+                    List.of(new Plan.Stage(Math.max(1e-3, known.weight()), Gate.Rule.USUAL)),
+                    known.safe(),
+                    5_000_000);
+            return new Conductor(
+                    plan,
+                    known.epoch() + 1,
+                    new Conductor.Step(known, 0, ""),
+                    System.currentTimeMillis() * 1_000,
+                    s -> {});
         }
     }
 
-    @Command(name = "status", mixinStandardHelpOptions = true, description = "Prints the release as each sidecar follows it.")
+    @Command(
+            name = "status",
+            mixinStandardHelpOptions = true,
+            description = "Prints the release as each sidecar follows it.")
     static final class Status implements Callable<Integer> {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "RELEASE", description = "The release's name.")
         private String name;
+
         @Parameters(index = "1..*", arity = "1..*", paramLabel = "ADDR", description = "Second addresses, HOST:PORT.")
         private List<String> addresses;
 
@@ -353,8 +476,14 @@
                     String line = views.containsKey(a) ? "knows nothing of it" : "no answer";
                     for (JsonNode o : views.containsKey(a) ? views.get(a).path("orders") : List.<JsonNode>of()) {
                         if (o.path("release").asText().equals(name)) {
-                            line = String.format(Locale.ROOT, "epoch %d, step %d, %s: weight %.3f for %s", o.path("epoch").asInt(),
-                                    o.path("step").asInt(), o.path("state").asText(), o.path("weight").asDouble(), o.path("whom").asText());
+                            line = String.format(
+                                    Locale.ROOT,
+                                    "epoch %d, step %d, %s: weight %.3f for %s",
+                                    o.path("epoch").asInt(),
+                                    o.path("step").asInt(),
+                                    o.path("state").asText(),
+                                    o.path("weight").asDouble(),
+                                    o.path("whom").asText());
                         }
                     }
                     said.add(line);
@@ -373,7 +502,8 @@
             Conductor c = over(known);
             c.halt(System.currentTimeMillis() * 1_000, "by an operator");
             int took = sidecars.tell(c.last().order());
-            out.println("halted at weight " + c.last().order().weight() + ", taken by " + took + " of " + sidecars.count());
+            out.println(
+                    "halted at weight " + c.last().order().weight() + ", taken by " + took + " of " + sidecars.count());
             out.flush();
             return took == sidecars.count() ? 0 : UNREACHED;
         }
--- a/src/main/java/rushproxy/cli/ReleaseJournal.java
+++ b/src/main/java/rushproxy/cli/ReleaseJournal.java
@@ -101,11 +101,25 @@
     void append(Conductor.Step step) throws IOException {
         Order o = step.order();
         String why = step.why().replaceAll("[\\t\\n]", " ");
-        byte[] text = String.join("\t", o.release(), "" + o.epoch(), "" + o.step(), o.state().name(), "" + o.weight(), "" + o.safe(),
-                o.whom().words(), "" + step.stage(), why.substring(0, Math.min(1_000, why.length()))).getBytes(StandardCharsets.UTF_8);
-        ByteBuffer b = ByteBuffer.allocate(HEAD + text.length).putInt(text.length).putInt(check(text)).put(text);
+        byte[] text = String.join(
+                        "\t",
+                        o.release(),
+                        "" + o.epoch(),
+                        "" + o.step(),
+                        o.state().name(),
+                        "" + o.weight(),
+                        "" + o.safe(),
+                        o.whom().words(),
+                        "" + step.stage(),
+                        why.substring(0, Math.min(1_000, why.length())))
+                .getBytes(StandardCharsets.UTF_8);
+        ByteBuffer b = ByteBuffer.allocate(HEAD + text.length)
+                .putInt(text.length)
+                .putInt(check(text))
+                .put(text);
         b.flip();
-        // A try that failed may have left a part, or a whole record that was never taken on: the next one begins before it.
+        // A try that failed may have left a part, or a whole record that was never taken on: the next one begins before
+        // it.
         file.truncate(end);
         file.position(end);
         disk.write(file, b);
@@ -128,8 +142,17 @@
     private Conductor.Step step(Path path, String text) throws IOException {
         String[] w = text.split("\t", -1);
         try {
-            return new Conductor.Step(new Order(w[0], Integer.parseInt(w[1]), Integer.parseInt(w[2]), Order.State.valueOf(w[3]),
-                    Double.parseDouble(w[4]), Double.parseDouble(w[5]), Order.Selector.of(w[6])), Integer.parseInt(w[7]), w[8]);
+            return new Conductor.Step(
+                    new Order(
+                            w[0],
+                            Integer.parseInt(w[1]),
+                            Integer.parseInt(w[2]),
+                            Order.State.valueOf(w[3]),
+                            Double.parseDouble(w[4]),
+                            Double.parseDouble(w[5]),
+                            Order.Selector.of(w[6])),
+                    Integer.parseInt(w[7]),
+                    w[8]);
         } catch (RuntimeException e) {
             throw new IOException(path + ": record " + (steps.size() + 1) + " is no step: " + e.getMessage());
         }
--- a/src/main/java/rushproxy/cli/ReleasePlan.java
+++ b/src/main/java/rushproxy/cli/ReleasePlan.java
@@ -45,8 +45,16 @@
         for (Section one : s.tables("stages")) {
             double least = one.number("least_s", 1, 86_400, usual.leastUs() / S);
             double most = one.number("most_s", least, 7 * 86_400, Math.max(least, usual.mostUs() / S));
-            stages.add(new Plan.Stage(one.number("weight", 0.001, 1), new Gate.Rule((long) (least * S), (long) (most * S),
-                    one.count("answers", 1, 1_000_000, (int) usual.answers()), falseHalts, worse, slower, sick)));
+            stages.add(new Plan.Stage(
+                    one.number("weight", 0.001, 1),
+                    new Gate.Rule(
+                            (long) (least * S),
+                            (long) (most * S),
+                            one.count("answers", 1, 1_000_000, (int) usual.answers()),
+                            falseHalts,
+                            worse,
+                            slower,
+                            sick)));
             one.end();
         }
         double first = stages.isEmpty() ? 0 : stages.get(0).weight();
--- a/src/main/java/rushproxy/fleet/member/Dissemination.java
+++ b/src/main/java/rushproxy/fleet/member/Dissemination.java
@@ -27,6 +27,7 @@
 
     /** By id, each told in turn. */
     private final Map<Long, Update> urgent = new LinkedHashMap<>();
+
     private final Map<Long, Update> others = new LinkedHashMap<>();
 
     /** A death, a leave, a return or a refutation; {@code members} is how many are remembered. */
--- a/src/main/java/rushproxy/fleet/member/Member.java
+++ b/src/main/java/rushproxy/fleet/member/Member.java
@@ -6,19 +6,27 @@
 /** What one sidecar knows of another, or of itself. Belongs to its {@link Membership}. */
 public final class Member {
     /** Suspect is a state for those alone that have evidence; dead and left are told. */
-    public enum State { ALIVE, SUSPECT, DEAD, LEFT }
+    public enum State {
+        ALIVE,
+        SUSPECT,
+        DEAD,
+        LEFT
+    }
 
     /** Bytes on the wire: id, incarnation, state, zone, number, version, parts. */
     static final int BYTES = 18;
+
     static final int NO_NUMBER = 0xFFFF;
 
     final long id;
     /** Milliseconds since 1970 at its process's start, and one more for each refutation; 48 bits, and only grows. */
     long incarnation;
+
     State state;
     int zone;
     /** Its place in its own configured list. */
     int number;
+
     int version;
     /** A bit for each part of the fleet plane that it speaks. */
     int parts;
@@ -28,6 +36,7 @@
     int slot = -1;
     /** Since when it is in its state, and why. */
     long sinceUs;
+
     String why = "";
     /** When a datagram of its own came last; {@code Long.MIN_VALUE / 2} for never. */
     long heardUs = Long.MIN_VALUE / 2;
@@ -81,7 +90,11 @@
     void write(ByteBuffer b) {
         Envelope.put48(b, id);
         Envelope.put48(b, incarnation);
-        b.put((byte) (state == State.SUSPECT ? State.ALIVE : state).ordinal()).put((byte) zone).putShort((short) number).put((byte) version).put((byte) parts);
+        b.put((byte) (state == State.SUSPECT ? State.ALIVE : state).ordinal())
+                .put((byte) zone)
+                .putShort((short) number)
+                .put((byte) version)
+                .put((byte) parts);
     }
 
     /** Null where the bytes can't be a member's. */
--- a/src/main/java/rushproxy/fleet/member/Membership.java
+++ b/src/main/java/rushproxy/fleet/member/Membership.java
@@ -58,15 +58,18 @@
     private static final long ALONE_US = 5_000_000;
     /** A tick that comes later than this after its time was held up, and all that ran then ran without us. */
     private static final long HELD_UP_US = 100_000;
+
     private static final int EAGER = 3;
     /** One in so many random probes goes to those held dead, so that halves of a fleet find each other again. */
     private static final int DEAD_ONE_IN = 4;
     /** One page of the state is compared with somebody's in this time, and many more after a start. */
     private static final long COMPARE_US = 1_000_000;
+
     private static final long JOIN_US = 3_000_000;
     private static final int JOIN_PAGES = 4;
     /** The dead are forgotten after this: a member that comes back tells of itself. */
     private static final long FORGET_US = 600_000_000;
+
     private static final long FORGET_LOOK_US = 10_000_000;
     /** Word of the program before counts as life for so long. */
     private static final long OLD_WORD_US = 10_000_000;
@@ -74,9 +77,11 @@
     private static final long AHEAD_MS = 86_400_000;
     /** Refutations of another's claim to be us, in a minute, before we let it. */
     private static final int MOST_CLAIMS = 3;
+
     private static final long CLAIMS_US = 60_000_000;
     /** A place that has heard from one member within this is no other's, nor is the member at another place. */
     private static final long MOVE_US = 2_000_000;
+
     private static final long NAME_EVERY = 8;
     private static final int MOST_NAME = 48;
     /** Draws for somebody who is here, in a list that names many who are not. */
@@ -85,9 +90,11 @@
     private static final int FACTS = 5;
     /** A datagram with one change and nothing else, and one that compares a page. */
     private static final int LEAST_NEWS = 40;
+
     private static final int COMPARISON = 30;
     /** A question to one under suspicion; what is told and compared leaves room for some of them. */
     private static final int QUESTION = 22;
+
     private static final int RESERVE = 200;
     private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -109,13 +116,15 @@
      * @param startMs Unix time of its start, its first incarnation
      * @param taken   length of a datagram that belongs to somebody else; -1 for none
      */
-    public record Self(String name, int number, int peers, int zone, int zones, int version, int parts, long startMs, int taken) {}
+    public record Self(
+            String name, int number, int peers, int zone, int zones, int version, int parts, long startMs, int taken) {}
 
     /** A probe that is out. */
     private static final class Probe {
         private final Member target;
         /** Of our own accord, not since another has asked us to look. */
         private final boolean own;
+
         private long dueUs;
 
         Probe(Member target, boolean own, long dueUs) {
@@ -152,11 +161,13 @@
     private final NavigableMap<Long, Member> ring = new TreeMap<>();
     /** By place in the configured list; null where nobody is known. */
     private final Member[] slots;
+
     private final long[] oldWordUs;
     private final Map<Integer, Probe> probes = new LinkedHashMap<>();
     private final Map<Long, Accusation> accusations = new LinkedHashMap<>();
     /** Who asked us to look at whom, until our own probe has ended. */
     private final Map<Long, Set<Integer>> asked = new LinkedHashMap<>();
+
     private final Dissemination dissemination = new Dissemination();
     private final StateDigest digest = new StateDigest(members.values());
     private final long startedUs;
@@ -169,6 +180,7 @@
     private long lookUs;
     /** A change to be told on at once; one of the view. */
     private boolean fresh;
+
     private boolean changed;
     private boolean quiet;
     private int doubt;
@@ -375,8 +387,12 @@
     }
 
     private String name(Accusation a) {
-        return a.accusers.stream().filter(id -> id != me.id).map(id -> members.containsKey(id) ? members.get(id).name()
-                : String.format("%012x", id)).sorted().reduce((x, y) -> x + " and " + y).orElse("nobody");
+        return a.accusers.stream()
+                .filter(id -> id != me.id)
+                .map(id -> members.containsKey(id) ? members.get(id).name() : String.format("%012x", id))
+                .sorted()
+                .reduce((x, y) -> x + " and " + y)
+                .orElse("nobody");
     }
 
     /** Probes of a period: the next in the ring and one at random. */
@@ -486,7 +502,9 @@
             }
             int buckets = digest.buckets(slots.length);
             bucket = (bucket + 1) % buckets;
-            ByteBuffer b = ByteBuffer.allocate(8).putShort((short) bucket).putShort((short) buckets)
+            ByteBuffer b = ByteBuffer.allocate(8)
+                    .putShort((short) bucket)
+                    .putShort((short) buckets)
                     .putInt(digest.hash(bucket, buckets));
             send(slot, withUpdates(letter().add(COMPARE, b)).bytes(self.taken()));
         }
@@ -539,7 +557,7 @@
                 case UPDATES -> updated(sender, b);
                 case COMPARE -> compared(sender, b);
                 case PAGE_OF -> page(b);
-                default -> { }
+                default -> {}
             }
         }
         return sender.slot == from;
@@ -549,7 +567,8 @@
     private boolean another(long sender, int from) {
         Member m = members.get(sender);
         Member before = slots[from];
-        return m != null && m.slot != from && m.slot >= 0 && speaks(m) || before != null && before != m && speaks(before);
+        return m != null && m.slot != from && m.slot >= 0 && speaks(m)
+                || before != null && before != m && speaks(before);
     }
 
     private boolean speaks(Member m) {
@@ -686,7 +705,12 @@
     private void checked(Member sender, ByteBuffer b) {
         Member m = has(b, 12) ? members.get(Envelope.get48(b)) : null;
         long incarnation = m == null ? 0 : Envelope.get48(b);
-        if (m == null || m == me || incarnation < m.incarnation || m.slot < 0 || m.state == State.DEAD || m.state == State.LEFT) {
+        if (m == null
+                || m == me
+                || incarnation < m.incarnation
+                || m.slot < 0
+                || m.state == State.DEAD
+                || m.state == State.LEFT) {
             return;
         }
         Accusation own = accusations.get(m.id);
@@ -765,7 +789,10 @@
         }
         int of = b.getShort() & 0xFFFF;
         int buckets = b.getShort() & 0xFFFF;
-        if (buckets == 0 || of >= buckets || !budget.admits(Envelope.MOST + RESERVE) || b.getInt() == digest.hash(of, buckets)) {
+        if (buckets == 0
+                || of >= buckets
+                || !budget.admits(Envelope.MOST + RESERVE)
+                || b.getInt() == digest.hash(of, buckets)) {
             return;
         }
         ByteBuffer page = ByteBuffer.allocate(Member.BYTES * StateDigest.PAGE);
@@ -816,9 +843,12 @@
                 || word.state == State.SUSPECT && word.incarnation == m.incarnation) {
             return;
         }
-        boolean deadByPage = paged && word.state == State.DEAD && word.incarnation == m.incarnation
+        boolean deadByPage = paged
+                && word.state == State.DEAD
+                && word.incarnation == m.incarnation
                 && (m.state == State.ALIVE || m.state == State.SUSPECT);
-        boolean heardJustNow = word.state == State.DEAD && word.incarnation == m.incarnation && nowUs - m.heardUs < DEAF_US;
+        boolean heardJustNow =
+                word.state == State.DEAD && word.incarnation == m.incarnation && nowUs - m.heardUs < DEAF_US;
         if (deadByPage || heardJustNow) {
             // An old page, or a quarrel: it hears of it, and says itself whether it lives.
             if (m.slot >= 0 && budget.admits(LEAST_NEWS)) {
@@ -881,7 +911,8 @@
         boolean was = m.state == State.ALIVE || m.state == State.SUSPECT;
         // One that is new here was in no state before.
         boolean gone = !was && m.sinceUs != 0;
-        if (m.state != state && (state != State.SUSPECT && m.state != State.SUSPECT || state == State.DEAD || state == State.LEFT)) {
+        if (m.state != state
+                && (state != State.SUSPECT && m.state != State.SUSPECT || state == State.DEAD || state == State.LEFT)) {
             host.note(m.name() + " is " + state.name().toLowerCase(java.util.Locale.ROOT) + ": " + why);
         }
         if (m.state != state) {
@@ -1016,9 +1047,11 @@
             }
         }
         int expected = Math.max(1, slots.length - gone);
-        View.Standing standing = here <= 1 && expected > 1 ? View.Standing.NOBODY
+        View.Standing standing = here <= 1 && expected > 1
+                ? View.Standing.NOBODY
                 : 2 * here > expected ? View.Standing.MAJORITY : View.Standing.MINORITY;
         boolean same = before != null && before.standing() == standing;
-        return new View(expected, here, Arrays.stream(zones).boxed().toList(), standing, same ? before.sinceUs() : nowUs);
+        return new View(
+                expected, here, Arrays.stream(zones).boxed().toList(), standing, same ? before.sinceUs() : nowUs);
     }
 }
--- a/src/main/java/rushproxy/fleet/member/SendBudget.java
+++ b/src/main/java/rushproxy/fleet/member/SendBudget.java
@@ -12,12 +12,14 @@
     static final int HEADERS = 28;
     /** May be sent at once after a pause; the rest of the second's bytes come back evenly. */
     private static final int BURST = 600;
+
     private static final int RATE = BYTES_A_SECOND - BURST;
     private static final long SECOND_US = 1_000_000;
     private static final long LONGEST_US = 60 * SECOND_US;
 
     /** Millionths of a byte. */
     private long tokens = BURST * SECOND_US;
+
     private long filledUs;
 
     SendBudget(long nowUs) {
--- a/src/main/java/rushproxy/fleet/release/Conductor.java
+++ b/src/main/java/rushproxy/fleet/release/Conductor.java
@@ -15,6 +15,7 @@
 
     /** Of the sidecars, at least this part has to report, or nothing is judged and nothing goes on. */
     public static final double MOST = 0.5;
+
     private static final double LEAST_WEIGHT = 0.01;
 
     private final Plan plan;
@@ -39,14 +40,19 @@
             step(nowUs, Order.State.ON, plan.stages().get(0).weight(), 0, "begins");
         } else {
             Order o = after.order();
-            step(nowUs, o.state(), o.weight(), Math.min(after.stage(), plan.stages().size() - 1),
+            step(
+                    nowUs,
+                    o.state(),
+                    o.weight(),
+                    Math.min(after.stage(), plan.stages().size() - 1),
                     "goes on where epoch " + o.epoch() + ", step " + o.step() + " stood");
         }
     }
 
     private void step(long nowUs, Order.State state, double weight, int stage, String why) {
         int number = last == null ? 0 : last.order().step() + 1;
-        Step next = new Step(new Order(plan.name(), epoch, number, state, weight, plan.safe(), plan.whom()), stage, why);
+        Step next =
+                new Step(new Order(plan.name(), epoch, number, state, weight, plan.safe(), plan.whom()), stage, why);
         steps.accept(next);
         last = next;
         steppedUs = nowUs;
@@ -67,7 +73,8 @@
 
     /** All is done or undone: nothing follows. */
     public boolean over() {
-        return last.order().state() == Order.State.DONE || last.order().state() == Order.State.BACK && last.order().weight() == 0;
+        return last.order().state() == Order.State.DONE
+                || last.order().state() == Order.State.BACK && last.order().weight() == 0;
     }
 
     /**
@@ -97,7 +104,10 @@
                 // What was seen before the stage began is not the stage's.
                 if (!first) {
                     Pair b = old.get(stratum);
-                    gate.add(stratum, pair.fresh().since(b == null ? null : b.fresh()), pair.control().since(b == null ? null : b.control()));
+                    gate.add(
+                            stratum,
+                            pair.fresh().since(b == null ? null : b.fresh()),
+                            pair.control().since(b == null ? null : b.control()));
                 }
             });
             before.put(sidecar, strata);
--- a/src/main/java/rushproxy/fleet/release/Gate.java
+++ b/src/main/java/rushproxy/fleet/release/Gate.java
@@ -17,7 +17,12 @@
  */
 public final class Gate {
     /** What a gate says of a stage: go on, wait, stop where it is, or take it back. */
-    public enum Verdict { ON, WAIT, HALT, BACK }
+    public enum Verdict {
+        ON,
+        WAIT,
+        HALT,
+        BACK
+    }
 
     /**
      * @param leastUs    the stage lasts at least this long
@@ -28,7 +33,8 @@
      * @param slower     and their median at most so many times control's
      * @param sickAt     part of bad answers of control from which nothing can be told: a fault hits both
      */
-    public record Rule(long leastUs, long mostUs, long answers, double falseHalts, double worse, double slower, double sickAt) {
+    public record Rule(
+            long leastUs, long mostUs, long answers, double falseHalts, double worse, double slower, double sickAt) {
         public static final Rule USUAL = new Rule(30_000_000, 600_000_000, 200, 0.01, 0.02, 1.25, 0.3);
     }
 
@@ -57,6 +63,7 @@
     private boolean begun;
     /** Control's answers since it was last told whether it is sick. */
     private long lastControl;
+
     private long lastControlBad;
     private boolean sick;
 
@@ -70,7 +77,8 @@
         s.failure.add(fresh.failures(), fresh.asked(), control.failures(), control.asked());
         s.silence.add(fresh.silences(), fresh.asked(), control.silences(), control.asked());
         if (s.slowUs > 0) {
-            s.slowness.add(fresh.slowerThan(s.slowUs), fresh.answered(), control.slowerThan(s.slowUs), control.answered());
+            s.slowness.add(
+                    fresh.slowerThan(s.slowUs), fresh.answered(), control.slowerThan(s.slowUs), control.answered());
         }
         s.fresh.add(fresh);
         s.control.add(control);
@@ -114,7 +122,8 @@
         if (missing == null) {
             return new Ruling(Verdict.ON, "no worse than control");
         }
-        return nowUs - sinceUs >= rule.mostUs ? new Ruling(Verdict.HALT, "it can't be told in time: " + missing)
+        return nowUs - sinceUs >= rule.mostUs
+                ? new Ruling(Verdict.HALT, "it can't be told in time: " + missing)
                 : new Ruling(Verdict.WAIT, missing);
     }
 
@@ -139,10 +148,21 @@
             worst = worst == null || strength(e.getValue(), against) > strength(worst.getValue(), against) ? e : worst;
         }
         Stratum s = worst.getValue();
-        return String.format(Locale.ROOT, "%s, most in %s: %d of %d failed and %d were silent, control %d of %d and %d; medians %.1f and %.1f ms;"
-                + " evidence e^%.1f", against, worst.getKey(), s.fresh.failures(), s.fresh.asked(), s.fresh.silences(),
-                s.control.failures(), s.control.asked(), s.control.silences(), s.fresh.percentileUs(50) / 1e3,
-                s.control.percentileUs(50) / 1e3, log);
+        return String.format(
+                Locale.ROOT,
+                "%s, most in %s: %d of %d failed and %d were silent, control %d of %d and %d; medians %.1f and %.1f ms;"
+                        + " evidence e^%.1f",
+                against,
+                worst.getKey(),
+                s.fresh.failures(),
+                s.fresh.asked(),
+                s.fresh.silences(),
+                s.control.failures(),
+                s.control.asked(),
+                s.control.silences(),
+                s.fresh.percentileUs(50) / 1e3,
+                s.control.percentileUs(50) / 1e3,
+                log);
     }
 
     private static double strength(Stratum s, String against) {
@@ -158,8 +178,12 @@
             control.add(s.control);
         });
         if (fresh.asked() < rule.answers || control.asked() < rule.answers) {
-            return String.format(Locale.ROOT, "%d answers of new and %d of control servers, %d of each are wanted", fresh.asked(),
-                    control.asked(), rule.answers);
+            return String.format(
+                    Locale.ROOT,
+                    "%d answers of new and %d of control servers, %d of each are wanted",
+                    fresh.asked(),
+                    control.asked(),
+                    rule.answers);
         }
         if (nowUs - sinceUs < rule.leastUs) {
             return String.format(Locale.ROOT, "%.0f of %.0f s", (nowUs - sinceUs) / 1e6, rule.leastUs / 1e6);
@@ -167,15 +191,21 @@
         double badNew = (fresh.failures() + fresh.silences()) / (double) fresh.asked();
         double badControl = (control.failures() + control.silences()) / (double) control.asked();
         if (badNew > badControl + rule.worse) {
-            return String.format(Locale.ROOT, "%.1f%% of new answers are bad, %.1f%% of control's", 100 * badNew, 100 * badControl);
+            return String.format(
+                    Locale.ROOT, "%.1f%% of new answers are bad, %.1f%% of control's", 100 * badNew, 100 * badControl);
         }
         // In one stratum: over all of them a mix that differs would look like slowness.
         for (Map.Entry<String, Stratum> e : strata.entrySet()) {
             Stratum s = e.getValue();
-            if (s.fresh.answered() >= KNOWN && s.control.answered() >= KNOWN
+            if (s.fresh.answered() >= KNOWN
+                    && s.control.answered() >= KNOWN
                     && s.fresh.percentileUs(50) > rule.slower * s.control.percentileUs(50)) {
-                return String.format(Locale.ROOT, "%s: a median of %.1f ms, control's is %.1f ms", e.getKey(),
-                        s.fresh.percentileUs(50) / 1e3, s.control.percentileUs(50) / 1e3);
+                return String.format(
+                        Locale.ROOT,
+                        "%s: a median of %.1f ms, control's is %.1f ms",
+                        e.getKey(),
+                        s.fresh.percentileUs(50) / 1e3,
+                        s.control.percentileUs(50) / 1e3);
             }
         }
         return null;
--- a/src/main/java/rushproxy/fleet/release/Order.java
+++ b/src/main/java/rushproxy/fleet/release/Order.java
@@ -20,7 +20,12 @@
  */
 public record Order(String release, int epoch, int step, State state, double weight, double safe, Selector whom) {
     /** How far a release is. */
-    public enum State { ON, HALTED, BACK, DONE }
+    public enum State {
+        ON,
+        HALTED,
+        BACK,
+        DONE
+    }
 
     /** Which servers are the release's: by one of these, or all of those that are not null. Ids alone, or the others together. */
     public record Selector(List<String> ids, String kind, String zone, Integer pod, Long startedAfterMs) {
@@ -45,7 +50,9 @@
                         case "zone" -> zone = value;
                         case "pod" -> pod = Integer.valueOf(value);
                         case "started-after" -> after = Long.valueOf(value);
-                        default -> throw new IllegalArgumentException("'" + name + "' is not ids, kind, zone, pod or started-after");
+                        default ->
+                            throw new IllegalArgumentException(
+                                    "'" + name + "' is not ids, kind, zone, pod or started-after");
                     }
                 } catch (NumberFormatException e) {
                     throw new IllegalArgumentException("'" + word + "': no whole number");
@@ -61,8 +68,10 @@
             if (ids != null) {
                 return ids.contains(u.id());
             }
-            return (kind == null || kind.equals(u.kind())) && (zone == null || zone.equals(u.zone()))
-                    && (pod == null || pod == u.cell()) && (startedAfterMs == null || u.startedUs() / 1_000 > startedAfterMs);
+            return (kind == null || kind.equals(u.kind()))
+                    && (zone == null || zone.equals(u.zone()))
+                    && (pod == null || pod == u.cell())
+                    && (startedAfterMs == null || u.startedUs() / 1_000 > startedAfterMs);
         }
 
         public String words() {
@@ -79,7 +88,10 @@
 
         private static void add(StringBuilder words, String name, Object value) {
             if (value != null) {
-                words.append(words.isEmpty() ? "" : ",").append(name).append('=').append(value);
+                words.append(words.isEmpty() ? "" : ",")
+                        .append(name)
+                        .append('=')
+                        .append(value);
             }
         }
     }
@@ -91,15 +103,17 @@
     public Order {
         Objects.requireNonNull(whom);
         if (!release.matches("[A-Za-z0-9._-]{1,24}")) {
-            throw new IllegalArgumentException("'" + release + "' is no name of 1 to 24 letters, digits, '.', '_', '-'");
+            throw new IllegalArgumentException(
+                    "'" + release + "' is no name of 1 to 24 letters, digits, '.', '_', '-'");
         }
         if (epoch <= 0 || step < 0 || !(weight >= 0 && weight <= 1) || !(safe >= 0 && safe <= 1)) {
-            throw new IllegalArgumentException(String.format(Locale.ROOT, "epoch %d, step %d, weights %s and %s: no order", epoch, step,
-                    weight, safe));
+            throw new IllegalArgumentException(String.format(
+                    Locale.ROOT, "epoch %d, step %d, weights %s and %s: no order", epoch, step, weight, safe));
         }
         int length = HEAD + (release + whom.words()).getBytes(StandardCharsets.UTF_8).length;
         if (length > MOST) {
-            throw new IllegalArgumentException("names take " + length + " bytes, " + MOST + " at most: select by kind, zone, pod or start");
+            throw new IllegalArgumentException(
+                    "names take " + length + " bytes, " + MOST + " at most: select by kind, zone, pod or start");
         }
     }
 
@@ -107,9 +121,16 @@
     byte[] bytes() {
         byte[] name = release.getBytes(StandardCharsets.UTF_8);
         byte[] words = whom.words().getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.allocate(HEAD + name.length + words.length).putInt(epoch).putInt(step).put((byte) state.ordinal())
-                .putShort((short) Math.round(weight * UNIT)).putShort((short) Math.round(safe * UNIT)).put((byte) name.length)
-                .put(name).put(words).array();
+        return ByteBuffer.allocate(HEAD + name.length + words.length)
+                .putInt(epoch)
+                .putInt(step)
+                .put((byte) state.ordinal())
+                .putShort((short) Math.round(weight * UNIT))
+                .putShort((short) Math.round(safe * UNIT))
+                .put((byte) name.length)
+                .put(name)
+                .put(words)
+                .array();
     }
 
     /** Null where the bytes are no order. */
@@ -125,7 +146,13 @@
             b.get(name);
             byte[] words = new byte[b.remaining()];
             b.get(words);
-            return new Order(new String(name, StandardCharsets.UTF_8), epoch, step, state, weight, safe,
+            return new Order(
+                    new String(name, StandardCharsets.UTF_8),
+                    epoch,
+                    step,
+                    state,
+                    weight,
+                    safe,
                     Selector.of(new String(words, StandardCharsets.UTF_8)));
         } catch (RuntimeException e) {
             // Whatever a peer sends: too short, out of bounds, no names.
--- a/src/main/java/rushproxy/fleet/release/Orders.java
+++ b/src/main/java/rushproxy/fleet/release/Orders.java
@@ -37,7 +37,9 @@
         heardUs = nowUs;
         look(nowUs, true);
         Order before = known.get(Envelope.id(order.release()));
-        if (before != null && (order.epoch() < before.epoch() || order.epoch() == before.epoch() && order.step() < before.step())) {
+        if (before != null
+                && (order.epoch() < before.epoch()
+                        || order.epoch() == before.epoch() && order.step() < before.step())) {
             return "epoch " + before.epoch() + ", step " + before.step() + " is known";
         }
         if (before != null && order.epoch() == before.epoch() && order.step() == before.step()) {
@@ -61,7 +63,8 @@
         now.forEach((key, order) -> {
             if (!order.equals(known.get(key))) {
                 host.note("release " + order.release() + ", epoch " + order.epoch() + ", step " + order.step() + ": "
-                        + order.state().name().toLowerCase(java.util.Locale.ROOT) + ", weight " + order.weight() + " for "
+                        + order.state().name().toLowerCase(java.util.Locale.ROOT) + ", weight " + order.weight()
+                        + " for "
                         + order.whom().words());
             }
         });
@@ -70,8 +73,10 @@
         boolean late = nowUs - heardUs > KEEPS_US;
         if (late != safe) {
             safe = late;
-            host.note(late ? "nobody was heard for " + KEEPS_US / 1_000_000 + " s: releases are at their safe weights"
-                    : "somebody is heard again: releases are as ordered");
+            host.note(
+                    late
+                            ? "nobody was heard for " + KEEPS_US / 1_000_000 + " s: releases are at their safe weights"
+                            : "somebody is heard again: releases are as ordered");
         }
         return List.copyOf(known.values());
     }
@@ -94,7 +99,9 @@
     /** The releases that a server is new in; control to none of these. */
     public List<String> of(Upstream u) {
         List<String> of = new ArrayList<>();
-        known.values().stream().filter(o -> o.state() != Order.State.DONE && o.whom().takes(u)).forEach(o -> of.add(o.release()));
+        known.values().stream()
+                .filter(o -> o.state() != Order.State.DONE && o.whom().takes(u))
+                .forEach(o -> of.add(o.release()));
         return of;
     }
 }
--- a/src/main/java/rushproxy/fleet/release/Plan.java
+++ b/src/main/java/rushproxy/fleet/release/Plan.java
@@ -22,7 +22,8 @@
         double before = 0;
         for (Stage s : stages) {
             if (!(s.weight > before && s.weight <= 1)) {
-                throw new IllegalArgumentException("stages: a weight of " + s.weight + " after " + before + "; each is larger, and 1 at most");
+                throw new IllegalArgumentException(
+                        "stages: a weight of " + s.weight + " after " + before + "; each is larger, and 1 at most");
             }
             before = s.weight;
         }
--- a/src/main/java/rushproxy/fleet/release/Tally.java
+++ b/src/main/java/rushproxy/fleet/release/Tally.java
@@ -9,6 +9,7 @@
 public final class Tally {
     /** Two digits tell 1% apart; latencies above a minute count as one. */
     private static final long MOST_US = 60_000_000;
+
     private static final int DIGITS = 2;
 
     private long asked;
@@ -43,7 +44,10 @@
     public Tally since(Tally before) {
         Tally d = new Tally();
         d.add(this);
-        if (before != null && before.asked <= asked && before.failed <= failed && before.silent <= silent
+        if (before != null
+                && before.asked <= asked
+                && before.failed <= failed
+                && before.silent <= silent
                 && before.tookUs.getTotalCount() <= tookUs.getTotalCount()) {
             d.asked -= before.asked;
             d.failed -= before.failed;
--- a/src/main/java/rushproxy/fleet/release/Watch.java
+++ b/src/main/java/rushproxy/fleet/release/Watch.java
@@ -32,6 +32,7 @@
     private Map<String, Upstream> servers = Map.of();
     /** Kinds and zones that the releases' new servers are in. */
     private final Map<String, Set<String>> places = new HashMap<>();
+
     private final Map<String, Map<String, Pair>> tallies = new HashMap<>();
 
     /** A server is warm so long after its start. */
@@ -47,7 +48,9 @@
         servers = now;
         places.clear();
         for (Upstream u : ready) {
-            orders.of(u).forEach(release -> places.computeIfAbsent(release, r -> new HashSet<>()).add(place(u)));
+            orders.of(u)
+                    .forEach(release -> places.computeIfAbsent(release, r -> new HashSet<>())
+                            .add(place(u)));
         }
         tallies.keySet().retainAll(places.keySet());
     }
@@ -79,7 +82,7 @@
                 case OK -> t.good(tookUs);
                 case ERROR, RESET, REJECTED -> t.failed();
                 case TIMEOUT, CONNECT_FAILED -> t.silent();
-                default -> { }
+                default -> {}
             }
         });
     }
@@ -100,15 +103,21 @@
     private static List<Object> write(Tally t) {
         ByteBuffer b = ByteBuffer.allocate(t.histogram().getNeededByteBufferCapacity());
         int length = t.histogram().encodeIntoCompressedByteBuffer(b);
-        return List.of(t.asked(), t.failures(), t.silences(), Base64.getEncoder().encodeToString(java.util.Arrays.copyOf(b.array(), length)));
+        return List.of(
+                t.asked(),
+                t.failures(),
+                t.silences(),
+                Base64.getEncoder().encodeToString(java.util.Arrays.copyOf(b.array(), length)));
     }
 
     /** The tally that {@code asked}, {@code failed}, {@code silent} and a histogram in base64 are; throws where they are none. */
     public static Tally read(long asked, long failed, long silent, String histogram) {
         try {
-            Histogram h = Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(Base64.getDecoder().decode(histogram)), 0);
+            Histogram h = Histogram.decodeFromCompressedByteBuffer(
+                    ByteBuffer.wrap(Base64.getDecoder().decode(histogram)), 0);
             if (failed < 0 || silent < 0 || asked != failed + silent + h.getTotalCount()) {
-                throw new IllegalArgumentException("a tally of " + asked + " that adds up to " + (failed + silent + h.getTotalCount()));
+                throw new IllegalArgumentException(
+                        "a tally of " + asked + " that adds up to " + (failed + silent + h.getTotalCount()));
             }
             return Tally.of(asked, failed, silent, h);
         } catch (DataFormatException | RuntimeException e) {
--- a/src/main/java/rushproxy/fleet/shared/Counts.java
+++ b/src/main/java/rushproxy/fleet/shared/Counts.java
@@ -13,6 +13,7 @@
     private static final int BYTES = 20;
     /** Changes are told together; one that is quiet is renewed before its lease ends. */
     private static final long TELL_US = 1_000_000;
+
     private static final long RENEW_US = Table.COUNTS.leaseMs() * 1_000 / 3;
 
     private final Store store;
@@ -45,7 +46,11 @@
                 ByteBuffer b = ByteBuffer.allocate(BYTES);
                 Envelope.put48(b, id);
                 Envelope.put48(b, incarnation);
-                store.put(nowUs, Table.COUNTS, Store.mix(id ^ Store.mix(incarnation)) & (1L << 48) - 1, b.putLong(count).array());
+                store.put(
+                        nowUs,
+                        Table.COUNTS,
+                        Store.mix(id ^ Store.mix(incarnation)) & (1L << 48) - 1,
+                        b.putLong(count).array());
             }
         });
     }
@@ -56,7 +61,9 @@
         long sum = own.getOrDefault(id, 0L);
         for (Read r : store.all(nowUs, Table.COUNTS)) {
             ByteBuffer b = ByteBuffer.wrap(r.value());
-            if (r.value().length == BYTES && Envelope.get48(b) == id && !(Envelope.get48(b) == incarnation && r.writer() == store.me())) {
+            if (r.value().length == BYTES
+                    && Envelope.get48(b) == id
+                    && !(Envelope.get48(b) == incarnation && r.writer() == store.me())) {
                 sum += b.getLong();
             }
         }
--- a/src/main/java/rushproxy/fleet/shared/HybridClock.java
+++ b/src/main/java/rushproxy/fleet/shared/HybridClock.java
@@ -14,6 +14,7 @@
     public static final long DRIFT_MS = 5_000;
     /** As many members are heard for the middle; with fewer than three nobody can say whose clock is wrong. */
     private static final int HEARD = 15;
+
     private static final int FEWEST = 3;
     private static final int ORDER_BITS = 16;
 
@@ -60,7 +61,8 @@
         if (aheadMs.size() < FEWEST) {
             return false;
         }
-        long[] sorted = aheadMs.values().stream().mapToLong(Long::longValue).sorted().toArray();
+        long[] sorted =
+                aheadMs.values().stream().mapToLong(Long::longValue).sorted().toArray();
         long middle = sorted[sorted.length / 2];
         long wanted = Math.abs(middle) > DRIFT_MS ? middle : 0;
         // The middle moves a little with each datagram; time that does so too would be no time.
--- a/src/main/java/rushproxy/fleet/shared/Limits.java
+++ b/src/main/java/rushproxy/fleet/shared/Limits.java
@@ -40,6 +40,7 @@
     public static final double KEPT = 0.2;
     /** The demand is met with so much to spare. */
     private static final double SPARE = 1.05;
+
     private static final double DEMAND_GAIN = 0.35;
     /** Asks at a tick, of all limits together. */
     private static final int ASKS = 6;
@@ -63,11 +64,17 @@
             byte[] o = of.getBytes(StandardCharsets.UTF_8);
             byte[] n = name.getBytes(StandardCharsets.UTF_8);
             if (HEAD + o.length + n.length > Table.LIMITS.mostBytes()) {
-                throw new IllegalArgumentException("'" + name + "' and '" + of + "' are " + (o.length + n.length) + " bytes, "
-                        + (Table.LIMITS.mostBytes() - HEAD) + " at most");
+                throw new IllegalArgumentException("'" + name + "' and '" + of + "' are " + (o.length + n.length)
+                        + " bytes, " + (Table.LIMITS.mostBytes() - HEAD) + " at most");
             }
-            return ByteBuffer.allocate(HEAD + o.length + n.length).put((byte) scope.ordinal()).put((byte) (inFlight ? 1 : 0))
-                    .putFloat((float) most).put((byte) o.length).put(o).put(n).array();
+            return ByteBuffer.allocate(HEAD + o.length + n.length)
+                    .put((byte) scope.ordinal())
+                    .put((byte) (inFlight ? 1 : 0))
+                    .putFloat((float) most)
+                    .put((byte) o.length)
+                    .put(o)
+                    .put(n)
+                    .array();
         }
 
         /** Null where the bytes are no limit. */
@@ -87,7 +94,12 @@
             b.get(o);
             byte[] n = new byte[b.remaining()];
             b.get(n);
-            return new Limit(new String(n, StandardCharsets.UTF_8), scope, new String(o, StandardCharsets.UTF_8), inFlight, most);
+            return new Limit(
+                    new String(n, StandardCharsets.UTF_8),
+                    scope,
+                    new String(o, StandardCharsets.UTF_8),
+                    inFlight,
+                    most);
         }
     }
 
@@ -113,6 +125,7 @@
         private final Map<Integer, Lease> borrowed = new LinkedHashMap<>();
         /** Asked and not answered yet, by place. */
         private final Map<Integer, Asked> asked = new HashMap<>();
+
         private final Map<Integer, Long> nothingUntilUs = new HashMap<>();
 
         double lent(long nowUs, long but) {
@@ -124,11 +137,18 @@
         }
 
         private static double most(List<Lease> leases, long nowUs) {
-            return leases.stream().filter(l -> l.untilUs > nowUs).mapToDouble(Lease::amount).max().orElse(0);
+            return leases.stream()
+                    .filter(l -> l.untilUs > nowUs)
+                    .mapToDouble(Lease::amount)
+                    .max()
+                    .orElse(0);
         }
 
         double borrowed(long nowUs) {
-            return borrowed.values().stream().filter(l -> l.untilUs > nowUs).mapToDouble(Lease::amount).sum();
+            return borrowed.values().stream()
+                    .filter(l -> l.untilUs > nowUs)
+                    .mapToDouble(Lease::amount)
+                    .sum();
         }
     }
 
@@ -153,8 +173,17 @@
      * @param configured number of sidecars in the configuration: the part of each without a word
      * @param own        the configuration's limits; one of the same name that operators set later goes before
      */
-    public Limits(long me, int configured, int part, int taken, Store store, List<Limit> own, long nowUs, long seed, Group group,
-                  Host host) {
+    public Limits(
+            long me,
+            int configured,
+            int part,
+            int taken,
+            Store store,
+            List<Limit> own,
+            long nowUs,
+            long seed,
+            Group group,
+            Host host) {
         this.me = me;
         this.configured = Math.max(1, configured);
         this.part = part;
@@ -206,8 +235,9 @@
                     s.borrowed.clear();
                     s.asked.clear();
                 }
-                host.note("limit " + limit.name() + ": " + limit.most() + (limit.inFlight() ? " in flight" : " a second") + " for "
-                        + limit.scope().name().toLowerCase(java.util.Locale.ROOT) + " " + limit.of());
+                host.note(
+                        "limit " + limit.name() + ": " + limit.most() + (limit.inFlight() ? " in flight" : " a second")
+                                + " for " + limit.scope().name().toLowerCase(java.util.Locale.ROOT) + " " + limit.of());
             }
             s.limit = limit;
         });
@@ -277,7 +307,10 @@
         }
         for (int tries = 4 * left; tries > 0 && left > 0 && need > 1e-3 * s.limit.most() / configured; tries--) {
             int place = group.one(part, random);
-            if (place < 0 || s.borrowed.containsKey(place) || justAsked(s, place) || s.nothingUntilUs.containsKey(place)) {
+            if (place < 0
+                    || s.borrowed.containsKey(place)
+                    || justAsked(s, place)
+                    || s.nothingUntilUs.containsKey(place)) {
                 continue;
             }
             double amount = Math.min(need, alone(s));
@@ -383,14 +416,16 @@
                     until = Math.min(until, l.untilUs);
                 }
             }
-            shares.add(new Share(s.limit.name(), s.limit.scope(), s.limit.of(), s.limit.inFlight(), share, alone, until));
+            shares.add(
+                    new Share(s.limit.name(), s.limit.scope(), s.limit.of(), s.limit.inFlight(), share, alone, until));
         }
         return shares;
     }
 
     public Collection<Held> held(long now) {
         advance(now);
-        return limits.values().stream().map(s -> new Held(s.limit, alone(s), share(s), s.lent(nowUs, 0), s.borrowed(nowUs), s.demand))
+        return limits.values().stream()
+                .map(s -> new Held(s.limit, alone(s), share(s), s.lent(nowUs, 0), s.borrowed(nowUs), s.demand))
                 .toList();
     }
 }
--- a/src/main/java/rushproxy/fleet/shared/Store.java
+++ b/src/main/java/rushproxy/fleet/shared/Store.java
@@ -29,6 +29,7 @@
 public final class Store {
     /** Call {@link #onTick} this often. */
     public static final long TICK_US = 100_000;
+
     static final long COMPARE_US = 1_000_000;
     private static final long JOIN_US = 2_000_000;
     /** Reads hold while somebody was heard within this: three comparisons, each with its answer. */
@@ -37,19 +38,23 @@
     private static final double TOLD = 2;
     /** Members told at a tick; more by the writer, whose word alone needs no second. */
     private static final int FAN = 2;
+
     private static final int OWN_FAN = 6;
     /** Of changes that others have told us already, so many tellings are saved. */
     private static final int KNOWN = 1;
+
     private static final int FANOUT = 32;
     private static final int LEAVES_MOST = 3;
     /** Entries that one exchange sends at most. */
     private static final int REPAIR = 3;
     /** Of one sender, and of all, as yet unconfirmed. */
     private static final int PENDING_EACH = 64;
+
     private static final int PENDING = 512;
     private static final long PENDING_US = 10_000_000;
     /** What has less than this left is not compared: it ends here and there at about that time. */
     private static final long ENDING_US = 1_000_000;
+
     private static final long SWEEP_US = 500_000;
     private static final long NOTE_US = 60_000_000;
     private static final long NEVER = Long.MIN_VALUE / 2;
@@ -73,10 +78,13 @@
         private final long stamp;
         /** {@code Long.MAX_VALUE} for no end. */
         private final long untilUs;
+
         private final long rank;
 
         Held(Table t, Id id, long writer, byte[] value, long stamp, long untilUs) {
-            rank = t.ranked() && value != null && value.length >= Long.BYTES ? ByteBuffer.wrap(value).getLong() : 0;
+            rank = t.ranked() && value != null && value.length >= Long.BYTES
+                    ? ByteBuffer.wrap(value).getLong()
+                    : 0;
             this.id = id;
             this.writer = writer;
             this.value = value;
@@ -91,7 +99,8 @@
             if (stamp != other.stamp) {
                 return stamp > other.stamp;
             }
-            int order = Arrays.compareUnsigned(value == null ? new byte[0] : value, other.value == null ? new byte[0] : other.value);
+            int order = Arrays.compareUnsigned(
+                    value == null ? new byte[0] : value, other.value == null ? new byte[0] : other.value);
             return order != 0 ? order > 0 : writer > other.writer;
         }
 
@@ -115,6 +124,7 @@
     private final Map<Id, Pending> pending = new LinkedHashMap<>();
     /** What is news, and how often it is still to be told. */
     private final Map<Id, Integer> news = new LinkedHashMap<>();
+
     private final long startUs;
     private long incarnation;
     private long nowUs;
@@ -152,7 +162,8 @@
      */
     public void put(long now, Table t, long key, byte[] value) {
         if (value.length > t.mostBytes()) {
-            throw new IllegalArgumentException(t.name() + ": a value of " + value.length + " bytes, " + t.mostBytes() + " at most");
+            throw new IllegalArgumentException(
+                    t.name() + ": a value of " + value.length + " bytes, " + t.mostBytes() + " at most");
         }
         write(now, t, key, value);
     }
@@ -168,7 +179,8 @@
     private void write(long now, Table t, long key, byte[] value) {
         advance(now);
         long left = value == null ? t.graveMs() : t.leaseMs();
-        Held held = new Held(t, id(t, key, me), me, value, clock.stamp(nowUs), left == 0 ? Long.MAX_VALUE : nowUs + left * 1_000);
+        Held held = new Held(
+                t, id(t, key, me), me, value, clock.stamp(nowUs), left == 0 ? Long.MAX_VALUE : nowUs + left * 1_000);
         hold(t, held);
     }
 
@@ -192,7 +204,8 @@
     }
 
     private Read reading(Table t, Held h) {
-        long age = t.leaseMs() > 0 ? t.leaseMs() * 1_000 - (h.untilUs - nowUs)
+        long age = t.leaseMs() > 0
+                ? t.leaseMs() * 1_000 - (h.untilUs - nowUs)
                 : Math.max(0, (clock.ms(nowUs) - HybridClock.msOf(h.stamp)) * 1_000);
         boolean own = h.writer == me;
         return new Read(h.id.key, h.writer, h.value.clone(), age, own || nowUs - contactUs < CONTACT_US);
@@ -240,7 +253,9 @@
         }
         if (nowUs >= compareUs) {
             // Who has just come has missed all.
-            compareUs = nowUs - startUs < JOIN_US ? nowUs + TICK_US : Math.max(compareUs + COMPARE_US, nowUs + COMPARE_US / 2);
+            compareUs = nowUs - startUs < JOIN_US
+                    ? nowUs + TICK_US
+                    : Math.max(compareUs + COMPARE_US, nowUs + COMPARE_US / 2);
             compare();
         }
     }
@@ -358,7 +373,8 @@
         Envelope e = letter();
         for (int n = 0; n < LEAVES_MOST && !differ.isEmpty(); n++) {
             int bucket = differ.remove(random.nextInt(differ.size()));
-            ByteBuffer l = ByteBuffer.allocate(5 + 2 * FANOUT).put((byte) bucket).putInt(salt);
+            ByteBuffer l =
+                    ByteBuffer.allocate(5 + 2 * FANOUT).put((byte) bucket).putInt(salt);
             for (long hash : hashes(salt, bucket)) {
                 l.putShort((short) hash);
             }
@@ -390,7 +406,9 @@
         for (Map<Id, Held> table : entries.values()) {
             for (Held h : table.values()) {
                 int place = place(h.id);
-                if ((place >>> 5 & FANOUT - 1) == bucket && (mask & 1 << (place & FANOUT - 1)) != 0 && h.untilUs > nowUs) {
+                if ((place >>> 5 & FANOUT - 1) == bucket
+                        && (mask & 1 << (place & FANOUT - 1)) != 0
+                        && h.untilUs > nowUs) {
                     wanted.add(h);
                 }
             }
@@ -426,7 +444,7 @@
                         give(from, b.get() & FANOUT - 1, b.getInt());
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -436,12 +454,15 @@
             return;
         }
         if (clock.heard(sender, Envelope.get48(b), nowUs)) {
-            host.note("the own clock is off by " + -clock.correctionMs() + " ms of the others', and is corrected by it");
+            host.note(
+                    "the own clock is off by " + -clock.correctionMs() + " ms of the others', and is corrected by it");
             // What it has written is ahead of all time, or will be passed by what was written before it.
             for (Map.Entry<Integer, Map<Id, Held>> table : entries.entrySet()) {
                 for (Held h : List.copyOf(table.getValue().values())) {
                     if (h.writer == me) {
-                        hold(tables.get(table.getKey()), new Held(tables.get(table.getKey()), h.id, me, h.value, clock.stamp(nowUs), h.untilUs));
+                        hold(
+                                tables.get(table.getKey()),
+                                new Held(tables.get(table.getKey()), h.id, me, h.value, clock.stamp(nowUs), h.untilUs));
                     }
                 }
             }
@@ -453,7 +474,8 @@
         if (contactUs != NEVER && nowUs - contactUs > Table.GRAVE_MS * 1_000) {
             int before = size();
             entries.values().forEach(t -> t.values().removeIf(h -> h.untilUs == Long.MAX_VALUE));
-            host.note("was alone for longer than a day: " + (before - size()) + " entries without an end are forgotten");
+            host.note(
+                    "was alone for longer than a day: " + (before - size()) + " entries without an end are forgotten");
         }
         contactUs = nowUs;
     }
@@ -482,12 +504,23 @@
                 continue;
             }
             if (!clock.seen(stamp, nowUs)) {
-                note("ahead", group.name(sender) + " tells of what is more than " + HybridClock.DRIFT_MS
-                        + " ms ahead of this clock: left out");
+                note(
+                        "ahead",
+                        group.name(sender) + " tells of what is more than " + HybridClock.DRIFT_MS
+                                + " ms ahead of this clock: left out");
                 continue;
             }
-            take(t, sender, from, new Held(t, id(t, key, writer), writer, grave ? null : value, stamp,
-                    ends ? nowUs + left * 1_000L : Long.MAX_VALUE));
+            take(
+                    t,
+                    sender,
+                    from,
+                    new Held(
+                            t,
+                            id(t, key, writer),
+                            writer,
+                            grave ? null : value,
+                            stamp,
+                            ends ? nowUs + left * 1_000L : Long.MAX_VALUE));
         }
     }
 
@@ -518,7 +551,8 @@
             boolean second = p != null && p.from != from && p.word.same(word);
             if (!second) {
                 boolean newer = p == null || word.laterThan(p.word);
-                long ofSender = pending.values().stream().filter(o -> o.from == from).count();
+                long ofSender =
+                        pending.values().stream().filter(o -> o.from == from).count();
                 if (newer && ofSender < PENDING_EACH && (p != null || pending.size() < PENDING)) {
                     pending.put(word.id, new Pending(word, from, nowUs));
                 }
--- a/src/main/java/rushproxy/fleet/shared/Table.java
+++ b/src/main/java/rushproxy/fleet/shared/Table.java
@@ -12,7 +12,8 @@
  * @param ranked     the first eight bytes of a value are its rank, and the higher goes before the later: orders that are fenced
  * @param leaseMs    an entry ends so long after it was written or renewed, and its age is at most this; 0: it does not end
  */
-public record Table(int id, String name, boolean owned, boolean ranked, int most, int mostPerKey, int mostBytes, long leaseMs) {
+public record Table(
+        int id, String name, boolean owned, boolean ranked, int most, int mostPerKey, int mostBytes, long leaseMs) {
     /** What is taken back is remembered for so long: a lease for what has one, a day for what has none. */
     static final long GRAVE_MS = 86_400_000;
 
--- a/src/main/java/rushproxy/fleet/shared/Verdicts.java
+++ b/src/main/java/rushproxy/fleet/shared/Verdicts.java
@@ -30,16 +30,19 @@
     public static final double MOST_OUT = 0.25;
     /** Who accuses more of the servers than this, and at least {@link #FEW}, sees its own fault. */
     public static final double SUSPECT = 1 / 3.0;
+
     private static final int FEW = 3;
     /** Own evidence is renewed so often, for as long as it is not older than {@link #FRESH_US}. */
     static final long RENEW_US = 5_000_000;
     /** A server that is left alone is tried again within 8 s. */
     static final long FRESH_US = 12_000_000;
+
     private static final long GOOD_US = 3_000_000;
     /** So many others tell as much as one more would. */
     private static final int ENOUGH = 3;
     /** What the module was told counts for so long; it is told each second. */
     static final long COUNTS_US = 2_500_000;
+
     private static final int BYTES = 6;
 
     /** One voice on a server. */
@@ -109,15 +112,23 @@
         suspects(said);
         write(nowUs, said);
         List<Case> cases = judge(nowUs, said);
-        long out = cases.stream().filter(c -> c.verdict.holds() && c.verdict.kind().out()).count();
+        long out = cases.stream()
+                .filter(c -> c.verdict.holds() && c.verdict.kind().out())
+                .count();
         boolean past = out > Math.max(1, (int) (MOST_OUT * servers.size()));
         if (past != panic) {
             panic = past;
-            host.note(past ? "verdicts against " + out + " of " + servers.size() + " servers: too many to believe, none counts"
-                    : "verdicts against " + out + " of " + servers.size() + " servers: they count again");
+            host.note(
+                    past
+                            ? "verdicts against " + out + " of " + servers.size()
+                                    + " servers: too many to believe, none counts"
+                            : "verdicts against " + out + " of " + servers.size() + " servers: they count again");
         }
         if (panic) {
-            cases.replaceAll(c -> new Case(c.server, holds(c.verdict, c.verdict.holds() && !c.verdict.kind().out()), c.words,
+            cases.replaceAll(c -> new Case(
+                    c.server,
+                    holds(c.verdict, c.verdict.holds() && !c.verdict.kind().out()),
+                    c.words,
                     c.verdict.kind().out() ? "too many at once" : c.why));
         }
         tell(cases);
@@ -132,15 +143,23 @@
     private Map<Long, List<Word>> said(long nowUs) {
         Map<Long, List<Word>> said = new TreeMap<>();
         for (Read r : store.all(nowUs, Table.VERDICTS)) {
-            if (r.value().length < BYTES || !servers.containsKey(r.key()) || !r.holds()
+            if (r.value().length < BYTES
+                    || !servers.containsKey(r.key())
+                    || !r.holds()
                     || r.writer() != me && !group.here(r.writer())) {
                 continue;
             }
             ByteBuffer b = ByteBuffer.wrap(r.value());
             int kind = b.get() & 255;
             if (kind < Evidence.values().length) {
-                said.computeIfAbsent(r.key(), k -> new ArrayList<>()).add(new Word(r.writer(), Evidence.values()[kind],
-                        (b.getShort() & 0xFFFF) / 16.0, b.get() & 255, b.get() & 255, r.ageUs()));
+                said.computeIfAbsent(r.key(), k -> new ArrayList<>())
+                        .add(new Word(
+                                r.writer(),
+                                Evidence.values()[kind],
+                                (b.getShort() & 0xFFFF) / 16.0,
+                                b.get() & 255,
+                                b.get() & 255,
+                                r.ageUs()));
             }
         }
         said.values().forEach(words -> words.sort((a, b) -> Long.compare(a.witness, b.witness)));
@@ -149,10 +168,17 @@
 
     private void suspects(Map<Long, List<Word>> said) {
         Map<Long, Integer> accuses = new HashMap<>();
-        said.values().forEach(words -> words.stream().filter(w -> w.kind.out() || w.kind == Evidence.SLOW)
-                .forEach(w -> accuses.merge(w.witness, 1, Integer::sum)));
+        said.values()
+                .forEach(words -> words.stream()
+                        .filter(w -> w.kind.out() || w.kind == Evidence.SLOW)
+                        .forEach(w -> accuses.merge(w.witness, 1, Integer::sum)));
         // The store keeps a few witnesses a server: the own evidence is all here.
-        accuses.merge(me, (int) own.values().stream().filter(o -> o.kind.out() || o.kind == Evidence.SLOW).count(), Math::max);
+        accuses.merge(
+                me,
+                (int) own.values().stream()
+                        .filter(o -> o.kind.out() || o.kind == Evidence.SLOW)
+                        .count(),
+                Math::max);
         Set<Long> now = new HashSet<>();
         accuses.forEach((who, count) -> {
             if (count >= FEW && count > SUSPECT * servers.size()) {
@@ -161,8 +187,9 @@
         });
         for (long who : now) {
             if (!suspects.contains(who)) {
-                host.note((who == me ? "this sidecar" : group.name(who)) + " accuses " + accuses.get(who) + " of " + servers.size()
-                        + " servers: " + (who == me ? "it is itself the suspect, and tells nobody" : "its word is left out"));
+                host.note((who == me ? "this sidecar" : group.name(who)) + " accuses " + accuses.get(who) + " of "
+                        + servers.size() + " servers: "
+                        + (who == me ? "it is itself the suspect, and tells nobody" : "its word is left out"));
             }
         }
         suspects = now;
@@ -174,17 +201,24 @@
             Own o = e.getValue();
             long key = Envelope.id(e.getKey());
             List<Word> words = said.getOrDefault(key, List.of());
-            long others = words.stream().filter(w -> w.witness != me && w.kind == o.kind).count();
+            long others = words.stream()
+                    .filter(w -> w.witness != me && w.kind == o.kind)
+                    .count();
             boolean accused = words.stream().anyMatch(w -> w.witness != me && w.kind != Evidence.GOOD);
             boolean fresh = nowUs - o.atUs < (o.kind == Evidence.GOOD ? GOOD_US : FRESH_US);
-            boolean wanted = fresh && !suspects.contains(me) && (o.written || others < ENOUGH)
+            boolean wanted = fresh
+                    && !suspects.contains(me)
+                    && (o.written || others < ENOUGH)
                     && (o.kind != Evidence.GOOD || accused);
             if (!wanted && o.written) {
                 store.drop(nowUs, Table.VERDICTS, key);
                 o.written = false;
             } else if (wanted && nowUs - o.writtenUs >= RENEW_US) {
-                ByteBuffer b = ByteBuffer.allocate(BYTES).put((byte) o.kind.ordinal())
-                        .putShort((short) Math.min(65_535, Math.round(o.factor * 16))).put((byte) o.count).put((byte) zone);
+                ByteBuffer b = ByteBuffer.allocate(BYTES)
+                        .put((byte) o.kind.ordinal())
+                        .putShort((short) Math.min(65_535, Math.round(o.factor * 16)))
+                        .put((byte) o.count)
+                        .put((byte) zone);
                 store.put(nowUs, Table.VERDICTS, key, b.array());
                 o.written = true;
                 o.writtenUs = nowUs;
@@ -196,14 +230,22 @@
         List<Case> cases = new ArrayList<>();
         for (Map.Entry<Long, List<Word>> e : said.entrySet()) {
             String server = servers.get(e.getKey());
-            List<Word> words = e.getValue().stream().filter(w -> !suspects.contains(w.witness)).toList();
+            List<Word> words = e.getValue().stream()
+                    .filter(w -> !suspects.contains(w.witness))
+                    .toList();
             long good = words.stream().filter(w -> w.kind == Evidence.GOOD).count();
             List<Word> against = words.stream().filter(w -> w.kind.out()).toList();
             if (against.isEmpty()) {
                 Map<Evidence, List<Word>> of = new TreeMap<>();
-                words.stream().filter(w -> w.kind != Evidence.GOOD).forEach(w -> of.computeIfAbsent(w.kind, k -> new ArrayList<>()).add(w));
-                against = of.values().stream().max((a, b) -> a.size() != b.size() ? Integer.compare(a.size(), b.size())
-                        : b.get(0).kind.compareTo(a.get(0).kind)).orElse(List.of());
+                words.stream()
+                        .filter(w -> w.kind != Evidence.GOOD)
+                        .forEach(w -> of.computeIfAbsent(w.kind, k -> new ArrayList<>())
+                                .add(w));
+                against = of.values().stream()
+                        .max((a, b) -> a.size() != b.size()
+                                ? Integer.compare(a.size(), b.size())
+                                : b.get(0).kind.compareTo(a.get(0).kind))
+                        .orElse(List.of());
             }
             if (against.isEmpty()) {
                 continue;
@@ -217,9 +259,19 @@
             boolean holds = enough && near && against.size() > good;
             Evidence kind = against.stream().map(Word::kind).sorted().toList().get(against.size() / 2);
             // The most careful word of a restart, the least of slowness.
-            double factor = against.stream().filter(w -> w.kind == kind).mapToDouble(Word::factor).min().orElse(1);
-            String why = holds ? "holds" : !enough ? "one witness alone" : !near ? "seen from one other zone alone" : "others find it good";
-            cases.add(new Case(server, new Verdict(server, kind, factor, against.size(), holds, nowUs + COUNTS_US), e.getValue(), why));
+            double factor = against.stream()
+                    .filter(w -> w.kind == kind)
+                    .mapToDouble(Word::factor)
+                    .min()
+                    .orElse(1);
+            String why = holds
+                    ? "holds"
+                    : !enough ? "one witness alone" : !near ? "seen from one other zone alone" : "others find it good";
+            cases.add(new Case(
+                    server,
+                    new Verdict(server, kind, factor, against.size(), holds, nowUs + COUNTS_US),
+                    e.getValue(),
+                    why));
         }
         return cases;
     }
@@ -230,9 +282,15 @@
             if (c.verdict.holds()) {
                 now.add(c.server);
                 if (!held.contains(c.server)) {
-                    host.note(c.server + " is " + c.verdict.kind().name().toLowerCase(java.util.Locale.ROOT) + " by word of "
-                            + String.join(", ", c.words.stream().filter(w -> w.kind != Evidence.GOOD)
-                            .map(w -> (w.witness == me ? "this sidecar" : group.name(w.witness)) + " (" + w.count + ")").toList()));
+                    host.note(c.server + " is " + c.verdict.kind().name().toLowerCase(java.util.Locale.ROOT)
+                            + " by word of "
+                            + String.join(
+                                    ", ",
+                                    c.words.stream()
+                                            .filter(w -> w.kind != Evidence.GOOD)
+                                            .map(w -> (w.witness == me ? "this sidecar" : group.name(w.witness)) + " ("
+                                                    + w.count + ")")
+                                            .toList()));
                 }
             }
         }
--- a/src/main/java/rushproxy/fleet/shared/WarmStart.java
+++ b/src/main/java/rushproxy/fleet/shared/WarmStart.java
@@ -20,10 +20,12 @@
     public static final long MOST_US = 600_000;
     /** Others' middle is wanted, so that one alone can't mislead. */
     private static final int ANSWERS = 3;
+
     private static final int ASKED = 6;
     private static final long AGAIN_US = 100_000;
     /** Who knows for less than this knows next to nothing. */
     private static final long KNOWS_US = 10_000_000;
+
     private static final int PART = 200;
     private static final int PARTS = 8;
 
@@ -40,12 +42,14 @@
     private final long startUs;
     /** By the place that tells, its parts; complete ones go to {@code answers}. */
     private final Map<Integer, byte[][]> coming = new LinkedHashMap<>();
+
     private final Map<Integer, byte[]> answers = new LinkedHashMap<>();
     private long askUs;
     private boolean over;
 
     /** {@code known} gives what this process knows at the time of the call. */
-    public WarmStart(long me, int part, int taken, long nowUs, long seed, Group group, Host host, Supplier<byte[]> known) {
+    public WarmStart(
+            long me, int part, int taken, long nowUs, long seed, Group group, Host host, Supplier<byte[]> known) {
         this.me = me;
         this.part = part;
         this.taken = taken;
@@ -79,7 +83,11 @@
             for (int i = answers.size(); i < ASKED; i++) {
                 int place = group.one(part, random);
                 if (place >= 0 && !answers.containsKey(place)) {
-                    host.send(place, Envelope.from(me, incarnation).add(ASK, ByteBuffer.allocate(1).put((byte) 1)).bytes(taken));
+                    host.send(
+                            place,
+                            Envelope.from(me, incarnation)
+                                    .add(ASK, ByteBuffer.allocate(1).put((byte) 1))
+                                    .bytes(taken));
                 }
             }
         }
@@ -104,7 +112,10 @@
         }
         for (int i = 0; i < parts; i++) {
             int length = Math.min(PART, all.length - i * PART);
-            ByteBuffer b = ByteBuffer.allocate(2 + length).put((byte) i).put((byte) parts).put(all, i * PART, length);
+            ByteBuffer b = ByteBuffer.allocate(2 + length)
+                    .put((byte) i)
+                    .put((byte) parts)
+                    .put(all, i * PART, length);
             host.send(to, Envelope.from(me, incarnation).add(TELL, b).bytes(taken));
         }
     }
--- a/src/main/java/rushproxy/lab/Expectations.java
+++ b/src/main/java/rushproxy/lab/Expectations.java
@@ -18,12 +18,18 @@
         for (Scenario.Expectation e : run.scenario().expectations()) {
             double is = switch (e.figure()) {
                 case "rules_broken" -> violations.size();
-                case "lost" -> violations.stream().filter(v -> v.rule().equals("lost")).count();
+                case "lost" ->
+                    violations.stream().filter(v -> v.rule().equals("lost")).count();
                 default -> Figures.of(run, e.fromUs(), e.toUs()).named(e.figure());
             };
             if (is < e.least() || is > e.most()) {
-                missed.add(String.format(Locale.ROOT, "%s is %.4f from %.1f to %.1f s; expected %s", e.figure(), is,
-                        e.fromUs() / 1e6, e.toUs() / 1e6,
+                missed.add(String.format(
+                        Locale.ROOT,
+                        "%s is %.4f from %.1f to %.1f s; expected %s",
+                        e.figure(),
+                        is,
+                        e.fromUs() / 1e6,
+                        e.toUs() / 1e6,
                         is < e.least() ? "at least " + e.least() : "at most " + e.most()));
             }
         }
--- a/src/main/java/rushproxy/lab/Lab.java
+++ b/src/main/java/rushproxy/lab/Lab.java
@@ -53,16 +53,28 @@
     private static final long TAIL_MS = 10_000;
     /** SIGKILL comes the longest deadline, or this, and 0.7 s after SIGTERM, as the protocol has it. */
     private static final long LONGEST_MS = 3_000;
+
     private static final long THEN_KILL_MS = 700;
     private static final int RELOADS_IN_A_ROW = 3;
-    private static final Set<String> REPLACES_PROCESS = Set.of("kill", "start", "restart", "restart-series", "jar", "replace");
+    private static final Set<String> REPLACES_PROCESS =
+            Set.of("kill", "start", "restart", "restart-series", "jar", "replace");
     /** Calls on sockets that fail for a moment and end no connection. */
-    private static final List<SystemFaults.Call> SOCKET_CALLS = List.of(SystemFaults.Call.OPTION_FAILS, SystemFaults.Call.NAME_FAILS,
-            SystemFaults.Call.REGISTER_FAILS, SystemFaults.Call.READ_FAILS, SystemFaults.Call.SEND_FAILS, SystemFaults.Call.SHUTDOWN_FAILS);
+    private static final List<SystemFaults.Call> SOCKET_CALLS = List.of(
+            SystemFaults.Call.OPTION_FAILS,
+            SystemFaults.Call.NAME_FAILS,
+            SystemFaults.Call.REGISTER_FAILS,
+            SystemFaults.Call.READ_FAILS,
+            SystemFaults.Call.SEND_FAILS,
+            SystemFaults.Call.SHUTDOWN_FAILS);
 
     /** Words in a sidecar's log that tell of a fault of its own. */
-    private static final List<String> CONFESSIONS = List.of("invariant_violations=", "the module failed", "an action failed",
-            "a handler failed", "recurring work failed", "a client's connection failed");
+    private static final List<String> CONFESSIONS = List.of(
+            "invariant_violations=",
+            "the module failed",
+            "an action failed",
+            "a handler failed",
+            "recurring work failed",
+            "a client's connection failed");
 
     /** Hears how a run goes on, once a second. */
     public interface Progress {
@@ -77,6 +89,7 @@
     private final Map<String, Map<String, Double>> costs = new TreeMap<>();
     /** What went wrong with the nodes themselves: a run with any of it is no run of the scenario. */
     private final ConcurrentLinkedQueue<String> troubles = new ConcurrentLinkedQueue<>();
+
     private final Counts counts = new Counts();
     private final Observations seen = new Observations(counts::add);
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -127,14 +140,16 @@
     static void room(int sidecars, int servers, long descriptors) throws IOException {
         long needed = (long) sidecars * servers + (long) sidecars * sidecars + 4L * sidecars + 512;
         if (needed > descriptors) {
-            throw new IOException("fleet.nodes, servers: " + sidecars + " sidecars and " + servers + " servers need " + needed
-                    + " descriptors here, and " + descriptors + " may be open");
+            throw new IOException("fleet.nodes, servers: " + sidecars + " sidecars and " + servers + " servers need "
+                    + needed + " descriptors here, and " + descriptors + " may be open");
         }
     }
 
     private static long descriptors() {
         return java.lang.management.ManagementFactory.getOperatingSystemMXBean()
-                instanceof com.sun.management.UnixOperatingSystemMXBean unix ? unix.getMaxFileDescriptorCount() : Long.MAX_VALUE;
+                        instanceof com.sun.management.UnixOperatingSystemMXBean unix
+                ? unix.getMaxFileDescriptorCount()
+                : Long.MAX_VALUE;
     }
 
     private Summary play() throws IOException, InterruptedException {
@@ -144,7 +159,8 @@
         Histogram beats = new Histogram(3);
         ExecutorService hands = Executors.newCachedThreadPool();
         ScheduledExecutorService times = Executors.newSingleThreadScheduledExecutor();
-        try (Addresses addresses = Addresses.take(); Keeper keeper = new Keeper()) {
+        try (Addresses addresses = Addresses.take();
+                Keeper keeper = new Keeper()) {
             World world = new World(scenario, seen, addresses);
             try {
                 world.open();
@@ -157,8 +173,12 @@
                     times.schedule(() -> begin(f, world, times, hands), f.atUs(), TimeUnit.MICROSECONDS);
                 }
                 ProcessorWaits waits = new ProcessorWaits(seen, world.processorFigures());
-                times.scheduleWithFixedDelay(() -> waits.look(nodes), 0, ProcessorWaits.EVERY_MS, TimeUnit.MILLISECONDS);
-                times.scheduleAtFixedRate(() -> progress.says(counts.line((System.nanoTime() - zero) / 1_000_000_000)), 1, 1,
+                times.scheduleWithFixedDelay(
+                        () -> waits.look(nodes), 0, ProcessorWaits.EVERY_MS, TimeUnit.MILLISECONDS);
+                times.scheduleAtFixedRate(
+                        () -> progress.says(counts.line((System.nanoTime() - zero) / 1_000_000_000)),
+                        1,
+                        1,
                         TimeUnit.SECONDS);
                 await(settled, world);
             } catch (Node.Trouble e) {
@@ -177,7 +197,10 @@
                 beats = world.lateness();
             }
         }
-        seen.all().stream().filter(o -> o.what() == Observation.What.TROUBLE).limit(5).forEach(o -> troubles.add(o.text()));
+        seen.all().stream()
+                .filter(o -> o.what() == Observation.What.TROUBLE)
+                .limit(5)
+                .forEach(o -> troubles.add(o.text()));
         if (failure == null && !troubles.isEmpty()) {
             failure = String.join("; ", troubles);
         }
@@ -201,14 +224,24 @@
 
     private void startAll(World world, Addresses addresses, ExecutorService hands, Keeper keeper)
             throws IOException, InterruptedException, Node.Trouble {
-        Build first = scenario.fleet().jar() == null ? build : build.with(scenario.fleet().jar());
+        Build first = scenario.fleet().jar() == null
+                ? build
+                : build.with(scenario.fleet().jar());
         UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(scenario.seed());
         Optional<Path> library = library();
         boolean replaced = scenario.faults().stream().anyMatch(f -> f.what().equals("replace"));
         List<CompletableFuture<Void>> ready = new ArrayList<>();
         for (int i = 0; i < scenario.fleet().nodes(); i++) {
-            Node node = new Node(i, scenario, world, addresses, seen, folder.resolve("n" + i), first,
-                    RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()), keeper);
+            Node node = new Node(
+                    i,
+                    scenario,
+                    world,
+                    addresses,
+                    seen,
+                    folder.resolve("n" + i),
+                    first,
+                    RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()),
+                    keeper);
             nodes.add(node);
             if (library.isPresent()) {
                 node.withSystemFaults(library.get(), scenario.seed() * 1_000 + i);
@@ -220,13 +253,15 @@
                 node.share();
             }
             node.start();
-            ready.add(CompletableFuture.runAsync(() -> {
-                try {
-                    node.awaitReady();
-                } catch (Exception e) {
-                    throw new CompletionException(e);
-                }
-            }, hands));
+            ready.add(CompletableFuture.runAsync(
+                    () -> {
+                        try {
+                            node.awaitReady();
+                        } catch (Exception e) {
+                            throw new CompletionException(e);
+                        }
+                    },
+                    hands));
         }
         for (CompletableFuture<Void> r : ready) {
             try {
@@ -241,9 +276,16 @@
     }
 
     private void await(CompletableFuture<Void> settled, World world) throws InterruptedException {
-        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0);
-        long lastFault = scenario.faults().stream().mapToLong(f -> f.atUs() + f.forUs()).max().orElse(0);
-        long mostUs = Math.max(scenario.lengthUs() + longest, Math.min(lastFault, scenario.lengthUs())) + TAIL_MS * 1_000;
+        long longest = scenario.classes().stream()
+                .mapToLong(Scenario.RequestClass::deadlineUs)
+                .max()
+                .orElse(0);
+        long lastFault = scenario.faults().stream()
+                .mapToLong(f -> f.atUs() + f.forUs())
+                .max()
+                .orElse(0);
+        long mostUs =
+                Math.max(scenario.lengthUs() + longest, Math.min(lastFault, scenario.lengthUs())) + TAIL_MS * 1_000;
         try {
             CompletableFuture.anyOf(settled, stopped).get(mostUs, TimeUnit.MICROSECONDS);
         } catch (ExecutionException e) {
@@ -264,7 +306,9 @@
         int i = 0;
         for (String name : f.nodes()) {
             Node node = nodes.get(Integer.parseInt(name.substring(1)));
-            times.schedule(() -> hands.execute(() -> act(f, node, world)), Math.round(i++ * f.stagger() * 1e6),
+            times.schedule(
+                    () -> hands.execute(() -> act(f, node, world)),
+                    Math.round(i++ * f.stagger() * 1e6),
                     TimeUnit.MICROSECONDS);
         }
     }
@@ -287,7 +331,8 @@
     }
 
     /** One after the other for each node: a platform does not start two processes in one's place. */
-    private void replaceProcess(Scenario.Fault f, Node node, World world) throws IOException, InterruptedException, Node.Trouble {
+    private void replaceProcess(Scenario.Fault f, Node node, World world)
+            throws IOException, InterruptedException, Node.Trouble {
         node.lifecycle().lockInterruptibly();
         try {
             switch (f.what()) {
@@ -396,7 +441,11 @@
     }
 
     private long patienceMs() {
-        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::deadlineUs).max().orElse(0) / 1_000;
+        long longest = scenario.classes().stream()
+                        .mapToLong(Scenario.RequestClass::deadlineUs)
+                        .max()
+                        .orElse(0)
+                / 1_000;
         return Math.min(longest, LONGEST_MS) + THEN_KILL_MS;
     }
 
@@ -455,19 +504,26 @@
             verdict = "stopped";
         } else if (late.get("late_sends") > scenario.lateness().most()) {
             verdict = "void";
-            why.add(String.format(Locale.ROOT, "%.1f%% of the first tries left over %d ms late, %.1f%% are allowed: the machine was"
-                    + " too slow or too busy", 100 * late.get("late_sends"), scenario.lateness().lateUs() / 1_000,
+            why.add(String.format(
+                    Locale.ROOT,
+                    "%.1f%% of the first tries left over %d ms late, %.1f%% are allowed: the machine was"
+                            + " too slow or too busy",
+                    100 * late.get("late_sends"),
+                    scenario.lateness().lateUs() / 1_000,
                     100 * scenario.lateness().most()));
         } else {
             why.addAll(Expectations.missed(run, violations));
             Starvation starvation = new Starvation(run);
             Map<String, Integer> rules = new LinkedHashMap<>();
-            violations.stream().filter(v -> !starvation.explains(v)).forEach(v -> rules.merge(v.rule(), 1, Integer::sum));
+            violations.stream()
+                    .filter(v -> !starvation.explains(v))
+                    .forEach(v -> rules.merge(v.rule(), 1, Integer::sum));
             rules.forEach((rule, times) -> why.add("rule broken: " + rule + ", " + times + " times"));
             long starved = violations.stream().filter(starvation::explains).count();
             verdict = !why.isEmpty() ? "broken" : starved > 0 ? "void" : "held";
             if (starved > 0) {
-                why.add(starved + " requests were lost while the laboratory's loop or their sidecar's waited for a processor for most of"
+                why.add(starved
+                        + " requests were lost while the laboratory's loop or their sidecar's waited for a processor for most of"
                         + " their time: the machine had no room");
             }
         }
@@ -481,7 +537,9 @@
         late.put("send_max", sends.getMaxValue() / 1e3);
         late.put("beat_p99", beats.getValueAtPercentile(99) / 1e3);
         late.put("beat_max", beats.getMaxValue() / 1e3);
-        long late20 = sends.getTotalCount() == 0 ? 0 : sends.getCountBetweenValues(scenario.lateness().lateUs() + 1, Long.MAX_VALUE / 4);
+        long late20 = sends.getTotalCount() == 0
+                ? 0
+                : sends.getCountBetweenValues(scenario.lateness().lateUs() + 1, Long.MAX_VALUE / 4);
         late.put("late_sends", late20 / (double) n);
         return late;
     }
--- a/src/main/java/rushproxy/lab/Sweep.java
+++ b/src/main/java/rushproxy/lab/Sweep.java
@@ -20,7 +20,12 @@
     /** {@code low} to {@code high} holds the true mean difference with 95%; {@code shown}: 0 lies outside. */
     public record Difference(double mean, double low, double high, boolean shown) {
         public String words() {
-            return String.format(Locale.ROOT, "%+.4f (95%%: %+.4f to %+.4f)%s", mean, low, high,
+            return String.format(
+                    Locale.ROOT,
+                    "%+.4f (95%%: %+.4f to %+.4f)%s",
+                    mean,
+                    low,
+                    high,
                     shown ? "" : "  no difference shown");
         }
     }
@@ -28,9 +33,11 @@
     private Sweep() {}
 
     public static Spread spread(List<Double> values) {
-        double[] sorted = values.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+        double[] sorted =
+                values.stream().mapToDouble(Double::doubleValue).sorted().toArray();
         int n = sorted.length;
-        return new Spread(sorted[0], n % 2 == 1 ? sorted[n / 2] : (sorted[n / 2 - 1] + sorted[n / 2]) / 2, sorted[n - 1]);
+        return new Spread(
+                sorted[0], n % 2 == 1 ? sorted[n / 2] : (sorted[n / 2 - 1] + sorted[n / 2]) / 2, sorted[n - 1]);
     }
 
     /** Of {@code with} to {@code without}, pair by pair. With fewer than two pairs nothing is shown. */
@@ -40,12 +47,15 @@
         for (int i = 0; i < n; i++) {
             differences.add(with.get(i) - without.get(i));
         }
-        double mean = differences.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+        double mean =
+                differences.stream().mapToDouble(Double::doubleValue).average().orElse(0);
         if (n < 2) {
             return new Difference(mean, Double.NEGATIVE_INFINITY, Double.POSITIVE_INFINITY, false);
         }
-        double variance = differences.stream().mapToDouble(d -> (d - mean) * (d - mean)).sum() / (n - 1);
-        double half = TDistribution.of(n - 1).inverseCumulativeProbability((1 + CONFIDENCE) / 2) * Math.sqrt(variance / n);
+        double variance =
+                differences.stream().mapToDouble(d -> (d - mean) * (d - mean)).sum() / (n - 1);
+        double half =
+                TDistribution.of(n - 1).inverseCumulativeProbability((1 + CONFIDENCE) / 2) * Math.sqrt(variance / n);
         return new Difference(mean, mean - half, mean + half, Math.abs(mean) > half);
     }
 
@@ -56,7 +66,8 @@
             if (!part.matches("[0-9]{1,15}(-[0-9]{1,15})?")) {
                 throw new IllegalArgumentException("'" + part + "' is neither a seed nor a range of seeds");
             }
-            long[] ends = Arrays.stream(part.split("-")).mapToLong(Long::parseLong).toArray();
+            long[] ends =
+                    Arrays.stream(part.split("-")).mapToLong(Long::parseLong).toArray();
             if (ends[ends.length - 1] - ends[0] > 1_000 || ends[ends.length - 1] < ends[0]) {
                 throw new IllegalArgumentException("'" + part + "' is no range of at most a thousand seeds");
             }
--- a/src/main/java/rushproxy/lab/check/Checker.java
+++ b/src/main/java/rushproxy/lab/check/Checker.java
@@ -11,6 +11,13 @@
 
     /** All of them. */
     static List<Checker> all() {
-        return List.of(new OneAnswer(), new RunsOnce(), new Drains(), new Cordons(), new ColdBudget(), new Made(), new Departures());
+        return List.of(
+                new OneAnswer(),
+                new RunsOnce(),
+                new Drains(),
+                new Cordons(),
+                new ColdBudget(),
+                new Made(),
+                new Departures());
     }
 }
--- a/src/main/java/rushproxy/lab/check/ColdBudget.java
+++ b/src/main/java/rushproxy/lab/check/ColdBudget.java
@@ -15,6 +15,7 @@
 final class ColdBudget implements Checker {
     /** Costs are drawn: so much over the budget is chance. */
     private static final double CHANCE = 1.1;
+
     private static final double INFORMED = 2.0 / 3;
 
     /** Work that a server was sent, and the part of it whose sender had been told of the start when it sent the first byte. */
@@ -26,6 +27,7 @@
         private final double startedMs;
         /** By node, when it was told of the start. */
         private final Map<String, Long> toldUs = new HashMap<>();
+
         private final ArrayDeque<Sent> window = new ArrayDeque<>();
         private double work;
         private double informed;
@@ -75,8 +77,12 @@
                 }
                 case SERVER_ENDED -> {
                     if (c != null && o.text().contains("pushed over") && c.informed >= INFORMED * c.work) {
-                        found.add(new Violation(rule(), o.us(), null, o.server() + " was pushed over "
-                                + (o.us() - c.startedUs) / 1_000 + " ms after its start"));
+                        found.add(new Violation(
+                                rule(),
+                                o.us(),
+                                null,
+                                o.server() + " was pushed over " + (o.us() - c.startedUs) / 1_000
+                                        + " ms after its start"));
                     }
                     cold.remove(o.server());
                 }
@@ -89,18 +95,29 @@
                     long age = c == null ? rules.rampUs() : o.us() - c.startedUs;
                     if (age < rules.rampUs()) {
                         c.add(o, rules.fallUs());
-                        Scenario.Servers spec = specs.get(Integer.parseInt(o.server().substring(1)));
+                        Scenario.Servers spec =
+                                specs.get(Integer.parseInt(o.server().substring(1)));
                         double warmth = rules.coldShare() + (1 - rules.coldShare()) * age / rules.rampUs();
-                        double budget = rules.fallMultiple() * spec.cores() * spec.speed() * warmth * rules.fallUs() / 1e3;
+                        double budget =
+                                rules.fallMultiple() * spec.cores() * spec.speed() * warmth * rules.fallUs() / 1e3;
                         if (c.work > CHANCE * budget && c.informed >= INFORMED * c.work) {
-                            found.add(new Violation(rule(), o.us(), o.id(), String.format(java.util.Locale.ROOT,
-                                    "%s was sent %.0f ms of work in %.1f s, %.0f allowed, %d ms after its start", o.server(),
-                                    c.work, rules.fallUs() / 1e6, budget, age / 1_000)));
+                            found.add(new Violation(
+                                    rule(),
+                                    o.us(),
+                                    o.id(),
+                                    String.format(
+                                            java.util.Locale.ROOT,
+                                            "%s was sent %.0f ms of work in %.1f s, %.0f allowed, %d ms after its start",
+                                            o.server(),
+                                            c.work,
+                                            rules.fallUs() / 1e6,
+                                            budget,
+                                            age / 1_000)));
                             cold.remove(o.server());
                         }
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
         return found;
--- a/src/main/java/rushproxy/lab/check/Cordons.java
+++ b/src/main/java/rushproxy/lab/check/Cordons.java
@@ -22,15 +22,20 @@
 
     @Override
     public List<Violation> check(Run run) {
-        long graceUs = run.scenario().rules().drainGraceUs() + run.scenario().rules().slackUs();
+        long graceUs =
+                run.scenario().rules().drainGraceUs() + run.scenario().rules().slackUs();
         Map<String, Periods> out = out(run);
         List<Violation> found = new ArrayList<>();
         for (Observation got : run.of(What.GOT)) {
             Periods bans = out.get(pair(got.node(), got.server()));
             Long since = bans == null ? null : bans.beginOf(got.sinceUs());
             if (since != null && got.sinceUs() > since + graceUs) {
-                found.add(new Violation(rule(), got.us(), got.id(), "sent by " + got.node() + " to " + got.server() + " "
-                        + (got.sinceUs() - since) / 1_000 + " ms after it was called out"));
+                found.add(new Violation(
+                        rule(),
+                        got.us(),
+                        got.id(),
+                        "sent by " + got.node() + " to " + got.server() + " " + (got.sinceUs() - since) / 1_000
+                                + " ms after it was called out"));
             }
         }
         return found;
@@ -45,9 +50,11 @@
             boolean answered = yes || call.text().contains(" -> NAK");
             if (words[0].equals("cordon") && (yes || !answered)) {
                 long since = Math.min(call.us(), call.sinceUs() + ANSWER_DUE_US);
-                out.computeIfAbsent(pair(call.node(), words[1]), p -> new Periods()).begin(since);
+                out.computeIfAbsent(pair(call.node(), words[1]), p -> new Periods())
+                        .begin(since);
             } else if (words[0].equals("uncordon") && (yes || !answered)) {
-                out.computeIfAbsent(pair(call.node(), words[1]), p -> new Periods()).end(call.sinceUs());
+                out.computeIfAbsent(pair(call.node(), words[1]), p -> new Periods())
+                        .end(call.sinceUs());
             }
         }
         return out;
--- a/src/main/java/rushproxy/lab/check/Departures.java
+++ b/src/main/java/rushproxy/lab/check/Departures.java
@@ -15,6 +15,7 @@
     private static final long ALLOWED_US = 100_000;
     /** The way over the network and the sockets. */
     private static final long WAY_US = 100_000;
+
     private static final double DISMISSED_MS = 3_000;
     /** With some room, since the laboratory that is late tells that late too. */
     private static final long TOLD_EVERY_US = 1_500_000;
@@ -29,19 +30,31 @@
         List<Observation> late = run.of(What.LATE);
         List<Violation> found = new ArrayList<>();
         for (Map.Entry<String, List<Observation>> e : run.byId().entrySet()) {
-            Observation left = e.getValue().stream().filter(o -> o.what() == What.LEFT || o.what() == What.GAVE_UP).findFirst().orElse(null);
+            Observation left = e.getValue().stream()
+                    .filter(o -> o.what() == What.LEFT || o.what() == What.GAVE_UP)
+                    .findFirst()
+                    .orElse(null);
             for (Observation o : e.getValue()) {
-                if (left != null && o.what() == What.GOT
+                if (left != null
+                        && o.what() == What.GOT
                         && o.sinceUs() > left.us() + ALLOWED_US + WAY_US + lateUs(late, left.us(), o.sinceUs())) {
-                    found.add(new Violation(rule(), o.us(), e.getKey(), "came to " + o.server() + " " + (o.sinceUs() - left.us()) / 1_000
-                            + " ms after its client had gone"));
+                    found.add(new Violation(
+                            rule(),
+                            o.us(),
+                            e.getKey(),
+                            "came to " + o.server() + " " + (o.sinceUs() - left.us()) / 1_000
+                                    + " ms after its client had gone"));
                 }
             }
         }
         for (Observation o : run.of(What.DISMISSED)) {
             if (o.number() > DISMISSED_MS + lateUs(late, o.sinceUs(), o.us()) / 1e3 + WAY_US / 1e3) {
-                found.add(new Violation(rule(), o.us(), null, o.node() + " kept a client that stopped within a request for " + Math.round(o.number())
-                        + " ms"));
+                found.add(new Violation(
+                        rule(),
+                        o.us(),
+                        null,
+                        o.node() + " kept a client that stopped within a request for " + Math.round(o.number())
+                                + " ms"));
             }
         }
         return found;
@@ -49,7 +62,11 @@
 
     /** The most that the laboratory's loop was late by between the two; it tells once a second of the second before. */
     private static long lateUs(List<Observation> late, long fromUs, long toUs) {
-        return Math.round(late.stream().filter(o -> o.us() >= fromUs && o.us() <= toUs + TOLD_EVERY_US)
-                .mapToDouble(Observation::number).max().orElse(0) * 1e3);
+        return Math.round(late.stream()
+                        .filter(o -> o.us() >= fromUs && o.us() <= toUs + TOLD_EVERY_US)
+                        .mapToDouble(Observation::number)
+                        .max()
+                        .orElse(0)
+                * 1e3);
     }
 }
--- a/src/main/java/rushproxy/lab/check/Drains.java
+++ b/src/main/java/rushproxy/lab/check/Drains.java
@@ -16,15 +16,20 @@
 
     @Override
     public List<Violation> check(Run run) {
-        long graceUs = run.scenario().rules().drainGraceUs() + run.scenario().rules().slackUs();
+        long graceUs =
+                run.scenario().rules().drainGraceUs() + run.scenario().rules().slackUs();
         Map<String, Periods> leaving = leaving(run);
         List<Violation> found = new ArrayList<>();
         for (Observation got : run.of(What.GOT)) {
             Periods periods = leaving.get(pair(got.node(), got.server()));
             Long since = periods == null ? null : periods.beginOf(got.sinceUs());
             if (since != null && got.sinceUs() > since + graceUs) {
-                found.add(new Violation(rule(), got.us(), got.id(), "sent by " + got.node() + " to " + got.server() + " "
-                        + (got.sinceUs() - since) / 1_000 + " ms after it was told that this leaves"));
+                found.add(new Violation(
+                        rule(),
+                        got.us(),
+                        got.id(),
+                        "sent by " + got.node() + " to " + got.server() + " " + (got.sinceUs() - since) / 1_000
+                                + " ms after it was told that this leaves"));
             }
         }
         return found;
--- a/src/main/java/rushproxy/lab/check/Made.java
+++ b/src/main/java/rushproxy/lab/check/Made.java
@@ -26,15 +26,18 @@
                 if (o.what() == What.REPLIED) {
                     made.add(o.text());
                 } else if (o.what() == What.ANSWERED && o.text().startsWith("200") && !made.contains(o.text())) {
-                    found.add(new Violation(rule(), o.us(), e.getKey(), "served with what no upstream made for it: " + o.text()));
+                    found.add(new Violation(
+                            rule(), o.us(), e.getKey(), "served with what no upstream made for it: " + o.text()));
                 } else if (o.what() == What.GOT && !asked) {
-                    found.add(new Violation(rule(), o.us(), e.getKey(), o.server() + " got a request that no client has sent"));
+                    found.add(new Violation(
+                            rule(), o.us(), e.getKey(), o.server() + " got a request that no client has sent"));
                 }
             }
         }
         for (Observation o : run.of(What.GOT)) {
             if (o.id() == null) {
-                found.add(new Violation(rule(), o.us(), null, o.server() + " got a request without an id from " + o.node()));
+                found.add(new Violation(
+                        rule(), o.us(), null, o.server() + " got a request without an id from " + o.node()));
             }
         }
         return found;
--- a/src/main/java/rushproxy/lab/check/OneAnswer.java
+++ b/src/main/java/rushproxy/lab/check/OneAnswer.java
@@ -15,6 +15,7 @@
 final class OneAnswer implements Checker {
     /** What came this long after SIGTERM is owed an answer even by a process that is killed then. */
     private static final long TERM_US = 700_000;
+
     private static final long AFTER_STALL_US = 500_000;
     /** A process that is held up for up to 0.15 s owes what it always does. */
     private static final long SHORT_STALL_US = 200_000;
@@ -24,6 +25,7 @@
         private final List<Span> stalls = new ArrayList<>();
         /** From the order to kill it to its end: on a busy machine the signal takes its time, and requests come meanwhile. */
         private final List<Span> kills = new ArrayList<>();
+
         private final List<Long> terms = new ArrayList<>();
         /** Orders to kill a process whose end has not been heard of yet, by its id. */
         private final Map<Double, Long> killsBegun = new HashMap<>();
@@ -77,7 +79,9 @@
             if (stopUs != null) {
                 stalls.add(new Span(stopUs, Math.max(stopUs, stoppedUs)));
             }
-            killed(List.copyOf(killsBegun.keySet()), killsBegun.values().stream().mapToLong(us -> us).max().orElse(0));
+            killed(
+                    List.copyOf(killsBegun.keySet()),
+                    killsBegun.values().stream().mapToLong(us -> us).max().orElse(0));
         }
 
         boolean stalled(long fromUs, long toUs) {
@@ -87,8 +91,10 @@
         /** Killed between the two, with no word of the stop long before the request. */
         boolean killed(long askedUs, long endUs) {
             boolean killed = kills.stream().anyMatch(k -> k.untilUs >= askedUs - 1_000 && k.sinceUs <= endUs + 1_000);
-            return killed && terms.stream().noneMatch(t -> t <= askedUs - TERM_US
-                    && kills.stream().anyMatch(k -> k.sinceUs >= t && k.sinceUs <= endUs + 1_000));
+            return killed
+                    && terms.stream()
+                            .noneMatch(t -> t <= askedUs - TERM_US
+                                    && kills.stream().anyMatch(k -> k.sinceUs >= t && k.sinceUs <= endUs + 1_000));
         }
     }
 
@@ -104,14 +110,19 @@
         Map<String, Life> lives = lives(run);
         List<Violation> found = new ArrayList<>();
         for (Map.Entry<String, List<Observation>> e : run.byId().entrySet()) {
-            Observation ask = e.getValue().stream().filter(o -> o.what() == What.ASKED).findFirst().orElse(null);
+            Observation ask = e.getValue().stream()
+                    .filter(o -> o.what() == What.ASKED)
+                    .findFirst()
+                    .orElse(null);
             if (ask == null) {
                 continue;
             }
             Life life = lives.computeIfAbsent(ask.node(), n -> new Life());
-            List<Observation> answers = e.getValue().stream().filter(o -> o.what() == What.ANSWERED).toList();
+            List<Observation> answers =
+                    e.getValue().stream().filter(o -> o.what() == What.ANSWERED).toList();
             if (answers.size() > 1) {
-                found.add(new Violation(rule(), answers.get(1).us(), e.getKey(), "was answered " + answers.size() + " times"));
+                found.add(new Violation(
+                        rule(), answers.get(1).us(), e.getKey(), "was answered " + answers.size() + " times"));
             }
             for (Observation o : e.getValue()) {
                 boolean excused = life.killed(ask.us(), o.us()) || life.stalled(ask.us(), o.us());
@@ -122,7 +133,8 @@
                         // What an upstream broke off can't be made whole: its client has seen that, and in its time.
                         continue;
                     }
-                    found.add(new Violation(rule(), o.us(), e.getKey(), "lost its connection (" + o.text() + ") with no whole answer"));
+                    found.add(new Violation(
+                            rule(), o.us(), e.getKey(), "lost its connection (" + o.text() + ") with no whole answer"));
                 }
             }
         }
--- a/src/main/java/rushproxy/lab/check/Periods.java
+++ b/src/main/java/rushproxy/lab/check/Periods.java
@@ -34,6 +34,10 @@
         if (sinceUs != null && us >= sinceUs) {
             return sinceUs;
         }
-        return past.stream().filter(p -> us >= p.sinceUs && us < p.untilUs).map(Period::sinceUs).findFirst().orElse(null);
+        return past.stream()
+                .filter(p -> us >= p.sinceUs && us < p.untilUs)
+                .map(Period::sinceUs)
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/rushproxy/lab/check/Run.java
+++ b/src/main/java/rushproxy/lab/check/Run.java
@@ -43,7 +43,10 @@
 
     /** The class of the name that an {@code ASKED} carries; null for a name that no class has. */
     public Scenario.RequestClass requestClass(String name) {
-        return scenario.classes().stream().filter(c -> c.name().equals(name)).findFirst().orElse(null);
+        return scenario.classes().stream()
+                .filter(c -> c.name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 
     /** What was seen of the request, a line each. */
--- a/src/main/java/rushproxy/lab/check/RunsOnce.java
+++ b/src/main/java/rushproxy/lab/check/RunsOnce.java
@@ -25,7 +25,10 @@
         List<Integer> cells = cells(run.scenario());
         List<Violation> found = new ArrayList<>();
         for (Map.Entry<String, List<Observation>> e : run.byId().entrySet()) {
-            Observation ask = e.getValue().stream().filter(o -> o.what() == What.ASKED).findFirst().orElse(null);
+            Observation ask = e.getValue().stream()
+                    .filter(o -> o.what() == What.ASKED)
+                    .findFirst()
+                    .orElse(null);
             Scenario.RequestClass spec = ask == null ? null : run.requestClass(ask.text());
             if (spec == null || spec.semantics().equals("safe")) {
                 continue;
@@ -37,17 +40,27 @@
                 Observation o = all.get(i);
                 if (o.what() == What.GOT) {
                     if (ran != null && !mayFollow(spec, ran, o, zones, cells)) {
-                        found.add(new Violation(rule(), o.us(), e.getKey(), spec.semantics() + " request sent to " + o.server()
-                                + " though it may have run at " + ran.server()));
+                        found.add(new Violation(
+                                rule(),
+                                o.us(),
+                                e.getKey(),
+                                spec.semantics() + " request sent to " + o.server() + " though it may have run at "
+                                        + ran.server()));
                     }
                     if (ran == null && !turnedAway(all, i)) {
                         ran = o;
                     }
                 }
-                boolean refusal = o.what() == What.ANSWERED && (o.text().startsWith("503") || o.text().startsWith("429"));
-                if (refusal && ran != null && (spec.semantics().equals("unsafe") || !spec.group().equals("all"))) {
-                    found.add(new Violation(rule(), o.us(), e.getKey(), spec.semantics() + " request refused though it may have run at "
-                            + ran.server()));
+                boolean refusal = o.what() == What.ANSWERED
+                        && (o.text().startsWith("503") || o.text().startsWith("429"));
+                if (refusal
+                        && ran != null
+                        && (spec.semantics().equals("unsafe") || !spec.group().equals("all"))) {
+                    found.add(new Violation(
+                            rule(),
+                            o.us(),
+                            e.getKey(),
+                            spec.semantics() + " request refused though it may have run at " + ran.server()));
                 }
             }
         }
@@ -64,8 +77,8 @@
     }
 
     /** The window runs from the first send; the slack is what the sockets may add. */
-    private static boolean mayFollow(Scenario.RequestClass spec, Observation ran, Observation next, List<String> zones,
-                                     List<Integer> cells) {
+    private static boolean mayFollow(
+            Scenario.RequestClass spec, Observation ran, Observation next, List<String> zones, List<Integer> cells) {
         if (spec.semantics().equals("unsafe")) {
             return false;
         }
--- a/src/main/java/rushproxy/lab/check/Starvation.java
+++ b/src/main/java/rushproxy/lab/check/Starvation.java
@@ -22,7 +22,9 @@
     /** Of what was seen in the run. */
     public Starvation(Run run) {
         this.run = run;
-        run.of(What.WAITED).forEach(o -> waits.computeIfAbsent(o.node(), n -> new ArrayList<>()).add(o));
+        run.of(What.WAITED)
+                .forEach(o ->
+                        waits.computeIfAbsent(o.node(), n -> new ArrayList<>()).add(o));
     }
 
     /** Whether there was no processor for the request that was lost. */
@@ -30,7 +32,10 @@
         if (!lost.rule().equals(RULE) || lost.id() == null) {
             return false;
         }
-        Observation asked = run.byId().getOrDefault(lost.id(), List.of()).stream().filter(o -> o.what() == What.ASKED).findFirst().orElse(null);
+        Observation asked = run.byId().getOrDefault(lost.id(), List.of()).stream()
+                .filter(o -> o.what() == What.ASKED)
+                .findFirst()
+                .orElse(null);
         if (asked == null || lost.us() <= asked.us()) {
             return false;
         }
--- a/src/main/java/rushproxy/lab/node/Keeper.java
+++ b/src/main/java/rushproxy/lab/node/Keeper.java
@@ -26,8 +26,10 @@
     private final OutputStream told;
 
     public Keeper() throws IOException {
-        shell = new ProcessBuilder("/bin/sh", "-c", SCRIPT).redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        shell = new ProcessBuilder("/bin/sh", "-c", SCRIPT)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
         told = shell.getOutputStream();
     }
 
--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -56,13 +56,23 @@
     private SharedSocket shared;
     /** Which of the two addresses for operators the process that was started last has. */
     private int current;
+
     private boolean ended;
     /** Null where its processes meet the machine as it is. */
     private SystemFaults systemFaults;
+
     private final Lock lifecycle = new ReentrantLock();
 
-    public Node(int number, Scenario scenario, World world, Addresses addresses, Observations seen, Path folder, Build build,
-                UniformRandomProvider random, Keeper keeper) {
+    public Node(
+            int number,
+            Scenario scenario,
+            World world,
+            Addresses addresses,
+            Observations seen,
+            Path folder,
+            Build build,
+            UniformRandomProvider random,
+            Keeper keeper) {
         this.keeper = keeper;
         this.number = number;
         this.name = "n" + number;
@@ -136,7 +146,9 @@
         Files.createDirectories(folder);
         Path config = folder.resolve("config.json");
         ObjectNode known = world.known(number);
-        Files.write(config, NodeConfig.write(scenario, addresses, number, world.discovery(number), known, random.nextLong()));
+        Files.write(
+                config,
+                NodeConfig.write(scenario, addresses, number, world.discovery(number), known, random.nextLong()));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", build.command());
         builder.directory(build.root().toFile());
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
@@ -146,28 +158,34 @@
         builder.environment().put("BALANCER_ADMIN_ADDR", Addresses.text(addresses.admin(number, process)));
         // For commands to a run that is on its way.
         Files.writeString(folder.resolve("admin"), Addresses.text(addresses.admin(number, process)) + "\n");
-        builder.environment().put("TMPDIR", folder.resolve("tmp").toAbsolutePath().toString());
+        builder.environment()
+                .put("TMPDIR", folder.resolve("tmp").toAbsolutePath().toString());
         if (systemFaults != null) {
             builder.environment().putAll(systemFaults.environment());
         }
         builder.redirectErrorStream(true);
-        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
+        builder.redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         synchronized (this) {
             if (ended) {
                 throw new IOException("the run is over");
             }
             Process p;
             if (shared == null) {
-                p = builder.redirectInput(ProcessBuilder.Redirect.from(new java.io.File("/dev/null"))).start();
+                p = builder.redirectInput(ProcessBuilder.Redirect.from(new java.io.File("/dev/null")))
+                        .start();
             } else {
                 builder.environment().put("BALANCER_ACCEPT_FD", "0");
-                p = shared.inherited(() -> builder.redirectInput(ProcessBuilder.Redirect.INHERIT).start());
+                p = shared.inherited(() ->
+                        builder.redirectInput(ProcessBuilder.Redirect.INHERIT).start());
             }
             processes.add(p);
             keeper.keep(p);
             current = process;
             seen.see(What.NODE, name, null, null, null, "started", p.pid(), 0);
-            p.onExit().thenAccept(gone -> seen.see(What.NODE, name, null, null, null, "exit " + gone.exitValue(), gone.pid(), 0));
+            p.onExit()
+                    .thenAccept(gone ->
+                            seen.see(What.NODE, name, null, null, null, "exit " + gone.exitValue(), gone.pid(), 0));
         }
     }
 
@@ -210,8 +228,9 @@
         try (Socket s = new Socket()) {
             s.connect(addresses.listen(number), CALL_MS);
             s.setSoTimeout(CALL_MS);
-            s.getOutputStream().write("GET /health/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
+            s.getOutputStream()
+                    .write("GET /health/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
             byte[] head = s.getInputStream().readNBytes(12);
             return new String(head, StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
         } catch (IOException e) {
@@ -222,7 +241,9 @@
     private String lastWords() {
         try {
             List<String> lines = Files.readAllLines(folder.resolve("log"));
-            return lines.isEmpty() ? "its log is empty" : String.join(" | ", lines.subList(Math.max(0, lines.size() - 3), lines.size()));
+            return lines.isEmpty()
+                    ? "its log is empty"
+                    : String.join(" | ", lines.subList(Math.max(0, lines.size() - 3), lines.size()));
         } catch (IOException e) {
             return "it has no log";
         }
@@ -257,15 +278,27 @@
         if (to.isAlive()) {
             seen.see(What.NODE, name, null, null, null, signal.toLowerCase(java.util.Locale.ROOT), to.pid(), 0);
             new ProcessBuilder("kill", "-" + signal, Long.toString(to.pid()))
-                    .redirectError(ProcessBuilder.Redirect.DISCARD).start().waitFor();
-            seen.see(What.NODE, name, null, null, null, signal.toLowerCase(java.util.Locale.ROOT) + " sent", to.pid(), 0);
+                    .redirectError(ProcessBuilder.Redirect.DISCARD)
+                    .start()
+                    .waitFor();
+            seen.see(
+                    What.NODE,
+                    name,
+                    null,
+                    null,
+                    null,
+                    signal.toLowerCase(java.util.Locale.ROOT) + " sent",
+                    to.pid(),
+                    0);
         }
     }
 
     /** Writes the configuration anew, with discovery where it is now, and asks for a reload. */
     public void reload() throws IOException, InterruptedException {
-        Files.write(folder.resolve("config.json"), NodeConfig.write(scenario, addresses, number, world.discovery(number),
-                world.known(number), random.nextLong()));
+        Files.write(
+                folder.resolve("config.json"),
+                NodeConfig.write(
+                        scenario, addresses, number, world.discovery(number), world.known(number), random.nextLong()));
         signal("HUP");
     }
 
--- a/src/main/java/rushproxy/lab/node/NodeConfig.java
+++ b/src/main/java/rushproxy/lab/node/NodeConfig.java
@@ -15,14 +15,19 @@
     private NodeConfig() {}
 
     /** {@code known} is what the sidecar has of the list at its start; {@code seed} is new with each start. */
-    static byte[] write(Scenario scenario, Addresses addresses, int node, InetSocketAddress discovery, ObjectNode known,
-                        long seed) throws java.io.IOException {
+    static byte[] write(
+            Scenario scenario, Addresses addresses, int node, InetSocketAddress discovery, ObjectNode known, long seed)
+            throws java.io.IOException {
         ObjectNode c = JSON.createObjectNode();
-        c.put("name", "n" + node).put("listen", Addresses.text(addresses.listen(node)))
-                .put("discovery", Addresses.text(discovery)).put("seed", Long.toHexString(seed))
+        c.put("name", "n" + node)
+                .put("listen", Addresses.text(addresses.listen(node)))
+                .put("discovery", Addresses.text(discovery))
+                .put("seed", Long.toHexString(seed))
                 .put("admin_addr", Addresses.text(addresses.admin(node, 0)))
                 .put("peer_listen", Addresses.text(addresses.peerListen(node)));
-        c.putObject("limits").put("cores", scenario.fleet().cores()).put("memory_mb", scenario.fleet().memoryMb())
+        c.putObject("limits")
+                .put("cores", scenario.fleet().cores())
+                .put("memory_mb", scenario.fleet().memoryMb())
                 .put("sockets", scenario.fleet().sockets());
         ArrayNode peers = c.putArray("peers");
         for (int i = 0; i < scenario.fleet().nodes(); i++) {
@@ -47,19 +52,42 @@
         s.put("discovery", "pushed").put("counted_by", "work").put("period_us", 5_000);
         ArrayNode profiles = s.putArray("profiles");
         for (Scenario.RequestClass c : scenario.classes()) {
-            profiles.addObject().put("name", c.name()).put("semantics", c.semantics()).put("group", c.group())
-                    .put("window_us", c.windowUs()).put("objective_us", c.aimUs()).put("give_up_us", c.deadlineUs())
+            profiles.addObject()
+                    .put("name", c.name())
+                    .put("semantics", c.semantics())
+                    .put("group", c.group())
+                    .put("window_us", c.windowUs())
+                    .put("objective_us", c.aimUs())
+                    .put("give_up_us", c.deadlineUs())
                     .put("importance", c.worth());
         }
         Scenario.Rules r = scenario.rules();
-        s.putObject("rules").put("drain_grace_us", r.drainGraceUs()).put("cold_share", r.coldShare())
-                .put("ramp_time_us", r.rampUs()).put("fall_multiple", r.fallMultiple()).put("fall_us", r.fallUs())
-                .put("answer_slack_us", 20_000).put("ask_every_us", 10_000_000);
-        s.putObject("limits").put("max_attempts", 3).put("dial_timeout_us", 120_000).put("conn_idle_us", 5_000_000)
-                .put("retry_after", true).put("max_retry_after_us", 1_200_000).put("peers", true).put("probing", true)
-                .put("cancelling", true).put("second_copies", true);
-        s.putObject("tariffs").put("connection", 0.05).put("cross_zone", 0.02).put("handshake", 0.05).put("peer", 0.01)
-                .put("probe", 0.01).put("waste", 0.04).put("late_fail", 0.05);
+        s.putObject("rules")
+                .put("drain_grace_us", r.drainGraceUs())
+                .put("cold_share", r.coldShare())
+                .put("ramp_time_us", r.rampUs())
+                .put("fall_multiple", r.fallMultiple())
+                .put("fall_us", r.fallUs())
+                .put("answer_slack_us", 20_000)
+                .put("ask_every_us", 10_000_000);
+        s.putObject("limits")
+                .put("max_attempts", 3)
+                .put("dial_timeout_us", 120_000)
+                .put("conn_idle_us", 5_000_000)
+                .put("retry_after", true)
+                .put("max_retry_after_us", 1_200_000)
+                .put("peers", true)
+                .put("probing", true)
+                .put("cancelling", true)
+                .put("second_copies", true);
+        s.putObject("tariffs")
+                .put("connection", 0.05)
+                .put("cross_zone", 0.02)
+                .put("handshake", 0.05)
+                .put("peer", 0.01)
+                .put("probe", 0.01)
+                .put("waste", 0.04)
+                .put("late_fail", 0.05);
         String how = scenario.servers().get(0).reports();
         ObjectNode load = s.putObject("load_info").put("how", how.equals("none") ? "off" : how);
         load.putArray("fields").add("busy_reqs").add("pending").add("cpu_share");
@@ -72,5 +100,4 @@
         }
         at.set(path[path.length - 1], value);
     }
-
 }
--- a/src/main/java/rushproxy/lab/node/ProcessorWaits.java
+++ b/src/main/java/rushproxy/lab/node/ProcessorWaits.java
@@ -22,6 +22,7 @@
     private static final String LOOP = "multiThreadIoEv";
     /** Shorter waits are not worth an observation. */
     private static final double LEAST_MS = 5;
+
     private static final int WAIT_FIELD = 1;
 
     private final Observations seen;
--- a/src/main/java/rushproxy/lab/node/SharedSocket.java
+++ b/src/main/java/rushproxy/lab/node/SharedSocket.java
@@ -52,8 +52,11 @@
                     close.invoke(null, kept);
                 }
             } catch (ReflectiveOperationException | RuntimeException e) {
-                throw new IOException("this Java runtime hands on no socket as descriptor 0 (start the laboratory by java -jar,"
-                        + " or with --add-opens java.base/sun.nio.ch=ALL-UNNAMED --add-opens java.base/java.io=ALL-UNNAMED): " + e, e);
+                throw new IOException(
+                        "this Java runtime hands on no socket as descriptor 0 (start the laboratory by java -jar,"
+                                + " or with --add-opens java.base/sun.nio.ch=ALL-UNNAMED --add-opens java.base/java.io=ALL-UNNAMED): "
+                                + e,
+                        e);
             }
         }
     }
--- a/src/main/java/rushproxy/lab/node/SystemFaults.java
+++ b/src/main/java/rushproxy/lab/node/SystemFaults.java
@@ -26,8 +26,18 @@
 
     /** Calls that may fail, in the order of the library's control block. */
     public enum Call {
-        ACCEPT_FAILS, SOCKET_FAILS, CONNECT_FAILS, WAIT_INTERRUPTED, READ_INTERRUPTED, READ_SHORT, WRITE_SHORT, FILE_WRITE_FAILS,
-        FILE_SYNC_FAILS, FILE_RENAME_FAILS, ESTABLISHED_FAILS, KILL_IN_WRITE,
+        ACCEPT_FAILS,
+        SOCKET_FAILS,
+        CONNECT_FAILS,
+        WAIT_INTERRUPTED,
+        READ_INTERRUPTED,
+        READ_SHORT,
+        WRITE_SHORT,
+        FILE_WRITE_FAILS,
+        FILE_SYNC_FAILS,
+        FILE_RENAME_FAILS,
+        ESTABLISHED_FAILS,
+        KILL_IN_WRITE,
         /** {@code setsockopt}: ENOBUFS, ENOMEM. */
         OPTION_FAILS,
         /** {@code getsockname}: ENOBUFS. */
@@ -67,8 +77,10 @@
         }
         Process compiler;
         try {
-            compiler = new ProcessBuilder("gcc", "-O2", "-shared", "-fPIC", "-o", library.toString(), source.toString(), "-ldl")
-                    .inheritIO().start();
+            compiler = new ProcessBuilder(
+                            "gcc", "-O2", "-shared", "-fPIC", "-o", library.toString(), source.toString(), "-ldl")
+                    .inheritIO()
+                    .start();
         } catch (IOException e) {
             return Optional.empty();
         }
@@ -86,7 +98,11 @@
 
     /** What the process has to be started with. */
     public Map<String, String> environment() {
-        return Map.of("LD_PRELOAD", library.toAbsolutePath().toString(), "FAULTS_CONTROL", control.toAbsolutePath().toString());
+        return Map.of(
+                "LD_PRELOAD",
+                library.toAbsolutePath().toString(),
+                "FAULTS_CONTROL",
+                control.toAbsolutePath().toString());
     }
 
     /** The process's wall clock is off by so much from now on; its monotonic clock is not. */
--- a/src/main/java/rushproxy/lab/report/Figures.java
+++ b/src/main/java/rushproxy/lab/report/Figures.java
@@ -17,12 +17,18 @@
  * of the first tries; latencies are in milliseconds from the intended send to the answer of those that were served, also
  * late; {@code runsPerRequest} counts what upstreams took in work or queue for each.
  */
-public record Figures(@JsonProperty("requests") long requests, @JsonProperty("served") double served,
-                      @JsonProperty("late") double late, @JsonProperty("refused") double refused,
-                      @JsonProperty("failed") double failed, @JsonProperty("worth") double worth,
-                      @JsonProperty("p50_ms") double p50Ms, @JsonProperty("p90_ms") double p90Ms,
-                      @JsonProperty("p99_ms") double p99Ms, @JsonProperty("max_ms") double maxMs,
-                      @JsonProperty("runs_per_request") double runsPerRequest) {
+public record Figures(
+        @JsonProperty("requests") long requests,
+        @JsonProperty("served") double served,
+        @JsonProperty("late") double late,
+        @JsonProperty("refused") double refused,
+        @JsonProperty("failed") double failed,
+        @JsonProperty("worth") double worth,
+        @JsonProperty("p50_ms") double p50Ms,
+        @JsonProperty("p90_ms") double p90Ms,
+        @JsonProperty("p99_ms") double p99Ms,
+        @JsonProperty("max_ms") double maxMs,
+        @JsonProperty("runs_per_request") double runsPerRequest) {
 
     /** The first tries from {@code fromUs} on and before {@code toUs}. */
     public static Figures of(Run run, long fromUs, long toUs) {
@@ -50,9 +56,18 @@
             }
         }
         double n = Math.max(1, all);
-        return new Figures(all, by.getOrDefault("served", 0) / n, by.getOrDefault("late", 0) / n,
-                by.getOrDefault("refused", 0) / n, by.getOrDefault("failed", 0) / n, asked == 0 ? 0 : earned / asked,
-                ms(latency, 50), ms(latency, 90), ms(latency, 99), latency.getMaxValue() / 1e3, runs / n);
+        return new Figures(
+                all,
+                by.getOrDefault("served", 0) / n,
+                by.getOrDefault("late", 0) / n,
+                by.getOrDefault("refused", 0) / n,
+                by.getOrDefault("failed", 0) / n,
+                asked == 0 ? 0 : earned / asked,
+                ms(latency, 50),
+                ms(latency, 90),
+                ms(latency, 99),
+                latency.getMaxValue() / 1e3,
+                runs / n);
     }
 
     private static double ms(Histogram latency, double percentile) {
@@ -75,14 +90,22 @@
     }
 
     /** Names for {@link #named}, as sweeps list them. */
-    public static final List<String> NAMES = List.of("served", "worth", "refused", "failed", "p50_ms", "p99_ms", "runs_per_request");
+    public static final List<String> NAMES =
+            List.of("served", "worth", "refused", "failed", "p50_ms", "p99_ms", "runs_per_request");
 
     /** A second of a run: how many first tries ended how, and how long those that were served took. */
-    public record Second(@JsonProperty("s") int s, @JsonProperty("asked") int asked, @JsonProperty("served") int served,
-                         @JsonProperty("late") int late, @JsonProperty("refused") int refused,
-                         @JsonProperty("failed") int failed, @JsonProperty("p50_ms") Double p50Ms,
-                         @JsonProperty("p90_ms") Double p90Ms, @JsonProperty("p99_ms") Double p99Ms,
-                         @JsonProperty("held") Map<String, Double> held, @JsonProperty("lab_late_ms") double labLateMs) {}
+    public record Second(
+            @JsonProperty("s") int s,
+            @JsonProperty("asked") int asked,
+            @JsonProperty("served") int served,
+            @JsonProperty("late") int late,
+            @JsonProperty("refused") int refused,
+            @JsonProperty("failed") int failed,
+            @JsonProperty("p50_ms") Double p50Ms,
+            @JsonProperty("p90_ms") Double p90Ms,
+            @JsonProperty("p99_ms") Double p99Ms,
+            @JsonProperty("held") Map<String, Double> held,
+            @JsonProperty("lab_late_ms") double labLateMs) {}
 
     /** The seconds of the run, in order; latencies are null where nothing was served. */
     public static List<Second> seconds(Run run) {
@@ -120,9 +143,18 @@
             Map<String, Integer> b = by.get(s);
             Histogram h = latency.get(s);
             boolean none = h.getTotalCount() == 0;
-            seconds.add(new Second(s, b.values().stream().mapToInt(Integer::intValue).sum(), b.getOrDefault("served", 0),
-                    b.getOrDefault("late", 0), b.getOrDefault("refused", 0), b.getOrDefault("failed", 0),
-                    none ? null : ms(h, 50), none ? null : ms(h, 90), none ? null : ms(h, 99), held.get(s), late[s]));
+            seconds.add(new Second(
+                    s,
+                    b.values().stream().mapToInt(Integer::intValue).sum(),
+                    b.getOrDefault("served", 0),
+                    b.getOrDefault("late", 0),
+                    b.getOrDefault("refused", 0),
+                    b.getOrDefault("failed", 0),
+                    none ? null : ms(h, 50),
+                    none ? null : ms(h, 90),
+                    none ? null : ms(h, 99),
+                    held.get(s),
+                    late[s]));
         }
         return seconds;
     }
