--- a/src/main/java/rushproxy/lab/report/Report.java
+++ b/src/main/java/rushproxy/lab/report/Report.java
@@ -28,8 +28,10 @@
  * {@link Figures.Second} a line), {@code summary.json} and {@code report.html}, which opens without a network.
  */
 public final class Report {
-    static final ObjectMapper JSON = JsonMapper.builder().configure(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY, false)
-            .serializationInclusion(JsonInclude.Include.NON_NULL).build();
+    static final ObjectMapper JSON = JsonMapper.builder()
+            .configure(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY, false)
+            .serializationInclusion(JsonInclude.Include.NON_NULL)
+            .build();
     private static final String PLOTS = "/META-INF/resources/webjars/uplot/1.6.30/dist/";
     private static final int MOST_HISTORIES = 20;
 
@@ -37,10 +39,12 @@
 
     public static void write(Path folder, Run run, Summary summary) throws IOException {
         Files.createDirectories(folder);
-        JSON.writerWithDefaultPrettyPrinter().writeValue(folder.resolve("scenario.json").toFile(), run.scenario());
+        JSON.writerWithDefaultPrettyPrinter()
+                .writeValue(folder.resolve("scenario.json").toFile(), run.scenario());
         lines(folder.resolve("events.jsonl"), run.all());
         lines(folder.resolve("figures.jsonl"), Figures.seconds(run));
-        JSON.writerWithDefaultPrettyPrinter().writeValue(folder.resolve("summary.json").toFile(), summary);
+        JSON.writerWithDefaultPrettyPrinter()
+                .writeValue(folder.resolve("summary.json").toFile(), summary);
         Files.writeString(folder.resolve("report.html"), html(run, summary));
     }
 
@@ -84,7 +88,8 @@
     }
 
     private static String html(Run run, Summary summary) throws IOException {
-        return resource("/rushproxy/lab/report.html").replace("/*PLOT_CSS*/", resource(PLOTS + "uPlot.min.css"))
+        return resource("/rushproxy/lab/report.html")
+                .replace("/*PLOT_CSS*/", resource(PLOTS + "uPlot.min.css"))
                 .replace("/*PLOT_JS*/", resource(PLOTS + "uPlot.iife.min.js"))
                 .replace("<!--TITLE-->", escape(summary.scenario() + ", seed " + summary.seed()))
                 .replace("<!--VERDICT-->", escape(summary.verdict()))
@@ -106,12 +111,27 @@
             html.append("</ul>");
         }
         Figures f = s.figures();
-        html.append("<table><tr><th>requests</th><th>served</th><th>worth</th><th>late</th><th>refused</th><th>failed</th>"
-                + "<th>p50 ms</th><th>p90 ms</th><th>p99 ms</th><th>max ms</th><th>runs a request</th></tr>");
-        html.append(String.format(Locale.ROOT, "<tr><td>%d</td><td>%.4f</td><td>%.4f</td><td>%.4f</td><td>%.4f</td><td>%.4f</td>"
-                + "<td>%.1f</td><td>%.1f</td><td>%.1f</td><td>%.1f</td><td>%.2f</td></tr></table>", f.requests(), f.served(),
-                f.worth(), f.late(), f.refused(), f.failed(), f.p50Ms(), f.p90Ms(), f.p99Ms(), f.maxMs(), f.runsPerRequest()));
-        html.append("<h2>The laboratory's own lateness, ms</h2><p>").append(escape(s.lateness().toString())).append("</p>");
+        html.append(
+                "<table><tr><th>requests</th><th>served</th><th>worth</th><th>late</th><th>refused</th><th>failed</th>"
+                        + "<th>p50 ms</th><th>p90 ms</th><th>p99 ms</th><th>max ms</th><th>runs a request</th></tr>");
+        html.append(String.format(
+                Locale.ROOT,
+                "<tr><td>%d</td><td>%.4f</td><td>%.4f</td><td>%.4f</td><td>%.4f</td><td>%.4f</td>"
+                        + "<td>%.1f</td><td>%.1f</td><td>%.1f</td><td>%.1f</td><td>%.2f</td></tr></table>",
+                f.requests(),
+                f.served(),
+                f.worth(),
+                f.late(),
+                f.refused(),
+                f.failed(),
+                f.p50Ms(),
+                f.p90Ms(),
+                f.p99Ms(),
+                f.maxMs(),
+                f.runsPerRequest()));
+        html.append("<h2>The laboratory's own lateness, ms</h2><p>")
+                .append(escape(s.lateness().toString()))
+                .append("</p>");
         html.append("<h2>Sidecars</h2><table><tr><th></th>");
         TreeSet<String> columns = new TreeSet<>();
         s.nodes().values().forEach(n -> columns.addAll(n.keySet()));
@@ -119,15 +139,25 @@
         html.append("</tr>");
         for (Map.Entry<String, Map<String, Double>> n : s.nodes().entrySet()) {
             html.append("<tr><td>").append(escape(n.getKey())).append("</td>");
-            columns.forEach(c -> html.append("<td>").append(n.getValue().containsKey(c)
-                    ? String.format(Locale.ROOT, "%.1f", n.getValue().get(c)) : "").append("</td>"));
+            columns.forEach(c -> html.append("<td>")
+                    .append(
+                            n.getValue().containsKey(c)
+                                    ? String.format(
+                                            Locale.ROOT, "%.1f", n.getValue().get(c))
+                                    : "")
+                    .append("</td>"));
             html.append("</tr>");
         }
         html.append("</table>");
         if (!s.violations().isEmpty()) {
             html.append("<h2>Rules broken</h2>");
-            for (Violation v : s.violations().subList(0, Math.min(MOST_HISTORIES, s.violations().size()))) {
-                html.append(String.format(Locale.ROOT, "<p><b>%s</b> at %.3f s: %s</p>", escape(v.rule()), v.us() / 1e6,
+            for (Violation v : s.violations()
+                    .subList(0, Math.min(MOST_HISTORIES, s.violations().size()))) {
+                html.append(String.format(
+                        Locale.ROOT,
+                        "<p><b>%s</b> at %.3f s: %s</p>",
+                        escape(v.rule()),
+                        v.us() / 1e6,
                         escape(v.words())));
                 if (v.id() != null) {
                     html.append("<pre>").append(escape(run.history(v.id()))).append("</pre>");
@@ -140,10 +170,13 @@
     private record Shade(double from, double to, String words) {}
 
     private static String data(Run run) throws IOException {
-        List<Shade> shades = run.scenario().faults().stream().map(f -> new Shade(f.atUs() / 1e6,
-                (f.atUs() + Math.max(f.forUs(), 100_000)) / 1e6, f.words())).toList();
+        List<Shade> shades = run.scenario().faults().stream()
+                .map(f -> new Shade(f.atUs() / 1e6, (f.atUs() + Math.max(f.forUs(), 100_000)) / 1e6, f.words()))
+                .toList();
         // A '<' within a script could end it.
-        return JSON.copy().disable(SerializationFeature.INDENT_OUTPUT)
-                .writeValueAsString(Map.of("seconds", Figures.seconds(run), "faults", shades)).replace("<", "\\u003c");
+        return JSON.copy()
+                .disable(SerializationFeature.INDENT_OUTPUT)
+                .writeValueAsString(Map.of("seconds", Figures.seconds(run), "faults", shades))
+                .replace("<", "\\u003c");
     }
 }
--- a/src/main/java/rushproxy/lab/report/Summary.java
+++ b/src/main/java/rushproxy/lab/report/Summary.java
@@ -14,8 +14,12 @@
  * @param lateness   of the laboratory, in milliseconds: "send_p99", "send_max", "late_sends" (a part), "beat_p99", "beat_max"
  * @param nodes      for each sidecar "cpu_s", "rss_mb", "datagrams", "datagram_bytes", "starts"
  */
-public record Summary(@JsonProperty("scenario") String scenario, @JsonProperty("seed") long seed,
-                      @JsonProperty("verdict") String verdict, @JsonProperty("why") List<String> why,
-                      @JsonProperty("figures") Figures figures, @JsonProperty("violations") List<Violation> violations,
-                      @JsonProperty("lateness") Map<String, Double> lateness,
-                      @JsonProperty("nodes") Map<String, Map<String, Double>> nodes) {}
+public record Summary(
+        @JsonProperty("scenario") String scenario,
+        @JsonProperty("seed") long seed,
+        @JsonProperty("verdict") String verdict,
+        @JsonProperty("why") List<String> why,
+        @JsonProperty("figures") Figures figures,
+        @JsonProperty("violations") List<Violation> violations,
+        @JsonProperty("lateness") Map<String, Double> lateness,
+        @JsonProperty("nodes") Map<String, Map<String, Double>> nodes) {}
--- a/src/main/java/rushproxy/lab/scale/CapacityTables.java
+++ b/src/main/java/rushproxy/lab/scale/CapacityTables.java
@@ -12,6 +12,7 @@
 public final class CapacityTables {
     /** What a sidecar may spend for control: bytes a second, part of a core, and megabytes. */
     private static final double BYTES_A_SECOND = 3_000;
+
     private static final double CORE = 0.018;
     private static final double HEAP_MB = 64;
 
@@ -26,7 +27,8 @@
 
     public static String of(List<ScaleResult> results) {
         List<ScaleResult> sorted = new ArrayList<>(results);
-        sorted.sort(Comparator.comparingInt(ScaleResult::members).thenComparing(ScaleResult::event)
+        sorted.sort(Comparator.comparingInt(ScaleResult::members)
+                .thenComparing(ScaleResult::event)
                 .thenComparingLong(ScaleResult::seed));
         StringBuilder text = new StringBuilder();
         measured(sorted, text);
@@ -36,8 +38,9 @@
     }
 
     private static void measured(List<ScaleResult> results, StringBuilder to) {
-        to.append("| members | stretch | seed | bytes/s a member: mean, 99th, most | datagrams/s: mean, most | µs a datagram, a tick"
-                + " (median) | part of a core | heap a member, kB | false deaths |\n|---|---|---|---|---|---|---|---|---|\n");
+        to.append(
+                "| members | stretch | seed | bytes/s a member: mean, 99th, most | datagrams/s: mean, most | µs a datagram, a tick"
+                        + " (median) | part of a core | heap a member, kB | false deaths |\n|---|---|---|---|---|---|---|---|---|\n");
         Set<String> quiet = new LinkedHashSet<>();
         for (ScaleResult r : results) {
             for (ScalePhase p : r.phases()) {
@@ -45,9 +48,21 @@
                 if (p.name().equals("quiet") && !quiet.add(r.members() + " " + r.seed())) {
                     continue;
                 }
-                to.append(String.format(Locale.ROOT, "| %d | %s | %d | %.0f, %d, %d | %.1f, %d | %.1f, %.1f | %.5f | %d | %d |%n",
-                        r.members(), p.name(), r.seed(), p.bytes().mean(), p.bytes().p99(), p.bytes().most(), p.datagrams().mean(),
-                        p.datagrams().most(), p.datagramNs().p50() / 1e3, p.tickNs().p50() / 1e3, p.core(), r.heapAMember() / 1024,
+                to.append(String.format(
+                        Locale.ROOT,
+                        "| %d | %s | %d | %.0f, %d, %d | %.1f, %d | %.1f, %.1f | %.5f | %d | %d |%n",
+                        r.members(),
+                        p.name(),
+                        r.seed(),
+                        p.bytes().mean(),
+                        p.bytes().p99(),
+                        p.bytes().most(),
+                        p.datagrams().mean(),
+                        p.datagrams().most(),
+                        p.datagramNs().p50() / 1e3,
+                        p.tickNs().p50() / 1e3,
+                        p.core(),
+                        r.heapAMember() / 1024,
                         p.falseDeaths()));
             }
         }
@@ -55,12 +70,21 @@
     }
 
     private static void known(List<ScaleResult> results, StringBuilder to) {
-        to.append("| members | change | seed | known by 50, 99 and 100 in 100, ms | held dead across the cut |\n|---|---|---|---|---|\n");
+        to.append(
+                "| members | change | seed | known by 50, 99 and 100 in 100, ms | held dead across the cut |\n|---|---|---|---|---|\n");
         for (ScaleResult r : results) {
             for (ScalePhase p : r.phases()) {
                 for (ScalePhase.Known k : p.known()) {
-                    to.append(String.format(Locale.ROOT, "| %d | %s | %d | %s, %s, %s | %d |%n", r.members(), k.change(), r.seed(),
-                            ms(k.ms50()), ms(k.ms99()), ms(k.ms100()), k.called()));
+                    to.append(String.format(
+                            Locale.ROOT,
+                            "| %d | %s | %d | %s, %s, %s | %d |%n",
+                            r.members(),
+                            k.change(),
+                            r.seed(),
+                            ms(k.ms50()),
+                            ms(k.ms99()),
+                            ms(k.ms100()),
+                            k.called()));
                 }
             }
         }
@@ -72,8 +96,8 @@
     }
 
     private static void extrapolated(List<ScaleResult> results, StringBuilder to) {
-        to.append("| stretch | figure | formula (n members) | measured up to | worst error there | at " + ScalePlan.MOST_MEMBERS
-                + " | budget | verdict |\n|---|---|---|---|---|---|---|---|\n");
+        to.append("| stretch | figure | formula (n members) | measured up to | worst error there | at "
+                + ScalePlan.MOST_MEMBERS + " | budget | verdict |\n|---|---|---|---|---|---|---|---|\n");
         Set<String> stretches = new LinkedHashSet<>();
         results.forEach(r -> r.phases().forEach(p -> stretches.add(p.name())));
         for (String stretch : stretches) {
@@ -88,7 +112,9 @@
                 row(stretch, figure.name + ", " + figure.unit, Slope.through(points), figure.budget, to);
             }
         }
-        List<Slope.Point> heap = results.stream().map(r -> new Slope.Point(r.members(), r.heapAMember() / 1048576.0)).toList();
+        List<Slope.Point> heap = results.stream()
+                .map(r -> new Slope.Point(r.members(), r.heapAMember() / 1048576.0))
+                .toList();
         row("any", "heap of the view, MB", Slope.through(heap), HEAP_MB, to);
     }
 
@@ -98,8 +124,17 @@
         }
         double there = slope.at(ScalePlan.MOST_MEMBERS);
         double breaks = slope.reaches(budget);
-        to.append(String.format(Locale.ROOT, "| %s | %s | %.3g n^%.2f | %d | %.0f%% | %.3g | %.3g | %s |%n", stretch, figure,
-                slope.factor(), slope.exponent(), slope.largest(), 100 * slope.error(), there, budget,
+        to.append(String.format(
+                Locale.ROOT,
+                "| %s | %s | %.3g n^%.2f | %d | %.0f%% | %.3g | %.3g | %s |%n",
+                stretch,
+                figure,
+                slope.factor(),
+                slope.exponent(),
+                slope.largest(),
+                100 * slope.error(),
+                there,
+                budget,
                 there <= budget ? "holds" : String.format(Locale.ROOT, "broken, from about %.0f on", breaks)));
     }
 }
--- a/src/main/java/rushproxy/lab/scale/ChangeWatch.java
+++ b/src/main/java/rushproxy/lab/scale/ChangeWatch.java
@@ -47,7 +47,8 @@
     /** Milliseconds until this part of all observers knew; -1 where fewer do. */
     private long after(double part) {
         long wanted = (long) Math.ceil(part * observers);
-        return tookMs.getTotalCount() < wanted ? -1
+        return tookMs.getTotalCount() < wanted
+                ? -1
                 : tookMs.getValueAtPercentile(100.0 * wanted / Math.max(1, tookMs.getTotalCount()));
     }
 }
--- a/src/main/java/rushproxy/lab/scale/LoopbackFleet.java
+++ b/src/main/java/rushproxy/lab/scale/LoopbackFleet.java
@@ -29,6 +29,7 @@
 final class LoopbackFleet implements ScaleFleet {
     /** Ticks may come this late for one in a hundred, and still nobody takes another for silent because of it. */
     private static final long MOST_LATE_US = 50_000;
+
     private static final int RECEIVED_AT_ONCE = 64;
     private static final int SOCKET_BUFFER = 256 * 1024;
 
@@ -62,8 +63,7 @@
         }
 
         @Override
-        public void note(String event) {
-        }
+        public void note(String event) {}
     }
 
     private record Tick(long atUs, Hollow of, int process) implements Comparable<Tick> {
@@ -172,7 +172,9 @@
                     return;
                 }
                 Integer number = numbers.get(from);
-                if (number != null && to.up && !(cut && plan.regionOf(number) == 0 != (plan.regionOf(to.number) == 0))) {
+                if (number != null
+                        && to.up
+                        && !(cut && plan.regionOf(number) == 0 != (plan.regionOf(to.number) == 0))) {
                     byte[] datagram = new byte[buffer.flip().remaining()];
                     buffer.get(datagram);
                     Membership membership = to.membership;
@@ -190,8 +192,20 @@
         m.up = true;
         m.startedUs = us();
         int process = ++m.process;
-        m.membership = new Membership(new Membership.Self(name(member), member, addresses.size(), plan.zoneOf(member), plan.zones(),
-                1, 0, unixUs() / 1_000, -1), unixUs(), random.nextLong(), m);
+        m.membership = new Membership(
+                new Membership.Self(
+                        name(member),
+                        member,
+                        addresses.size(),
+                        plan.zoneOf(member),
+                        plan.zones(),
+                        1,
+                        0,
+                        unixUs() / 1_000,
+                        -1),
+                unixUs(),
+                random.nextLong(),
+                m);
         ticks.add(new Tick(us() + random.nextLong(Membership.TICK_US), m, process));
     }
 
@@ -222,7 +236,9 @@
 
     @Override
     public Member.State state(int at, int of) {
-        Member m = members.get(at).membership.member(members.get(of).membership.self().id());
+        Member m = members.get(at)
+                .membership
+                .member(members.get(of).membership.self().id());
         return m == null ? null : m.state();
     }
 
@@ -244,8 +260,12 @@
     @Override
     public String lateness() {
         long late = lateUs.getValueAtPercentile(99);
-        return late <= MOST_LATE_US ? null : String.format(Locale.ROOT,
-                "this host could not keep real time: one tick in a hundred came %d ms late and more", late / 1_000);
+        return late <= MOST_LATE_US
+                ? null
+                : String.format(
+                        Locale.ROOT,
+                        "this host could not keep real time: one tick in a hundred came %d ms late and more",
+                        late / 1_000);
     }
 
     @Override
--- a/src/main/java/rushproxy/lab/scale/RealSidecars.java
+++ b/src/main/java/rushproxy/lab/scale/RealSidecars.java
@@ -36,7 +36,8 @@
     private final Keeper keeper;
     private final List<Running> running = new ArrayList<>();
 
-    RealSidecars(ScalePlan plan, Addresses addresses, List<InetSocketAddress> peers, Build build, Path folder) throws IOException {
+    RealSidecars(ScalePlan plan, Addresses addresses, List<InetSocketAddress> peers, Build build, Path folder)
+            throws IOException {
         this.plan = plan;
         this.addresses = addresses;
         this.peers = peers;
@@ -62,7 +63,8 @@
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", config.toAbsolutePath().toString());
         builder.environment().put("TMPDIR", own.resolve("tmp").toAbsolutePath().toString());
-        builder.redirectErrorStream(true).redirectOutput(own.resolve("log").toFile())
+        builder.redirectErrorStream(true)
+                .redirectOutput(own.resolve("log").toFile())
                 .redirectInput(ProcessBuilder.Redirect.from(new java.io.File("/dev/null")));
         Process process = builder.start();
         keeper.keep(process);
@@ -71,9 +73,11 @@
 
     private ObjectNode config(int member) throws IOException {
         ObjectNode c = JSON.createObjectNode();
-        c.put("name", LoopbackFleet.name(member)).put("listen", Addresses.text(addresses.listen(member)))
+        c.put("name", LoopbackFleet.name(member))
+                .put("listen", Addresses.text(addresses.listen(member)))
                 .put("discovery", addresses.listen(member).getAddress().getHostAddress() + ":" + NO_DISCOVERY_PORT)
-                .put("admin_addr", Addresses.text(addresses.admin(member, 0))).put("seed", Long.toHexString(plan.seed() + member))
+                .put("admin_addr", Addresses.text(addresses.admin(member, 0)))
+                .put("seed", Long.toHexString(plan.seed() + member))
                 .put("peer_listen", Addresses.text(peers.get(member)));
         c.putObject("limits").put("cores", 1).put("memory_mb", MEMORY_MB).put("sockets", 256);
         ArrayNode all = c.putArray("peers");
@@ -105,10 +109,12 @@
         List<ScaleResult.Sidecar> seen = new ArrayList<>();
         for (Running r : running) {
             if (!r.process.isAlive()) {
-                throw new IOException(r.name + " ended with " + r.process.exitValue() + "; its log is in " + folder.resolve(r.name));
+                throw new IOException(
+                        r.name + " ended with " + r.process.exitValue() + "; its log is in " + folder.resolve(r.name));
             }
             double seconds = (System.nanoTime() - r.sinceNs) / 1e9;
-            double core = r.process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1e9 / seconds;
+            double core =
+                    r.process.info().totalCpuDuration().orElse(Duration.ZERO).toNanos() / 1e9 / seconds;
             seen.add(new ScaleResult.Sidecar(r.name, here(r), core, memoryMb(r.process)));
         }
         return seen;
--- a/src/main/java/rushproxy/lab/scale/ScalePhase.java
+++ b/src/main/java/rushproxy/lab/scale/ScalePhase.java
@@ -13,8 +13,16 @@
  * @param falseDeaths members that somebody within reach held dead while they ran
  * @param known       how soon the changes of this stretch were known
  */
-public record ScalePhase(String name, double seconds, Spread bytes, Spread datagrams, Spread datagramNs, Spread tickNs,
-                         double core, int falseDeaths, List<Known> known) {
+public record ScalePhase(
+        String name,
+        double seconds,
+        Spread bytes,
+        Spread datagrams,
+        Spread datagramNs,
+        Spread tickNs,
+        double core,
+        int falseDeaths,
+        List<Known> known) {
     /**
      * How soon a change was known: milliseconds until so many of a hundred of those who should know did; -1 where that did not
      * come within the stretch. {@code called}: those across a cut that were held dead though they ran.
--- a/src/main/java/rushproxy/lab/scale/ScalePlan.java
+++ b/src/main/java/rushproxy/lab/scale/ScalePlan.java
@@ -14,7 +14,8 @@
  * @param regions  the regions that the zones are in, in turn
  * @param loss     part of all datagrams that is lost, 0 to 1
  */
-public record ScalePlan(int members, int real, int services, int zones, int regions, ScaleEvent event, double loss, long seed) {
+public record ScalePlan(
+        int members, int real, int services, int zones, int regions, ScaleEvent event, double loss, long seed) {
     /** The largest fleet that the project is designed for. */
     public static final int MOST_MEMBERS = 7_800;
     /** Processes that this machine's memory and cores carry beside the hollow members. */
@@ -46,12 +47,13 @@
             throw new ScaleException("--event: region-cut needs --regions of 2 and more");
         }
         if (event == ScaleEvent.REGION_CUT && real > 0) {
-            throw new ScaleException("--event: region-cut has to be simulated: nobody holds back the datagrams of real sidecars");
+            throw new ScaleException(
+                    "--event: region-cut has to be simulated: nobody holds back the datagrams of real sidecars");
         }
         long needed = BYTES_OF_ONE_IN_VIEW * members * members;
         if (needed > maxHeapBytes / 2) {
-            throw new ScaleException("--members: the views of " + members + " need " + (needed >> 20) + " MB, and half of the heap is "
-                    + (maxHeapBytes / 2 >> 20) + " MB");
+            throw new ScaleException("--members: the views of " + members + " need " + (needed >> 20)
+                    + " MB, and half of the heap is " + (maxHeapBytes / 2 >> 20) + " MB");
         }
         return this;
     }
@@ -59,7 +61,8 @@
     /** Throws where this process may not open as many sockets as the hollow members need. */
     private void checkDescriptors(long most) throws ScaleException {
         if (real > 0 && hollow() + OWN_DESCRIPTORS > most) {
-            throw new ScaleException("--members: " + hollow() + " hollow members need as many sockets, and this process may open " + most);
+            throw new ScaleException("--members: " + hollow()
+                    + " hollow members need as many sockets, and this process may open " + most);
         }
     }
 
@@ -68,7 +71,8 @@
         try {
             for (String line : Files.readAllLines(Path.of("/proc/self/limits"))) {
                 if (line.startsWith("Max open files")) {
-                    String most = line.substring("Max open files".length()).trim().split("\\s+")[0];
+                    String most =
+                            line.substring("Max open files".length()).trim().split("\\s+")[0];
                     return most.equals("unlimited") ? Long.MAX_VALUE : Long.parseLong(most);
                 }
             }
--- a/src/main/java/rushproxy/lab/scale/ScaleResult.java
+++ b/src/main/java/rushproxy/lab/scale/ScaleResult.java
@@ -14,8 +14,20 @@
  * @param heapAMember bytes that one member's whole state holds
  * @param voidWhy     why the figures tell nothing of the fleet, but of this host; null where they do
  */
-public record ScaleResult(String clock, int members, int real, int services, int zones, int regions, String event, double loss,
-                          long seed, long heapAMember, String voidWhy, List<ScalePhase> phases, List<Sidecar> sidecars) {
+public record ScaleResult(
+        String clock,
+        int members,
+        int real,
+        int services,
+        int zones,
+        int regions,
+        String event,
+        double loss,
+        long seed,
+        long heapAMember,
+        String voidWhy,
+        List<ScalePhase> phases,
+        List<Sidecar> sidecars) {
     /**
      * A real sidecar of the fleet.
      *
@@ -24,7 +36,6 @@
      */
     public record Sidecar(String name, int here, double core, double memoryMb) {}
 
-
     private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
 
     public void write(Path file) throws IOException {
--- a/src/main/java/rushproxy/lab/scale/ScaleRun.java
+++ b/src/main/java/rushproxy/lab/scale/ScaleRun.java
@@ -21,10 +21,12 @@
     private static final long LOOK_US = 100_000;
     /** A fleet that starts at once agrees within this: more members have more to tell. */
     private static final long SETTLE_US = 30 * SECOND_US;
+
     private static final long SETTLE_EACH_US = 60_000;
     private static final int QUIET_S = 20;
     /** A change is watched for so long. */
     private static final int WATCH_S = 40;
+
     private static final int RESTART_EVERY_MS = 500;
     private static final int RESTART_AWAY_MS = 2_500;
     private static final int RESTARTED_PART = 20;
@@ -63,12 +65,15 @@
      * Hollow members over loopback sockets, beside real sidecars, in real time. Throws where addresses, sockets or processes
      * can't be had.
      */
-    public static ScaleResult real(ScalePlan plan, Build build, Path folder, Consumer<String> progress) throws IOException {
+    public static ScaleResult real(ScalePlan plan, Build build, Path folder, Consumer<String> progress)
+            throws IOException {
         WorkMeter work = new WorkMeter();
         try (Addresses addresses = Addresses.take()) {
-            List<InetSocketAddress> peers = IntStream.range(0, plan.members()).mapToObj(addresses::peerListen).toList();
+            List<InetSocketAddress> peers = IntStream.range(0, plan.members())
+                    .mapToObj(addresses::peerListen)
+                    .toList();
             try (LoopbackFleet fleet = new LoopbackFleet(plan, peers, work);
-                 RealSidecars sidecars = new RealSidecars(plan, addresses, peers, build, folder)) {
+                    RealSidecars sidecars = new RealSidecars(plan, addresses, peers, build, folder)) {
                 sidecars.start();
                 progress.accept(plan.real() + " real sidecars start");
                 ScaleRun run = new ScaleRun(plan, fleet, work, progress);
@@ -98,7 +103,7 @@
         run(QUIET_S, List.of());
         end("quiet", List.of());
         switch (plan.event()) {
-            case QUIET -> { }
+            case QUIET -> {}
             case KILL -> lose("kill", List.of(fleet.size() / 2));
             case RACK_LOSS -> lose("rack-loss", members(m -> m < ScaleEvent.RACK));
             case ZONE_LOSS -> loseZone();
@@ -108,8 +113,20 @@
     }
 
     ScaleResult result(String clock, long heap, List<ScaleResult.Sidecar> sidecars) {
-        return new ScaleResult(clock, plan.members(), plan.real(), plan.services(), plan.zones(), plan.regions(), plan.event().word(),
-                plan.loss(), plan.seed(), heap, fleet.lateness(), phases, sidecars);
+        return new ScaleResult(
+                clock,
+                plan.members(),
+                plan.real(),
+                plan.services(),
+                plan.zones(),
+                plan.regions(),
+                plan.event().word(),
+                plan.loss(),
+                plan.seed(),
+                heap,
+                fleet.lateness(),
+                phases,
+                sidecars);
     }
 
     private List<Integer> members(IntPredicate which) {
@@ -121,14 +138,22 @@
         lose("zone-loss", zone);
         begin();
         zone.forEach(fleet::start);
-        watch("zone-return", new ChangeWatch("return of a zone of " + zone.size(), zone, members(m -> plan.zoneOf(m) != 0),
-                this::seesAlive, fleet.us()));
+        watch(
+                "zone-return",
+                new ChangeWatch(
+                        "return of a zone of " + zone.size(),
+                        zone,
+                        members(m -> plan.zoneOf(m) != 0),
+                        this::seesAlive,
+                        fleet.us()));
     }
 
     private void lose(String name, List<Integer> victims) {
         begin();
         victims.forEach(fleet::kill);
-        watch(name, new ChangeWatch("death of " + victims.size(), victims, members(fleet::up), this::seesGone, fleet.us()));
+        watch(
+                name,
+                new ChangeWatch("death of " + victims.size(), victims, members(fleet::up), this::seesGone, fleet.us()));
     }
 
     private void cutRegion() {
@@ -138,12 +163,16 @@
         cut = true;
         fleet.cutFirstRegion(true);
         run(ScaleEvent.REGION_CUT_S, List.of());
-        int called = (int) region.stream().filter(of -> others.stream().anyMatch(at -> fleet.state(at, of) == Member.State.DEAD)).count();
+        int called = (int) region.stream()
+                .filter(of -> others.stream().anyMatch(at -> fleet.state(at, of) == Member.State.DEAD))
+                .count();
         end("region-cut", List.of(new ScalePhase.Known("cut of " + region.size(), -1, -1, -1, called)));
         begin();
         fleet.cutFirstRegion(false);
         // Who is held dead across the cut is so until the return has been heard of.
-        watch("region-return", new ChangeWatch("return of a region of " + region.size(), region, others, this::seesAlive, fleet.us()));
+        watch(
+                "region-return",
+                new ChangeWatch("return of a region of " + region.size(), region, others, this::seesAlive, fleet.us()));
         cut = false;
     }
 
@@ -157,13 +186,21 @@
                 fleet.leave(step);
                 fleet.kill(step);
             }
-            for (; started < count && (started * RESTART_EVERY_MS + RESTART_AWAY_MS) <= step * RESTART_EVERY_MS; started++) {
+            for (;
+                    started < count && (started * RESTART_EVERY_MS + RESTART_AWAY_MS) <= step * RESTART_EVERY_MS;
+                    started++) {
                 fleet.start(started);
             }
             runTo(from + (step + 1) * RESTART_EVERY_MS * 1_000L, List.of());
         }
-        watch("rolling-restart", new ChangeWatch("restart of " + count + ", from the last start on", members(m -> m < count),
-                members(m -> m >= count), this::seesAlive, fleet.us()));
+        watch(
+                "rolling-restart",
+                new ChangeWatch(
+                        "restart of " + count + ", from the last start on",
+                        members(m -> m < count),
+                        members(m -> m >= count),
+                        this::seesAlive,
+                        fleet.us()));
     }
 
     private boolean seesAlive(int at, int of) {
@@ -231,10 +268,25 @@
 
     private void end(String name, List<ScalePhase.Known> known) {
         double seconds = (fleet.us() - phaseUs) / 1e6;
-        ScalePhase phase = new ScalePhase(name, seconds, traffic.bytes(), traffic.datagrams(), work.datagrams(), work.ticks(),
-                work.totalNs() / 1e9 / seconds / fleet.size(), falselyDead.size(), known);
+        ScalePhase phase = new ScalePhase(
+                name,
+                seconds,
+                traffic.bytes(),
+                traffic.datagrams(),
+                work.datagrams(),
+                work.ticks(),
+                work.totalNs() / 1e9 / seconds / fleet.size(),
+                falselyDead.size(),
+                known);
         phases.add(phase);
-        progress.accept(String.format(Locale.ROOT, "%s: %.0f bytes/s a member, most %d in a second; %.5f of a core; %d false deaths%s",
-                name, phase.bytes().mean(), phase.bytes().most(), phase.core(), phase.falseDeaths(), known.isEmpty() ? "" : "; " + known));
+        progress.accept(String.format(
+                Locale.ROOT,
+                "%s: %.0f bytes/s a member, most %d in a second; %.5f of a core; %d false deaths%s",
+                name,
+                phase.bytes().mean(),
+                phase.bytes().most(),
+                phase.core(),
+                phase.falseDeaths(),
+                known.isEmpty() ? "" : "; " + known));
     }
 }
--- a/src/main/java/rushproxy/lab/scale/SimulatedFleet.java
+++ b/src/main/java/rushproxy/lab/scale/SimulatedFleet.java
@@ -14,8 +14,11 @@
 
     SimulatedFleet(ScalePlan plan, MemberSim.Meter meter) {
         this.plan = plan;
-        sim = new MemberSim(plan.seed()).zones(plan.zones()).hosts(plan.members())
-                .network(plan.loss(), DUPLICATES, LEAST_DELAY_US, MOST_DELAY_US).meter(meter);
+        sim = new MemberSim(plan.seed())
+                .zones(plan.zones())
+                .hosts(plan.members())
+                .network(plan.loss(), DUPLICATES, LEAST_DELAY_US, MOST_DELAY_US)
+                .meter(meter);
     }
 
     @Override
@@ -85,6 +88,5 @@
     }
 
     @Override
-    public void close() {
-    }
+    public void close() {}
 }
--- a/src/main/java/rushproxy/lab/scale/Slope.java
+++ b/src/main/java/rushproxy/lab/scale/Slope.java
@@ -18,15 +18,26 @@
         if (used.stream().map(Point::members).distinct().count() < 2) {
             return null;
         }
-        double meanX = used.stream().mapToDouble(p -> Math.log(p.members)).average().orElseThrow();
-        double meanY = used.stream().mapToDouble(p -> Math.log(p.value)).average().orElseThrow();
-        double covariance = used.stream().mapToDouble(p -> (Math.log(p.members) - meanX) * (Math.log(p.value) - meanY)).sum();
-        double variance = used.stream().mapToDouble(p -> Math.pow(Math.log(p.members) - meanX, 2)).sum();
+        double meanX =
+                used.stream().mapToDouble(p -> Math.log(p.members)).average().orElseThrow();
+        double meanY =
+                used.stream().mapToDouble(p -> Math.log(p.value)).average().orElseThrow();
+        double covariance = used.stream()
+                .mapToDouble(p -> (Math.log(p.members) - meanX) * (Math.log(p.value) - meanY))
+                .sum();
+        double variance = used.stream()
+                .mapToDouble(p -> Math.pow(Math.log(p.members) - meanX, 2))
+                .sum();
         double exponent = covariance / variance;
-        Slope law = new Slope(Math.exp(meanY - exponent * meanX), exponent,
-                used.stream().mapToInt(Point::members).max().orElseThrow(), 0);
-        double error = used.stream().mapToDouble(p -> Math.max(law.at(p.members) / p.value, p.value / law.at(p.members)) - 1)
-                .max().orElseThrow();
+        Slope law = new Slope(
+                Math.exp(meanY - exponent * meanX),
+                exponent,
+                used.stream().mapToInt(Point::members).max().orElseThrow(),
+                0);
+        double error = used.stream()
+                .mapToDouble(p -> Math.max(law.at(p.members) / p.value, p.value / law.at(p.members)) - 1)
+                .max()
+                .orElseThrow();
         return new Slope(law.factor, exponent, law.largest, error);
     }
 
--- a/src/main/java/rushproxy/lab/scenario/ScenarioReader.java
+++ b/src/main/java/rushproxy/lab/scenario/ScenarioReader.java
@@ -21,21 +21,34 @@
 public final class ScenarioReader {
     /** As many as a laboratory has addresses for; a run says before its start where the machine's descriptors are fewer. */
     private static final int MOST_NODES = 2_000;
+
     private static final int MOST_SERVERS = 2_000;
     private static final String SHIPPED = "/rushproxy/lab/scenarios/";
     /** Names of the scenarios that come with the program, in the order in which they are listed. */
-    public static final List<String> NAMES = List.of("demo", "calm", "crash-cold-return", "zone-cut-one-way", "list-late",
-            "mass-kill", "rolling-restart", "retry-storm", "fast-errors", "hand-over", "big-fleet");
+    public static final List<String> NAMES = List.of(
+            "demo",
+            "calm",
+            "crash-cold-return",
+            "zone-cut-one-way",
+            "list-late",
+            "mass-kill",
+            "rolling-restart",
+            "retry-storm",
+            "fast-errors",
+            "hand-over",
+            "big-fleet");
 
-    private static final Set<String> NODE_FAULTS = Set.of("kill", "restart", "stall", "call", "replace", "jar", "start", "system",
-            "restart-series", "reload-series");
-    private static final Set<String> SERVER_FAULTS = Set.of("crash", "hang", "slow", "errors", "drain", "add", "refuse", "spoil");
+    private static final Set<String> NODE_FAULTS = Set.of(
+            "kill", "restart", "stall", "call", "replace", "jar", "start", "system", "restart-series", "reload-series");
+    private static final Set<String> SERVER_FAULTS =
+            Set.of("crash", "hang", "slow", "errors", "drain", "add", "refuse", "spoil");
     private static final Set<String> CLIENT_FAULTS = Set.of("clients");
     private static final Set<String> SPOILS = Set.of("half", "second", "reset", "bytewise", "close");
     private static final Set<String> SYSTEM_FAULTS = Set.of("wall-clock", "calls", "files", "sockets", "established");
     private static final Set<String> MISBEHAVIOURS = Set.of("leave", "stop", "slow", "crowd", "slow-read");
     private static final Set<String> LINK_FAULTS = Set.of("cut", "delay", "peer-loss", "reset");
-    private static final Set<String> DISCOVERY_FAULTS = Set.of("list-silent", "list-late", "discovery-moves", "list-splits");
+    private static final Set<String> DISCOVERY_FAULTS =
+            Set.of("list-silent", "list-late", "discovery-moves", "list-splits");
 
     private final String file;
 
@@ -68,7 +81,8 @@
             }
             return new ScenarioReader(file).scenario(new Section(file, "", root));
         } catch (JsonProcessingException e) {
-            String place = e.getLocation() == null ? "" : ", line " + e.getLocation().getLineNr();
+            String place =
+                    e.getLocation() == null ? "" : ", line " + e.getLocation().getLineNr();
             throw new ScenarioException(file + place + ": no TOML: " + e.getOriginalMessage());
         }
     }
@@ -134,21 +148,25 @@
         Scenario.Traffic traffic = traffic(s.table("traffic"), lengthUs);
         Scenario.Network network = network(s.table("network"));
         Section d = s.table("discovery");
-        Scenario.Discovery discovery = new Scenario.Discovery(d.number("notice_ms", 0, 60_000, 300),
-                d.number("spread_ms", 0, 60_000, 100));
+        Scenario.Discovery discovery =
+                new Scenario.Discovery(d.number("notice_ms", 0, 60_000, 300), d.number("spread_ms", 0, 60_000, 100));
         d.end();
         Section r = s.table("rules");
-        Scenario.Rules rules = new Scenario.Rules(us(r.number("drain_grace_ms", 0, 60_000, 500), 1e3),
-                r.number("cold_share", 0.01, 1, 0.35), us(r.number("ramp_s", 0, 600, 8.6), 1e6),
-                r.number("fall_multiple", 1, 100, 3), us(r.number("fall_s", 0.1, 60, 2), 1e6),
+        Scenario.Rules rules = new Scenario.Rules(
+                us(r.number("drain_grace_ms", 0, 60_000, 500), 1e3),
+                r.number("cold_share", 0.01, 1, 0.35),
+                us(r.number("ramp_s", 0, 600, 8.6), 1e6),
+                r.number("fall_multiple", 1, 100, 3),
+                us(r.number("fall_s", 0.1, 60, 2), 1e6),
                 us(r.number("slack_ms", 0, 1000, 50), 1e3));
         r.end();
         Section l = s.table("lateness");
-        Scenario.Lateness lateness = new Scenario.Lateness(us(l.number("late_ms", 1, 10_000, 20), 1e3),
-                l.number("most", 0, 1, 0.02));
+        Scenario.Lateness lateness =
+                new Scenario.Lateness(us(l.number("late_ms", 1, 10_000, 20), 1e3), l.number("most", 0, 1, 0.02));
         l.end();
-        Scenario bare = new Scenario(name, about, seed, lengthUs, fleet, servers, classes, traffic, network, discovery, rules,
-                lateness, List.of(), List.of());
+        Scenario bare = new Scenario(
+                name, about, seed, lengthUs, fleet, servers, classes, traffic, network, discovery, rules, lateness,
+                List.of(), List.of());
         Set<String> zones = new LinkedHashSet<>(bare.zoneNames());
         for (String zone : network.regions().keySet()) {
             if (!zones.contains(zone)) {
@@ -164,8 +182,21 @@
             expectations.add(expectation(one, lengthUs));
         }
         s.end();
-        return new Scenario(name, about, seed, lengthUs, fleet, servers, classes, traffic, network, discovery, rules, lateness,
-                List.copyOf(faults), List.copyOf(expectations));
+        return new Scenario(
+                name,
+                about,
+                seed,
+                lengthUs,
+                fleet,
+                servers,
+                classes,
+                traffic,
+                network,
+                discovery,
+                rules,
+                lateness,
+                List.copyOf(faults),
+                List.copyOf(expectations));
     }
 
     private static long us(double value, double perUnit) {
@@ -183,9 +214,14 @@
             }
             settings.put(pair.substring(0, equals), pair.substring(equals + 1));
         }
-        Scenario.Fleet fleet = new Scenario.Fleet(nodes, zones.isEmpty() ? List.of("a") : zones,
-                s.count("memory_mb", 32, 4096, 144), s.count("sockets", 256, 65_536, 576), s.number("cores", 0.05, 64, 1),
-                s.text("jar", null), settings);
+        Scenario.Fleet fleet = new Scenario.Fleet(
+                nodes,
+                zones.isEmpty() ? List.of("a") : zones,
+                s.count("memory_mb", 32, 4096, 144),
+                s.count("sockets", 256, 65_536, 576),
+                s.number("cores", 0.05, 64, 1),
+                s.text("jar", null),
+                settings);
         s.end();
         return fleet;
     }
@@ -193,23 +229,39 @@
     private Scenario.Servers servers(Section s, List<String> fleetZones) throws ScenarioException {
         List<String> zones = s.texts("zones");
         double cores = s.number("cores", 0.5, 256, 3);
-        Scenario.Servers servers = new Scenario.Servers(s.count("count", 1, MOST_SERVERS), s.text("kind", "std"),
-                zones.isEmpty() ? fleetZones : zones, s.count("pods", 1, 100, 1), cores, s.number("speed", 0.01, 100, 1),
-                s.count("slots", 1, 10_000, (int) Math.ceil(cores * 2)), s.count("queue", 0, 100_000, 20),
-                s.number("crowding", 0, 10, 0.1), s.number("warm_saving", 0, 0.95, 0), us(s.number("warm_s", 0, 600, 5), 1e6),
-                s.count("warm_keys", 0, 1_000_000, 200), s.count("connections", 1, 100_000, 1_000),
-                s.number("handshake_ms", 0, 1_000, 1), s.word("reports", Set.of("none", "inline", "on_probe"), "none"));
+        Scenario.Servers servers = new Scenario.Servers(
+                s.count("count", 1, MOST_SERVERS),
+                s.text("kind", "std"),
+                zones.isEmpty() ? fleetZones : zones,
+                s.count("pods", 1, 100, 1),
+                cores,
+                s.number("speed", 0.01, 100, 1),
+                s.count("slots", 1, 10_000, (int) Math.ceil(cores * 2)),
+                s.count("queue", 0, 100_000, 20),
+                s.number("crowding", 0, 10, 0.1),
+                s.number("warm_saving", 0, 0.95, 0),
+                us(s.number("warm_s", 0, 600, 5), 1e6),
+                s.count("warm_keys", 0, 1_000_000, 200),
+                s.count("connections", 1, 100_000, 1_000),
+                s.number("handshake_ms", 0, 1_000, 1),
+                s.word("reports", Set.of("none", "inline", "on_probe"), "none"));
         s.end();
         return servers;
     }
 
     private Scenario.RequestClass requestClass(Section s) throws ScenarioException {
         long deadlineUs = us(s.number("deadline_ms", 10, 600_000), 1e3);
-        Scenario.RequestClass c = new Scenario.RequestClass(s.text("name"), s.number("share", 0, 1e6, 1),
-                s.number("work_ms", 0.01, 60_000), s.number("work_spread", 0, 3, 0.4),
-                us(s.number("aim_ms", 1, 600_000, deadlineUs / 1e3), 1e3), deadlineUs, s.number("worth", 0, 1e6, 1),
+        Scenario.RequestClass c = new Scenario.RequestClass(
+                s.text("name"),
+                s.number("share", 0, 1e6, 1),
+                s.number("work_ms", 0.01, 60_000),
+                s.number("work_spread", 0, 3, 0.4),
+                us(s.number("aim_ms", 1, 600_000, deadlineUs / 1e3), 1e3),
+                deadlineUs,
+                s.number("worth", 0, 1e6, 1),
                 s.word("semantics", Set.of("safe", "keyed", "unsafe"), "safe"),
-                s.word("group", Set.of("all", "zone", "cell"), "all"), us(s.number("window_ms", 0, 600_000, 5_000), 1e3));
+                s.word("group", Set.of("all", "zone", "cell"), "all"),
+                us(s.number("window_ms", 0, 600_000, 5_000), 1e3));
         if (!c.name().matches("[a-z0-9-]{1,40}")) {
             throw s.wrong("name", "'" + c.name() + "' is not of small letters, digits and hyphens, 40 at most");
         }
@@ -229,8 +281,10 @@
         long backoffUs = us(s.number("backoff_ms", 0, 60_000, 50), 1e3);
         double honour = s.number("honour", 0, 1, 0.5);
         for (Section one : s.tables("bursts")) {
-            Scenario.Burst burst = new Scenario.Burst(us(one.number("at_s", 0, lengthUs / 1e6), 1e6),
-                    us(one.number("for_s", 0.01, 3600), 1e6), one.number("factor", 0, 100));
+            Scenario.Burst burst = new Scenario.Burst(
+                    us(one.number("at_s", 0, lengthUs / 1e6), 1e6),
+                    us(one.number("for_s", 0.01, 3600), 1e6),
+                    one.number("factor", 0, 100));
             one.end();
             bursts.add(burst);
         }
@@ -252,9 +306,15 @@
         }
         double same = s.number("same_ms", 0, 10_000, 0.2);
         double cross = s.number("cross_ms", 0, 10_000, 8);
-        Scenario.Network network = new Scenario.Network(same, cross, s.number("region_ms", 0, 10_000, 4 * cross),
-                s.number("jitter", 0, 1, 0.2), s.number("peer_loss", 0, 1, 0.01), s.number("peer_twice", 0, 1, 0),
-                s.number("peer_late_ms", 0, 10_000, 2), regions);
+        Scenario.Network network = new Scenario.Network(
+                same,
+                cross,
+                s.number("region_ms", 0, 10_000, 4 * cross),
+                s.number("jitter", 0, 1, 0.2),
+                s.number("peer_loss", 0, 1, 0.01),
+                s.number("peer_twice", 0, 1, 0),
+                s.number("peer_late_ms", 0, 10_000, 2),
+                regions);
         s.end();
         return network;
     }
@@ -269,9 +329,10 @@
         long atUs = us(s.number("at_s", 0, of.lengthUs() / 1e6), 1e6);
         long forUs = us(s.number("for_s", 0, 3600, 0), 1e6);
         List<String> nodes = NODE_FAULTS.contains(what) || DISCOVERY_FAULTS.contains(what)
-                ? pick(s, "nodes", of.nodeNames(), nodeZones(of), DISCOVERY_FAULTS.contains(what)) : List.of();
-        List<String> servers = SERVER_FAULTS.contains(what)
-                ? pick(s, "servers", serverNames(of), serverZones(of), false) : List.of();
+                ? pick(s, "nodes", of.nodeNames(), nodeZones(of), DISCOVERY_FAULTS.contains(what))
+                : List.of();
+        List<String> servers =
+                SERVER_FAULTS.contains(what) ? pick(s, "servers", serverNames(of), serverZones(of), false) : List.of();
         List<String> from = List.of();
         List<String> to = List.of();
         boolean silent = true;
@@ -299,8 +360,22 @@
         };
         String jar = what.equals("jar") ? s.text("jar") : null;
         double stagger = s.number("stagger_s", 0, 600, 0);
-        boolean lasts = Set.of("hang", "slow", "errors", "cut", "delay", "peer-loss", "list-silent", "list-late", "stall",
-                "list-splits", "refuse", "spoil", "clients", "system").contains(what);
+        boolean lasts = Set.of(
+                        "hang",
+                        "slow",
+                        "errors",
+                        "cut",
+                        "delay",
+                        "peer-loss",
+                        "list-silent",
+                        "list-late",
+                        "stall",
+                        "list-splits",
+                        "refuse",
+                        "spoil",
+                        "clients",
+                        "system")
+                .contains(what);
         if (lasts && forUs == 0) {
             throw s.wrong("for_s", "is missing: '" + what + "' lasts");
         }
@@ -337,7 +412,9 @@
             } else if (names.contains(one)) {
                 picked.add(one);
             } else {
-                throw s.wrong(key, "there is no '" + one + "'; there are " + names.get(0) + " to " + names.get(names.size() - 1));
+                throw s.wrong(
+                        key,
+                        "there is no '" + one + "'; there are " + names.get(0) + " to " + names.get(names.size() - 1));
             }
         }
         return List.copyOf(picked);
@@ -352,8 +429,13 @@
         List<String> nodes = of.nodeNames();
         List<String> servers = serverNames(of);
         for (String one : asked) {
-            boolean zone = one.matches("(zone|nodes|servers):.+") && of.zoneNames().contains(one.substring(one.indexOf(':') + 1));
-            if (!zone && !one.equals("all") && !one.equals("discovery") && !nodes.contains(one) && !servers.contains(one)) {
+            boolean zone = one.matches("(zone|nodes|servers):.+")
+                    && of.zoneNames().contains(one.substring(one.indexOf(':') + 1));
+            if (!zone
+                    && !one.equals("all")
+                    && !one.equals("discovery")
+                    && !nodes.contains(one)
+                    && !servers.contains(one)) {
                 throw s.wrong(key, "there is no '" + one + "'");
             }
         }
@@ -361,7 +443,9 @@
     }
 
     private static List<String> nodeZones(Scenario of) {
-        return java.util.stream.IntStream.range(0, of.fleet().nodes()).mapToObj(of::zoneOfNode).toList();
+        return java.util.stream.IntStream.range(0, of.fleet().nodes())
+                .mapToObj(of::zoneOfNode)
+                .toList();
     }
 
     /** {@code s0}, {@code s1} and so on, over the groups in the order of the file. */
@@ -380,13 +464,25 @@
         return zones;
     }
 
-    private static final Set<String> FIGURES = Set.of("served", "worth", "refused", "failed", "lost", "p50_ms", "p99_ms",
-            "requests", "rules_broken", "runs_per_request");
+    private static final Set<String> FIGURES = Set.of(
+            "served",
+            "worth",
+            "refused",
+            "failed",
+            "lost",
+            "p50_ms",
+            "p99_ms",
+            "requests",
+            "rules_broken",
+            "runs_per_request");
 
     private Scenario.Expectation expectation(Section s, long lengthUs) throws ScenarioException {
         double max = Double.MAX_VALUE;
-        Scenario.Expectation e = new Scenario.Expectation(s.word("figure", FIGURES, ""), s.number("at_least", -max, max, -max),
-                s.number("at_most", -max, max, max), us(s.number("from_s", 0, lengthUs / 1e6, 0), 1e6),
+        Scenario.Expectation e = new Scenario.Expectation(
+                s.word("figure", FIGURES, ""),
+                s.number("at_least", -max, max, -max),
+                s.number("at_most", -max, max, max),
+                us(s.number("from_s", 0, lengthUs / 1e6, 0), 1e6),
                 us(s.number("to_s", 0, 36_000, lengthUs / 1e6), 1e6));
         s.end();
         return e;
--- a/src/main/java/rushproxy/lab/scenario/Section.java
+++ b/src/main/java/rushproxy/lab/scenario/Section.java
@@ -30,8 +30,8 @@
         try {
             return new Section(file, "", new TomlMapper().readTree(text));
         } catch (JsonProcessingException e) {
-            throw new ScenarioException(file + ": line " + (e.getLocation() == null ? 0 : e.getLocation().getLineNr()) + ": "
-                    + e.getOriginalMessage());
+            throw new ScenarioException(file + ": line "
+                    + (e.getLocation() == null ? 0 : e.getLocation().getLineNr()) + ": " + e.getOriginalMessage());
         }
     }
 
@@ -143,7 +143,9 @@
         if (value != null && !value.isObject()) {
             throw wrong(key, "is no table but " + value);
         }
-        return new Section(file, path.isEmpty() ? key : path + "." + key,
+        return new Section(
+                file,
+                path.isEmpty() ? key : path + "." + key,
                 value == null ? com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.objectNode() : value);
     }
 
@@ -178,8 +180,12 @@
             String name = names.next();
             if (!asked.contains(name)) {
                 String near = nearest(name);
-                throw wrong(name, "is unknown" + (near == null ? "; known are " + new TreeSet<>(asked)
-                        : "; is '" + near + "' meant?"));
+                throw wrong(
+                        name,
+                        "is unknown"
+                                + (near == null
+                                        ? "; known are " + new TreeSet<>(asked)
+                                        : "; is '" + near + "' meant?"));
             }
         }
     }
@@ -214,7 +220,8 @@
             int corner = row[0];
             row[0] = i;
             for (int j = 1; j <= b.length(); j++) {
-                int next = Math.min(Math.min(row[j], row[j - 1]) + 1, corner + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1));
+                int next = Math.min(
+                        Math.min(row[j], row[j - 1]) + 1, corner + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1));
                 corner = row[j];
                 row[j] = next;
             }
--- a/src/main/java/rushproxy/lab/sim/GateFigures.java
+++ b/src/main/java/rushproxy/lab/sim/GateFigures.java
@@ -85,7 +85,7 @@
 
     /** Marsaglia's polar method; one of the pair is enough here. */
     private static double gauss(UniformRandomProvider random) {
-        for (;;) {
+        for (; ; ) {
             double x = 2 * random.nextDouble() - 1;
             double y = 2 * random.nextDouble() - 1;
             double r = x * x + y * y;
@@ -111,26 +111,49 @@
             after[seed - 1] = j.afterS;
         }
         java.util.Arrays.sort(after);
-        return String.format(Locale.ROOT, "| %s | %.0f | %.0f%% | %d | %d | %d | %.0f s | %.1f |", what, rate, 100 * weight, on, halted, back,
-                after[seeds / 2], spoilt);
+        return String.format(
+                Locale.ROOT,
+                "| %s | %.0f | %.0f%% | %d | %d | %d | %.0f s | %.1f |",
+                what,
+                rate,
+                100 * weight,
+                on,
+                halted,
+                back,
+                after[seeds / 2],
+                spoilt);
     }
 
     /** The table of docs/RELEASES.md. */
     public static void main(String[] args) {
         int seeds = Integer.parseInt(args[0]);
         Gate.Rule rule = Gate.Rule.USUAL;
-        System.out.println("| release | requests a second | weight | on | halted | back | median | spoilt answers until then |");
+        System.out.println(
+                "| release | requests a second | weight | on | halted | back | median | spoilt answers until then |");
         for (double rate : new double[] {50, 500}) {
             for (double weight : new double[] {0.05, 0.2}) {
                 System.out.println(row("good, with faults of both", Release.GOOD, rate, weight, rule, 4 * seeds));
                 for (double errors : new double[] {0.01, 0.05, 0.2}) {
-                    System.out.println(row(String.format(Locale.ROOT, "%.0f%% more errors", 100 * errors),
-                            new Release(errors, 1, false, 0, true), rate, weight, rule, seeds));
+                    System.out.println(row(
+                            String.format(Locale.ROOT, "%.0f%% more errors", 100 * errors),
+                            new Release(errors, 1, false, 0, true),
+                            rate,
+                            weight,
+                            rule,
+                            seeds));
                 }
                 for (double slower : new double[] {1.2, 1.5, 3}) {
-                    System.out.println(row(slower + " times slower", new Release(0, slower, false, 0, true), rate, weight, rule, seeds));
+                    System.out.println(row(
+                            slower + " times slower",
+                            new Release(0, slower, false, 0, true),
+                            rate,
+                            weight,
+                            rule,
+                            seeds));
                 }
-                System.out.println(row("20% more errors in one stratum of six", new Release(0.2, 1, true, 0, true), rate, weight, rule, seeds));
+                System.out.println(row(
+                        "20% more errors in one stratum of six",
+                        new Release(0.2, 1, true, 0, true), rate, weight, rule, seeds));
             }
         }
     }
--- a/src/main/java/rushproxy/lab/sim/MemberFigures.java
+++ b/src/main/java/rushproxy/lab/sim/MemberFigures.java
@@ -18,8 +18,15 @@
  * @param hours      of simulated time, over which false deaths were counted
  * @param bytesPerS  sent a second and member, IP's and UDP's headers with them, in quiet
  */
-public record MemberFigures(int members, double loss, boolean stalls, List<Double> detectMs, List<Double> agreeMs,
-                            int falseDeaths, double hours, double bytesPerS) {
+public record MemberFigures(
+        int members,
+        double loss,
+        boolean stalls,
+        List<Double> detectMs,
+        List<Double> agreeMs,
+        int falseDeaths,
+        double hours,
+        double bytesPerS) {
     private static final long SETTLE_US = 30_000_000;
     private static final long SETTLE_EACH_US = 60_000;
     private static final long BETWEEN_US = 20_000_000;
@@ -57,7 +64,8 @@
                     first = (t - at) / 1e3;
                 }
                 // Who never knew it has nothing to learn.
-                if (dead > 0 && sim.seenAs(victim, Member.State.ALIVE) + sim.seenAs(victim, Member.State.SUSPECT) == 0) {
+                if (dead > 0
+                        && sim.seenAs(victim, Member.State.ALIVE) + sim.seenAs(victim, Member.State.SUSPECT) == 0) {
                     all = (t - at) / 1e3;
                 }
             }
@@ -72,7 +80,9 @@
 
     private static void stall(MemberSim sim, UniformRandomProvider random, long untilUs) {
         for (MemberSim.Node n : sim.nodes()) {
-            for (long at = sim.us() + random.nextLong(2 * STALL_EVERY_US); at < untilUs; at += random.nextLong(2 * STALL_EVERY_US)) {
+            for (long at = sim.us() + random.nextLong(2 * STALL_EVERY_US);
+                    at < untilUs;
+                    at += random.nextLong(2 * STALL_EVERY_US)) {
                 sim.later(at - sim.us(), () -> sim.stall(n, 200_000 + random.nextLong(1_300_000)));
             }
         }
@@ -94,9 +104,19 @@
     }
 
     public String line() {
-        return String.format(Locale.ROOT, "%6d members  loss %2.0f%%  stalls %-3s  detected ms: median %5.0f p99 %5.0f"
-                + "  all agree ms: median %5.0f p99 %5.0f  false deaths %d in %.2f h  %4.0f bytes/s", members, 100 * loss,
-                stalls ? "yes" : "no", percentile(detectMs, 0.5), percentile(detectMs, 0.99), percentile(agreeMs, 0.5),
-                percentile(agreeMs, 0.99), falseDeaths, hours, bytesPerS);
+        return String.format(
+                Locale.ROOT,
+                "%6d members  loss %2.0f%%  stalls %-3s  detected ms: median %5.0f p99 %5.0f"
+                        + "  all agree ms: median %5.0f p99 %5.0f  false deaths %d in %.2f h  %4.0f bytes/s",
+                members,
+                100 * loss,
+                stalls ? "yes" : "no",
+                percentile(detectMs, 0.5),
+                percentile(detectMs, 0.99),
+                percentile(agreeMs, 0.5),
+                percentile(agreeMs, 0.99),
+                falseDeaths,
+                hours,
+                bytesPerS);
     }
 }
--- a/src/main/java/rushproxy/lab/sim/MemberSim.java
+++ b/src/main/java/rushproxy/lab/sim/MemberSim.java
@@ -35,6 +35,7 @@
         private final List<Runnable> lying = new ArrayList<>();
         /** Bytes that it has sent, headers with them, and the datagrams. */
         public long bytes;
+
         public long datagrams;
         public final List<String> notes = new ArrayList<>();
 
@@ -219,8 +220,12 @@
         n.lying.clear();
         int of = ++n.process;
         int place = n.placeOf(n);
-        n.membership = new Membership(new Membership.Self(n.name, place, n.peers.length, n.number % zones, zones, 1, 0,
-                n.clock() / 1_000, -1), n.clock(), random.nextLong(), n);
+        n.membership = new Membership(
+                new Membership.Self(
+                        n.name, place, n.peers.length, n.number % zones, zones, 1, 0, n.clock() / 1_000, -1),
+                n.clock(),
+                random.nextLong(),
+                n);
         at(time.now() + random.nextLong(Membership.TICK_US), () -> n.tick(of));
     }
 
@@ -257,7 +262,9 @@
     private void pass(Node from, Node to, byte[] datagram) {
         int copies = random.nextDouble() < loss || cut.between(from, to) ? 0 : random.nextDouble() < twice ? 2 : 1;
         for (int i = 0; i < copies; i++) {
-            at(time.now() + leastDelayUs + random.nextLong(Math.max(1, mostDelayUs - leastDelayUs)), () -> deliver(from, to, datagram));
+            at(
+                    time.now() + leastDelayUs + random.nextLong(Math.max(1, mostDelayUs - leastDelayUs)),
+                    () -> deliver(from, to, datagram));
         }
     }
 
--- a/src/main/java/rushproxy/lab/sim/SharedFigures.java
+++ b/src/main/java/rushproxy/lab/sim/SharedFigures.java
@@ -12,6 +12,7 @@
 public final class SharedFigures {
     /** A write is known to 99 in 100 members after this, up to 10,000 members and 30% loss. */
     public static final long SPREAD_MS = 6_000;
+
     private static final long S = 1_000_000;
 
     private SharedFigures() {}
@@ -24,8 +25,17 @@
     public record Spread(int members, double loss, long seed, long ms99, long msAll, double bytes, double telling) {
         @Override
         public String toString() {
-            return String.format(Locale.ROOT, "%d members, loss %.2f, seed %d: 99%% after %d ms, all after %d ms, %.0f B/s in quiet, "
-                    + "%.0f B/s while it is told", members, loss, seed, ms99, msAll, bytes, telling);
+            return String.format(
+                    Locale.ROOT,
+                    "%d members, loss %.2f, seed %d: 99%% after %d ms, all after %d ms, %.0f B/s in quiet, "
+                            + "%.0f B/s while it is told",
+                    members,
+                    loss,
+                    seed,
+                    ms99,
+                    msAll,
+                    bytes,
+                    telling);
         }
     }
 
@@ -37,23 +47,36 @@
         sim.until(10 * S);
         long from = bytes(sim);
         SharedSim.Node writer = sim.node((int) Math.floorMod(seed, (long) members));
-        writer.store().put(writer.clock(), Table.VERDICTS, 7, ByteBuffer.allocate(4).putInt(1).array());
+        writer.store()
+                .put(
+                        writer.clock(),
+                        Table.VERDICTS,
+                        7,
+                        ByteBuffer.allocate(4).putInt(1).array());
         long at = sim.us();
         long most = -1;
         long all = -1;
         long told = 0;
         for (long t = at; t <= at + 30 * S && (all < 0 || t <= at + 5 * S); t += 20_000) {
             sim.until(t);
-            long knows = sim.nodes().stream().filter(n -> n.store().read(n.clock(), Table.VERDICTS, 7, writer.id) != null).count();
+            long knows = sim.nodes().stream()
+                    .filter(n -> n.store().read(n.clock(), Table.VERDICTS, 7, writer.id) != null)
+                    .count();
             most = most < 0 && knows >= Math.ceil(0.99 * members) ? (t - at) / 1_000 : most;
             all = all < 0 && knows == members ? (t - at) / 1_000 : all;
             told = t <= at + 5 * S ? bytes(sim) : told;
             // It is renewed as a sidecar does.
             if (t > at && (t - at) % (5 * S) == 0) {
-                writer.store().put(writer.clock(), Table.VERDICTS, 7, ByteBuffer.allocate(4).putInt(1).array());
+                writer.store()
+                        .put(
+                                writer.clock(),
+                                Table.VERDICTS,
+                                7,
+                                ByteBuffer.allocate(4).putInt(1).array());
             }
         }
-        return new Spread(members, loss, seed, most, all, (from - quiet) / 5.0 / members, (told - from) / 5.0 / members);
+        return new Spread(
+                members, loss, seed, most, all, (from - quiet) / 5.0 / members, (told - from) / 5.0 / members);
     }
 
     private static long bytes(SharedSim sim) {
@@ -69,11 +92,29 @@
      * @param moving the same over the first 5 s after a move
      * @param bytes  a second and member, all that is shared
      */
-    public record Limited(int members, double loss, String event, long seed, double most, double unused, double moving, double bytes) {
+    public record Limited(
+            int members,
+            double loss,
+            String event,
+            long seed,
+            double most,
+            double unused,
+            double moving,
+            double bytes) {
         @Override
         public String toString() {
-            return String.format(Locale.ROOT, "%d members, loss %.2f, %s, seed %d: at most %.4f of the limit, unmet %.1f%% settled and "
-                    + "%.1f%% in the 5 s after a move, %.0f B/s", members, loss, event, seed, most, 100 * unused, 100 * moving, bytes);
+            return String.format(
+                    Locale.ROOT,
+                    "%d members, loss %.2f, %s, seed %d: at most %.4f of the limit, unmet %.1f%% settled and "
+                            + "%.1f%% in the 5 s after a move, %.0f B/s",
+                    members,
+                    loss,
+                    event,
+                    seed,
+                    most,
+                    100 * unused,
+                    100 * moving,
+                    bytes);
         }
     }
 
@@ -130,7 +171,15 @@
             sums[moving] += unmet;
             sums[moving + 1] += limit;
         }
-        return new Limited(members, loss, event, seed, most[0], sums[2] / sums[3], sums[0] / sums[1], bytes(sim) / (end / 1e6) / members);
+        return new Limited(
+                members,
+                loss,
+                event,
+                seed,
+                most[0],
+                sums[2] / sums[3],
+                sums[0] / sums[1],
+                bytes(sim) / (end / 1e6) / members);
     }
 
     /** The tables of docs/SHARED.md: {@code spread} or {@code limits}, then the sizes. */
--- a/src/main/java/rushproxy/lab/sim/SharedSim.java
+++ b/src/main/java/rushproxy/lab/sim/SharedSim.java
@@ -25,6 +25,7 @@
 public final class SharedSim {
     /** Deaths and cuts are noticed after this. */
     public static final long SEEN_US = 3_000_000;
+
     private static final int PART = 2;
 
     /** One process of a host. */
@@ -42,6 +43,7 @@
         private List<Verdicts.Case> cases = List.of();
         /** Bytes that it has sent, headers with them. */
         public long bytes;
+
         public final List<String> notes = new ArrayList<>();
 
         private Node(int number) {
@@ -104,7 +106,8 @@
 
         private boolean sees(Node other) {
             boolean gone = !other.up && time.now() - other.changedUs > SEEN_US;
-            boolean away = time.now() - cutUs > SEEN_US && (cut.between(number, other.number) || cut.between(other.number, number));
+            boolean away = time.now() - cutUs > SEEN_US
+                    && (cut.between(number, other.number) || cut.between(other.number, number));
             return !gone && !away;
         }
 
@@ -244,7 +247,9 @@
     }
 
     private void pass(Node from, Node to, byte[] datagram) {
-        int copies = random.nextDouble() < loss || cut.between(from.number, to.number) ? 0 : random.nextDouble() < twice ? 2 : 1;
+        int copies = random.nextDouble() < loss || cut.between(from.number, to.number)
+                ? 0
+                : random.nextDouble() < twice ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             time.later(300 + random.nextLong(Math.max(1, mostDelayUs - 300)), () -> deliver(from, to, datagram));
         }
@@ -261,10 +266,16 @@
 
     /** Whether all who run hold the same, without what processes that are gone have written. */
     public boolean agree() {
-        return nodes.stream().filter(n -> n.up).mapToLong(this::fingerprint).distinct().count() <= 1;
+        return nodes.stream()
+                        .filter(n -> n.up)
+                        .mapToLong(this::fingerprint)
+                        .distinct()
+                        .count()
+                <= 1;
     }
 
     public long fingerprint(Node of) {
-        return of.store.fingerprint(of.clock(), id -> byId.containsKey(id) && byId.get(id).up ? byId.get(id).incarnation : Long.MAX_VALUE);
+        return of.store.fingerprint(
+                of.clock(), id -> byId.containsKey(id) && byId.get(id).up ? byId.get(id).incarnation : Long.MAX_VALUE);
     }
 }
--- a/src/main/java/rushproxy/lab/sim/VirtualTime.java
+++ b/src/main/java/rushproxy/lab/sim/VirtualTime.java
@@ -18,7 +18,7 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long nowUs = START_US;
     private long count;
-    private LongConsumer each = us -> { };
+    private LongConsumer each = us -> {};
 
     /** Unix time. */
     long now() {
--- a/src/main/java/rushproxy/lab/soak/Soak.java
+++ b/src/main/java/rushproxy/lab/soak/Soak.java
@@ -28,11 +28,12 @@
         Path at = folder.resolve(name);
         Files.createDirectories(at);
         Files.writeString(at.resolve("plan.toml"), plan.toml());
-        return new Lab(plan.scenario(), build, at, line -> { }).run();
+        return new Lab(plan.scenario(), build, at, line -> {}).run();
     }
 
     /** Leaves out one fault after the other for as long as the rest still breaks a rule; at most so many plays. */
-    public SoakPlan shrink(SoakPlan failing, int mostPlays) throws IOException, InterruptedException, ScenarioException {
+    public SoakPlan shrink(SoakPlan failing, int mostPlays)
+            throws IOException, InterruptedException, ScenarioException {
         SoakPlan least = failing;
         int plays = 0;
         for (int i = least.faults().size() - 1; i >= 0 && plays < mostPlays; i--) {
--- a/src/main/java/rushproxy/lab/soak/SoakPlan.java
+++ b/src/main/java/rushproxy/lab/soak/SoakPlan.java
@@ -22,6 +22,7 @@
     private static final double FIRST_FAULT_S = 1;
     /** Faults begin this long before the end, so that their recovery is seen. */
     private static final double LAST_FAULT_S = 4;
+
     private static final double FAULTS_PER_S = 0.7;
     /** Sidecars of which a fault takes a part at once. */
     private static final int MOST_AT_ONCE = 3;
@@ -83,7 +84,9 @@
         }
 
         private String head() {
-            return String.format(Locale.ROOT, """
+            return String.format(
+                    Locale.ROOT,
+                    """
                     name = "soak-%d"
                     length_s = %.1f
                     seed = %d
@@ -108,14 +111,26 @@
                     fall_s = 1
                     [lateness]
                     most = 0.3
-                    """, seed, lengthS, seed, nodes, of("pushed", "on_request"), 2 + random.nextInt(3), servers,
-                    requestClass("read", "safe"), requestClass("book", "unsafe"), requestClass("log", "keyed"),
-                    RATE_PER_NODE * nodes, random.nextInt(3));
+                    """,
+                    seed,
+                    lengthS,
+                    seed,
+                    nodes,
+                    of("pushed", "on_request"),
+                    2 + random.nextInt(3),
+                    servers,
+                    requestClass("read", "safe"),
+                    requestClass("book", "unsafe"),
+                    requestClass("log", "keyed"),
+                    RATE_PER_NODE * nodes,
+                    random.nextInt(3));
         }
 
         private String requestClass(String name, String semantics) {
             double deadlineMs = between(300, 3_000);
-            return String.format(Locale.ROOT, """
+            return String.format(
+                    Locale.ROOT,
+                    """
                     [[classes]]
                     name = "%s"
                     work_ms = 4
@@ -124,7 +139,13 @@
                     aim_ms = %.0f
                     group = "%s"
                     window_ms = %.0f
-                    """, name, semantics, deadlineMs, deadlineMs * between(0.3, 0.8), of("all", "zone", "cell"), between(200, 3_000));
+                    """,
+                    name,
+                    semantics,
+                    deadlineMs,
+                    deadlineMs * between(0.3, 0.8),
+                    of("all", "zone", "cell"),
+                    between(200, 3_000));
         }
 
         private String nodesHit() {
@@ -132,7 +153,10 @@
             int count = 1 + random.nextInt(Math.min(MOST_AT_ONCE, Math.max(1, nodes / 3)));
             int first = random.nextInt(nodes);
             for (int i = 0; i < count; i++) {
-                names.append(i == 0 ? "" : ", ").append("\"n").append((first + i) % nodes).append('"');
+                names.append(i == 0 ? "" : ", ")
+                        .append("\"n")
+                        .append((first + i) % nodes)
+                        .append('"');
             }
             return "nodes = [" + names + "]\n";
         }
@@ -150,35 +174,59 @@
         }
 
         private String fault(boolean replaced) {
-            return String.format(Locale.ROOT, "[[faults]]%nat_s = %.2f%n", between(FIRST_FAULT_S, lengthS - LAST_FAULT_S)) + switch (random.nextInt(27)) {
-                case 0 -> "do = \"kill\"\n" + nodesHit() + lasts(0.3, 1.5);
-                case 1, 2 -> "do = \"restart\"\n" + nodesHit() + String.format(Locale.ROOT, "stagger_s = %.2f%n", between(0, 1));
-                case 3 -> "do = \"discovery-moves\"\n" + nodesHit() + "stagger_s = 0.05\n";
-                case 4 -> replaced ? "do = \"replace\"\n" + nodesHit() : "do = \"discovery-moves\"\n" + nodesHit() + "stagger_s = 0.05\n";
-                case 5, 6 -> "do = \"stall\"\n" + nodesHit() + lasts(0.05, 0.15);
-                case 7 -> "do = \"cut\"\nfrom = \"nodes:a\"\nto = \"servers:b\"\none_way = " + random.nextBoolean() + "\n" + lasts(0.5, 2);
-                case 8 -> "do = \"reset\"\nfrom = \"nodes:" + of("a", "b") + "\"\nto = \"servers:" + of("a", "b") + "\"\n";
-                case 9 -> "do = \"hang\"\n" + serverHit() + lasts(1, 5);
-                case 10, 11 -> "do = \"spoil\"\nhow = \"half\"\n" + serverHit() + part(0.1, 0.6) + lasts(2, 6);
-                case 12 -> "do = \"spoil\"\nhow = \"" + of("second", "reset", "bytewise", "close") + "\"\n" + serverHit() + part(0.1, 0.6)
-                        + lasts(2, 6);
-                case 13, 14 -> "do = \"clients\"\nhow = \"" + of("leave", "stop", "slow") + "\"\n" + part(0.05, 0.3) + lasts(2, 6);
-                case 15 -> random.nextBoolean() ? "do = \"list-silent\"\n" + nodesHit() + lasts(1, 4)
-                        : "do = \"list-late\"\n" + nodesHit() + lasts(1, 4) + "by_ms = 300\n";
-                case 16 -> "do = \"drain\"\n" + serverHit() + lasts(2, 4);
-                case 17 -> "do = \"system\"\nhow = \"wall-clock\"\n" + nodesHit() + "by = " + of("3600000", "-3600000", "4000", "-4000") + "\n"
-                        + lasts(2, 8);
-                case 18 -> "do = \"system\"\nhow = \"calls\"\n" + nodesHit() + String.format(Locale.ROOT, "by = %.2f%n", between(0.02, 0.1))
-                        + lasts(1, 5);
-                case 19, 20, 21 -> "do = \"system\"\nhow = \"sockets\"\n" + nodesHit()
-                        + String.format(Locale.ROOT, "by = %.2f%n", between(0.01, 0.08)) + lasts(2, 8);
-                case 22 -> "do = \"system\"\nhow = \"" + of("established", "files") + "\"\n" + nodesHit()
-                        + String.format(Locale.ROOT, "by = %.2f%n", between(0.02, 0.1)) + lasts(2, 6);
-                case 23 -> "do = \"restart-series\"\n" + nodesHit() + String.format(Locale.ROOT, "stagger_s = %.2f%n", between(0, 1));
-                case 24 -> "do = \"reload-series\"\n" + nodesHit() + "stagger_s = 0.05\n";
-                case 25 -> "do = \"clients\"\nhow = \"" + of("crowd", "slow-read") + "\"\n" + part(0.2, 0.6) + lasts(2, 5);
-                default -> "do = \"crash\"\n" + serverHit() + lasts(0.5, 2);
-            };
+            return String.format(
+                            Locale.ROOT, "[[faults]]%nat_s = %.2f%n", between(FIRST_FAULT_S, lengthS - LAST_FAULT_S))
+                    + switch (random.nextInt(27)) {
+                        case 0 -> "do = \"kill\"\n" + nodesHit() + lasts(0.3, 1.5);
+                        case 1, 2 ->
+                            "do = \"restart\"\n" + nodesHit()
+                                    + String.format(Locale.ROOT, "stagger_s = %.2f%n", between(0, 1));
+                        case 3 -> "do = \"discovery-moves\"\n" + nodesHit() + "stagger_s = 0.05\n";
+                        case 4 ->
+                            replaced
+                                    ? "do = \"replace\"\n" + nodesHit()
+                                    : "do = \"discovery-moves\"\n" + nodesHit() + "stagger_s = 0.05\n";
+                        case 5, 6 -> "do = \"stall\"\n" + nodesHit() + lasts(0.05, 0.15);
+                        case 7 ->
+                            "do = \"cut\"\nfrom = \"nodes:a\"\nto = \"servers:b\"\none_way = " + random.nextBoolean()
+                                    + "\n" + lasts(0.5, 2);
+                        case 8 ->
+                            "do = \"reset\"\nfrom = \"nodes:" + of("a", "b") + "\"\nto = \"servers:" + of("a", "b")
+                                    + "\"\n";
+                        case 9 -> "do = \"hang\"\n" + serverHit() + lasts(1, 5);
+                        case 10, 11 -> "do = \"spoil\"\nhow = \"half\"\n" + serverHit() + part(0.1, 0.6) + lasts(2, 6);
+                        case 12 ->
+                            "do = \"spoil\"\nhow = \"" + of("second", "reset", "bytewise", "close") + "\"\n"
+                                    + serverHit() + part(0.1, 0.6) + lasts(2, 6);
+                        case 13, 14 ->
+                            "do = \"clients\"\nhow = \"" + of("leave", "stop", "slow") + "\"\n" + part(0.05, 0.3)
+                                    + lasts(2, 6);
+                        case 15 ->
+                            random.nextBoolean()
+                                    ? "do = \"list-silent\"\n" + nodesHit() + lasts(1, 4)
+                                    : "do = \"list-late\"\n" + nodesHit() + lasts(1, 4) + "by_ms = 300\n";
+                        case 16 -> "do = \"drain\"\n" + serverHit() + lasts(2, 4);
+                        case 17 ->
+                            "do = \"system\"\nhow = \"wall-clock\"\n" + nodesHit() + "by = "
+                                    + of("3600000", "-3600000", "4000", "-4000") + "\n" + lasts(2, 8);
+                        case 18 ->
+                            "do = \"system\"\nhow = \"calls\"\n" + nodesHit()
+                                    + String.format(Locale.ROOT, "by = %.2f%n", between(0.02, 0.1)) + lasts(1, 5);
+                        case 19, 20, 21 ->
+                            "do = \"system\"\nhow = \"sockets\"\n" + nodesHit()
+                                    + String.format(Locale.ROOT, "by = %.2f%n", between(0.01, 0.08)) + lasts(2, 8);
+                        case 22 ->
+                            "do = \"system\"\nhow = \"" + of("established", "files") + "\"\n" + nodesHit()
+                                    + String.format(Locale.ROOT, "by = %.2f%n", between(0.02, 0.1)) + lasts(2, 6);
+                        case 23 ->
+                            "do = \"restart-series\"\n" + nodesHit()
+                                    + String.format(Locale.ROOT, "stagger_s = %.2f%n", between(0, 1));
+                        case 24 -> "do = \"reload-series\"\n" + nodesHit() + "stagger_s = 0.05\n";
+                        case 25 ->
+                            "do = \"clients\"\nhow = \"" + of("crowd", "slow-read") + "\"\n" + part(0.2, 0.6)
+                                    + lasts(2, 5);
+                        default -> "do = \"crash\"\n" + serverHit() + lasts(0.5, 2);
+                    };
         }
     }
 }
--- a/src/main/java/rushproxy/lab/world/Addresses.java
+++ b/src/main/java/rushproxy/lab/world/Addresses.java
@@ -16,6 +16,7 @@
     private static final int LOCK_PORT = 7999;
     /** Rows of 256 addresses, eight for each side of a node: 2,047 nodes. Servers and peers there are told apart by their ports. */
     private static final int OWN = 0;
+
     private static final int UPSTREAMS = 8;
     private static final int DISCOVERY = 16;
     private static final int PEERS = 24;
@@ -46,8 +47,10 @@
     /** The node's address in one of its rows; .0.0 is nobody's. */
     private InetSocketAddress at(int row, int node, int port) {
         try {
-            return new InetSocketAddress(InetAddress.getByAddress(
-                    new byte[] {127, (byte) block, (byte) (row + (node + 1 >> 8)), (byte) (node + 1)}), port);
+            return new InetSocketAddress(
+                    InetAddress.getByAddress(
+                            new byte[] {127, (byte) block, (byte) (row + (node + 1 >> 8)), (byte) (node + 1)}),
+                    port);
         } catch (UnknownHostException e) {
             throw new IllegalStateException(e);
         }
--- a/src/main/java/rushproxy/lab/world/Clients.java
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -10,16 +10,16 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -67,14 +67,21 @@
     private final long[] connectsUntilUs;
     /** Those that send no whole request. */
     private final Strangers strangers;
+
     private int next;
     private int open;
     /** How a part of the clients misbehaves; null where none does. */
     private String misbehaves;
-    private double misbehaving;
-    private Runnable settled = () -> { };
 
-    Clients(EventLoop loop, Observations seen, Scenario scenario, DoubleSupplier chance, List<Traffic.Arrival> arrivals,
+    private double misbehaving;
+    private Runnable settled = () -> {};
+
+    Clients(
+            EventLoop loop,
+            Observations seen,
+            Scenario scenario,
+            DoubleSupplier chance,
+            List<Traffic.Arrival> arrivals,
             List<InetSocketAddress> sidecars) {
         this.loop = loop;
         this.seen = seen;
@@ -136,7 +143,7 @@
             loop.schedule(this::look, arrivals.get(next).atUs() - now, TimeUnit.MICROSECONDS);
         } else if (open == 0) {
             Runnable once = settled;
-            settled = () -> { };
+            settled = () -> {};
             once.run();
         }
     }
@@ -158,14 +165,22 @@
         void attempt(long meantUs) {
             long now = seen.us();
             long left = untilUs - now;
-            long wait = Math.min(left, Math.round(scenario.traffic().tryShare() * arrival.spec().deadlineUs()));
+            long wait = Math.min(
+                    left,
+                    Math.round(scenario.traffic().tryShare() * arrival.spec().deadlineUs()));
             if (wait < 5_000) {
                 settle(worst);
                 return;
             }
             String id = arrival.id() + Integer.toHexString(tries++);
-            asked.put(id, new UpstreamServer.Needs(arrival.workMs(), arrival.key(), idempotencyKey, arrival.spec().group(),
-                    arrival.spec().windowUs()));
+            asked.put(
+                    id,
+                    new UpstreamServer.Needs(
+                            arrival.workMs(),
+                            arrival.key(),
+                            idempotencyKey,
+                            arrival.spec().group(),
+                            arrival.spec().windowUs()));
             new Try(this, id, tries == 1 ? arrival.atUs() : meantUs, wait).begin(true);
         }
 
@@ -173,9 +188,12 @@
             worst = how;
             boolean refused = how.equals("refused");
             String semantics = arrival.spec().semantics();
-            boolean again = semantics.equals("safe") || refused || how.equals("unreached")
-                    || semantics.equals("keyed") && arrival.spec().group().equals("all")
-                    && seen.us() - arrival.atUs() < arrival.spec().windowUs();
+            boolean again = semantics.equals("safe")
+                    || refused
+                    || how.equals("unreached")
+                    || semantics.equals("keyed")
+                            && arrival.spec().group().equals("all")
+                            && seen.us() - arrival.atUs() < arrival.spec().windowUs();
             if (!again || tries > scenario.traffic().retries()) {
                 settle(how);
                 return;
@@ -190,9 +208,18 @@
 
         void settle(String how) {
             long us = seen.us() - arrival.atUs();
-            String word = how.equals("served") && us > arrival.spec().aimUs() ? "late" : how.equals("unreached") ? "failed" : how;
-            seen.see(What.SETTLED, "n" + arrival.node(), null, null, arrival.id(), word + " " + arrival.spec().name(),
-                    us / 1e3, arrival.atUs());
+            String word = how.equals("served") && us > arrival.spec().aimUs()
+                    ? "late"
+                    : how.equals("unreached") ? "failed" : how;
+            seen.see(
+                    What.SETTLED,
+                    "n" + arrival.node(),
+                    null,
+                    null,
+                    arrival.id(),
+                    word + " " + arrival.spec().name(),
+                    us / 1e3,
+                    arrival.atUs());
             open--;
             if (open == 0 && next >= arrivals.size()) {
                 look();
@@ -210,6 +237,7 @@
         private Future<?> patience;
         /** Its client waits until then. */
         private long waitsUntilUs;
+
         private long sentUs;
         private boolean again;
         private boolean over;
@@ -243,16 +271,24 @@
                 return;
             }
             Line fresh = new Line(of.arrival.node());
-            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
+            ChannelFuture connecting = new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                    .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
                             fresh.channel = channel;
-                            channel.pipeline().addLast(new HttpClientCodec(), fresh.heads(),
-                                    new HttpObjectAggregator(MAX_ANSWER), fresh);
+                            channel.pipeline()
+                                    .addLast(
+                                            new HttpClientCodec(),
+                                            fresh.heads(),
+                                            new HttpObjectAggregator(MAX_ANSWER),
+                                            fresh);
                         }
-                    }).connect(sidecars.get(of.arrival.node()));
+                    })
+                    .connect(sidecars.get(of.arrival.node()));
             connecting.addListener(f -> {
                 if (over) {
                     connecting.channel().close();
@@ -275,11 +311,17 @@
             // What it has waited for its connection it does not wait again.
             long left = Math.max(1, (waitsUntilUs - seen.us()) / 1_000);
             boolean get = of.arrival.spec().semantics().equals("safe");
-            DefaultFullHttpRequest m = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, get ? HttpMethod.GET : HttpMethod.POST,
-                    "/api/" + of.arrival.spec().name(), get ? Unpooled.EMPTY_BUFFER
-                    : Unpooled.copiedBuffer(id, StandardCharsets.US_ASCII));
-            m.headers().set("Host", "api.internal").set("X-Txn", id).set("X-Lane", of.arrival.spec().name())
-                    .set("X-Remaining-Ms", left).set("Cookie", "k=" + Long.toHexString(of.arrival.key()));
+            DefaultFullHttpRequest m = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    get ? HttpMethod.GET : HttpMethod.POST,
+                    "/api/" + of.arrival.spec().name(),
+                    get ? Unpooled.EMPTY_BUFFER : Unpooled.copiedBuffer(id, StandardCharsets.US_ASCII));
+            m.headers()
+                    .set("Host", "api.internal")
+                    .set("X-Txn", id)
+                    .set("X-Lane", of.arrival.spec().name())
+                    .set("X-Remaining-Ms", left)
+                    .set("Cookie", "k=" + Long.toHexString(of.arrival.key()));
             if (!get) {
                 m.headers().set("Content-Length", m.content().readableBytes());
             }
@@ -291,7 +333,15 @@
             }
             sentUs = seen.us();
             if (!again) {
-                seen.see(What.ASKED, node(), null, id, of.arrival.id(), of.arrival.spec().name(), left, meantUs);
+                seen.see(
+                        What.ASKED,
+                        node(),
+                        null,
+                        id,
+                        of.arrival.id(),
+                        of.arrival.spec().name(),
+                        left,
+                        meantUs);
             }
             if (misbehavesNow("leave")) {
                 loop.schedule(this::leave, Math.round(waitUs * chance.getAsDouble()), TimeUnit.MICROSECONDS);
@@ -332,7 +382,10 @@
         /** Takes its answer only a while after it may have come. */
         private void readSlowly(Line to) {
             to.channel.config().setAutoRead(false);
-            loop.schedule(() -> to.channel.config().setAutoRead(true), Math.round(waitUs * chance.getAsDouble() / 2), TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> to.channel.config().setAutoRead(true),
+                    Math.round(waitUs * chance.getAsDouble() / 2),
+                    TimeUnit.MICROSECONDS);
         }
 
         /** In pieces of a few bytes; its time runs from the last of them. */
@@ -347,14 +400,17 @@
             int pieces = 0;
             while (all.isReadable()) {
                 ByteBuf piece = all.readRetainedSlice(Math.min(SLOW_PIECE, all.readableBytes()));
-                loop.schedule(() -> {
-                    ChannelHandlerContext codec = to.channel.pipeline().context(HttpClientCodec.class);
-                    if (codec == null || over) {
-                        piece.release();
-                    } else {
-                        codec.writeAndFlush(piece);
-                    }
-                }, pieces++, TimeUnit.MILLISECONDS);
+                loop.schedule(
+                        () -> {
+                            ChannelHandlerContext codec = to.channel.pipeline().context(HttpClientCodec.class);
+                            if (codec == null || over) {
+                                piece.release();
+                            } else {
+                                codec.writeAndFlush(piece);
+                            }
+                        },
+                        pieces++,
+                        TimeUnit.MILLISECONDS);
             }
             all.release();
         }
@@ -374,7 +430,14 @@
 
         private void giveUp() {
             if (!over) {
-                seen.see(What.GAVE_UP, node(), null, id, of.arrival.id(), line == null ? "unconnected" : null, waitUs / 1e3,
+                seen.see(
+                        What.GAVE_UP,
+                        node(),
+                        null,
+                        id,
+                        of.arrival.id(),
+                        line == null ? "unconnected" : null,
+                        waitUs / 1e3,
                         meantUs);
                 Line had = line;
                 end("failed", 0);
--- a/src/main/java/rushproxy/lab/world/Link.java
+++ b/src/main/java/rushproxy/lab/world/Link.java
@@ -71,10 +71,13 @@
                 boolean cut = inward ? network.cut(node, far) : network.cut(far, node);
                 long waitNanos = cut ? LOOK_AGAIN_US * 1_000 : passing.peek().atNanos - System.nanoTime();
                 if (cut || waitNanos > 0) {
-                    timer = loop.schedule(() -> {
-                        timer = null;
-                        look();
-                    }, waitNanos, TimeUnit.NANOSECONDS);
+                    timer = loop.schedule(
+                            () -> {
+                                timer = null;
+                                look();
+                            },
+                            waitNanos,
+                            TimeUnit.NANOSECONDS);
                     return;
                 }
                 passing.poll().arrive.run();
--- a/src/main/java/rushproxy/lab/world/Network.java
+++ b/src/main/java/rushproxy/lab/world/Network.java
@@ -40,7 +40,8 @@
             boolean is = switch (colon < 0 ? e : e.substring(0, colon)) {
                 case "all" -> true;
                 case "zone" -> e.substring(colon + 1).equals(end.zone);
-                case "nodes", "servers" -> e.startsWith(end.kind) && e.substring(colon + 1).equals(end.zone);
+                case "nodes", "servers" ->
+                    e.startsWith(end.kind) && e.substring(colon + 1).equals(end.zone);
                 default -> e.equals(end.name);
             };
             if (is) {
@@ -53,8 +54,9 @@
     /** Whether what is on its way from the one to the other stays where it is. A cut with factor 2 goes both ways. */
     boolean cut(End from, End to) {
         for (Active a : active) {
-            if (a.what.equals("cut") && (names(a.from, from) && names(a.to, to)
-                    || a.factor == 2 && names(a.from, to) && names(a.to, from))) {
+            if (a.what.equals("cut")
+                    && (names(a.from, from) && names(a.to, to)
+                            || a.factor == 2 && names(a.from, to) && names(a.to, from))) {
                 return true;
             }
         }
@@ -68,10 +70,12 @@
 
     /** One-way delay now, in microseconds. */
     long delayUs(End from, End to) {
-        double ms = from.zone.equals(to.zone) ? spec.sameMs()
+        double ms = from.zone.equals(to.zone)
+                ? spec.sameMs()
                 : region(from).equals(region(to)) ? spec.crossMs() : spec.regionMs();
         for (Active a : active) {
-            if (a.what.equals("delay") && (names(a.from, from) && names(a.to, to) || names(a.from, to) && names(a.to, from))) {
+            if (a.what.equals("delay")
+                    && (names(a.from, from) && names(a.to, to) || names(a.from, to) && names(a.to, from))) {
                 ms += a.factor;
             }
         }
@@ -86,7 +90,8 @@
     int copies(End from, End to) {
         double loss = spec.peerLoss();
         for (Active a : active) {
-            if (a.what.equals("peer-loss") && (names(a.from, from) && names(a.to, to) || names(a.from, to) && names(a.to, from))) {
+            if (a.what.equals("peer-loss")
+                    && (names(a.from, from) && names(a.to, to) || names(a.from, to) && names(a.to, from))) {
                 loss = 1 - (1 - loss) * (1 - a.factor);
             }
         }
--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -17,11 +17,18 @@
  * @param sinceUs when what ended now began, or when it was meant to happen
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
-public record Observation(@JsonProperty("us") @JsonInclude(JsonInclude.Include.ALWAYS) long us,
-                          @JsonProperty("what") What what, @JsonProperty("node") String node,
-                          @JsonProperty("server") String server, @JsonProperty("id") String id,
-                          @JsonProperty("first") String first, @JsonProperty("text") String text,
-                          @JsonProperty("number") double number, @JsonProperty("sinceUs") long sinceUs) {
+public record Observation(
+        @JsonProperty("us") @JsonInclude(JsonInclude.Include.ALWAYS)
+        long us,
+
+        @JsonProperty("what") What what,
+        @JsonProperty("node") String node,
+        @JsonProperty("server") String server,
+        @JsonProperty("id") String id,
+        @JsonProperty("first") String first,
+        @JsonProperty("text") String text,
+        @JsonProperty("number") double number,
+        @JsonProperty("sinceUs") long sinceUs) {
 
     /** Kinds of events; after each what {@code text}, {@code number} and {@code sinceUs} say. */
     public enum What {
--- a/src/main/java/rushproxy/lab/world/Observations.java
+++ b/src/main/java/rushproxy/lab/world/Observations.java
@@ -14,6 +14,7 @@
     private final Consumer<Observation> each;
     /** What comes before time begins has negative times. */
     private static final long BEFORE_NANOS = 3_600_000_000_000L;
+
     private long zeroNanos = System.nanoTime() + BEFORE_NANOS;
 
     /** {@code each} hears of every observation at once, under this lock: it must be quick. */
@@ -30,8 +31,8 @@
         return (System.nanoTime() - zeroNanos) / 1_000;
     }
 
-    public void see(What what, String node, String server, String id, String first, String text, double number,
-                    long sinceUs) {
+    public void see(
+            What what, String node, String server, String id, String first, String text, double number, long sinceUs) {
         synchronized (this) {
             Observation o = new Observation(us(), what, node, server, id, first, text, number, sinceUs);
             all.add(o);
--- a/src/main/java/rushproxy/lab/world/PeerRelay.java
+++ b/src/main/java/rushproxy/lab/world/PeerRelay.java
@@ -43,7 +43,9 @@
             for (int j = 0; j < nodes.size(); j++) {
                 int from = i;
                 int to = j;
-                ChannelFuture bind = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                ChannelFuture bind = new Bootstrap()
+                        .group(loop)
+                        .channel(NioDatagramChannel.class)
                         .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                             @Override
                             protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
@@ -56,7 +58,8 @@
                             public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                                 // The kernel says that nobody listened there: the datagram is lost, as any may be.
                             }
-                        }).bind(addresses.peer(i, j));
+                        })
+                        .bind(addresses.peer(i, j));
                 sockets[i][j] = bind.channel();
                 binds.add(bind);
             }
@@ -71,10 +74,13 @@
         int copies = network.copies(nodes.get(from), nodes.get(to));
         for (int i = 0; i < copies; i++) {
             DatagramPacket copy = new DatagramPacket(packet.content().retainedDuplicate(), target);
-            loop.schedule(() -> {
-                // From where the other knows the sender.
-                sockets[to][from].writeAndFlush(copy);
-            }, network.peerDelayUs(nodes.get(from), nodes.get(to)), TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        // From where the other knows the sender.
+                        sockets[to][from].writeAndFlush(copy);
+                    },
+                    network.peerDelayUs(nodes.get(from), nodes.get(to)),
+                    TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/main/java/rushproxy/lab/world/Registry.java
+++ b/src/main/java/rushproxy/lab/world/Registry.java
@@ -63,7 +63,8 @@
         InetSocketAddress at(int node, int server);
     }
 
-    List<ChannelFuture> start(List<String> nodes, List<InetSocketAddress> addresses, Reach reach, List<UpstreamServer> servers) {
+    List<ChannelFuture> start(
+            List<String> nodes, List<InetSocketAddress> addresses, Reach reach, List<UpstreamServer> servers) {
         List<ChannelFuture> binds = new ArrayList<>();
         for (int i = 0; i < nodes.size(); i++) {
             Agent agent = new Agent(i, nodes.get(i), reach);
@@ -137,17 +138,21 @@
         }
 
         ChannelFuture listen(InetSocketAddress address) {
-            ChannelFuture bind = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+            ChannelFuture bind = new ServerBootstrap()
+                    .group(loop)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
                             connections.add(channel);
                             channel.closeFuture().addListener(f -> connections.remove(channel));
-                            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
-                                    new Handler());
+                            channel.pipeline()
+                                    .addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16), new Handler());
                         }
-                    }).bind(address);
+                    })
+                    .bind(address);
             listener = bind.channel();
             return bind;
         }
@@ -225,10 +230,15 @@
             ArrayNode instances = list.putArray("instances");
             for (Line line : lines.values()) {
                 if (index < 0 ? !line.state.equals("Gone") : changedAt.get(line.server.id) > index) {
-                    instances.addObject().put("instanceId", line.server.id)
+                    instances
+                            .addObject()
+                            .put("instanceId", line.server.id)
                             .put("hostPort", Addresses.text(reach.at(number, line.server.number)))
-                            .put("zone", line.server.zone).put("machineType", line.server.spec().kind())
-                            .put("cell", line.server.cell).put("lifecycle", line.state).put("weight", 1.0)
+                            .put("zone", line.server.zone)
+                            .put("machineType", line.server.spec().kind())
+                            .put("cell", line.server.cell)
+                            .put("lifecycle", line.state)
+                            .put("weight", 1.0)
                             .put("startedAtMs", line.startedAtMs);
                 }
             }
@@ -237,10 +247,12 @@
 
         private void write(Channel channel, long index) {
             byte[] body = list(index).toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                    Unpooled.wrappedBuffer(body));
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(body));
             response.headers().set("Content-Length", body.length);
-            List<Line> told = lines.values().stream().filter(l -> index < 0 || changedAt.get(l.server.id) > index).toList();
+            List<Line> told = lines.values().stream()
+                    .filter(l -> index < 0 || changedAt.get(l.server.id) > index)
+                    .toList();
             channel.writeAndFlush(response).addListener(f -> {
                 if (f.isSuccess()) {
                     for (Line l : told) {
@@ -273,8 +285,11 @@
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
                 Map<String, List<String>> query = new QueryStringDecoder(request.uri()).parameters();
-                long index = Long.parseLong(query.getOrDefault("index", List.of("-1")).get(0));
-                long waitMs = Math.min(60_000, Long.parseLong(query.getOrDefault("wait", List.of("0")).get(0)));
+                long index = Long.parseLong(
+                        query.getOrDefault("index", List.of("-1")).get(0));
+                long waitMs = Math.min(
+                        60_000,
+                        Long.parseLong(query.getOrDefault("wait", List.of("0")).get(0)));
                 if (index < 0 && !silent) {
                     write(ctx.channel(), -1);
                     return;
@@ -282,11 +297,14 @@
                 Watch watch = new Watch(ctx.channel(), index);
                 watches.add(watch);
                 // While discovery is down the agent stays silent, also past the wait.
-                watch.timer = loop.schedule(() -> {
-                    if (!silent) {
-                        watch.answer();
-                    }
-                }, waitMs, TimeUnit.MILLISECONDS);
+                watch.timer = loop.schedule(
+                        () -> {
+                            if (!silent) {
+                                watch.answer();
+                            }
+                        },
+                        waitMs,
+                        TimeUnit.MILLISECONDS);
                 if (!silent && index != generation) {
                     watch.answer();
                 }
--- a/src/main/java/rushproxy/lab/world/Strangers.java
+++ b/src/main/java/rushproxy/lab/world/Strangers.java
@@ -21,6 +21,7 @@
     private static final String QUESTION = "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n";
     /** Connections of one crowd, and how long they stay. */
     private static final int CROWD = 16;
+
     private static final long CROWD_STAYS_US = 3_000_000;
 
     private final EventLoop loop;
@@ -58,8 +59,12 @@
     }
 
     private void connect(int node, Stranger stranger) {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(stranger).connect(sidecars.get(node));
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(stranger)
+                .connect(sidecars.get(node));
     }
 
     /** Says its words, and reads what comes without a look at it. */
--- a/src/main/java/rushproxy/lab/world/Traffic.java
+++ b/src/main/java/rushproxy/lab/world/Traffic.java
@@ -21,13 +21,20 @@
     /** Poisson arrivals over the run's length, at most {@code most}; in the order of their times. */
     static List<Arrival> draw(Scenario scenario, UniformRandomProvider random, int most) {
         Scenario.Traffic t = scenario.traffic();
-        double peak = t.ratePerS() * t.bursts().stream().mapToDouble(Scenario.Burst::factor).reduce(1, Math::max);
+        double peak = t.ratePerS()
+                * t.bursts().stream().mapToDouble(Scenario.Burst::factor).reduce(1, Math::max);
         double[] nodes = upTo(weights(scenario.fleet().nodes(), t.skew(), random));
-        double[] classes = upTo(scenario.classes().stream().mapToDouble(Scenario.RequestClass::share).toArray());
-        List<SharedStateContinuousSampler> work = scenario.classes().stream().map(c -> (SharedStateContinuousSampler)
-                // The mean of a log-normal is exp(mu + sigma^2 / 2): mu is set so that it comes out at work_ms.
-                LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random),
-                        Math.log(c.workMs()) - c.workSpread() * c.workSpread() / 2, Math.max(1e-9, c.workSpread()))).toList();
+        double[] classes = upTo(scenario.classes().stream()
+                .mapToDouble(Scenario.RequestClass::share)
+                .toArray());
+        List<SharedStateContinuousSampler> work = scenario.classes().stream()
+                .map(c -> (SharedStateContinuousSampler)
+                        // The mean of a log-normal is exp(mu + sigma^2 / 2): mu is set so that it comes out at work_ms.
+                        LogNormalSampler.of(
+                                ZigguratSampler.NormalizedGaussian.of(random),
+                                Math.log(c.workMs()) - c.workSpread() * c.workSpread() / 2,
+                                Math.max(1e-9, c.workSpread())))
+                .toList();
         DiscreteSampler keys = RejectionInversionZipfSampler.of(random, t.keys(), t.zipf());
         ZigguratSampler.Exponential gaps = ZigguratSampler.Exponential.of(random);
         List<Arrival> arrivals = new ArrayList<>();
@@ -39,8 +46,13 @@
             // Thinned from the highest rate to that of the moment.
             if (random.nextDouble() * peak < rate(t, (long) at)) {
                 int c = place(classes, random.nextDouble());
-                arrivals.add(new Arrival((long) at, place(nodes, random.nextDouble()), scenario.classes().get(c),
-                        keys.sample(), work.get(c).sample(), String.format("%015x", random.nextLong() >>> 4)));
+                arrivals.add(new Arrival(
+                        (long) at,
+                        place(nodes, random.nextDouble()),
+                        scenario.classes().get(c),
+                        keys.sample(),
+                        work.get(c).sample(),
+                        String.format("%015x", random.nextLong() >>> 4)));
             }
         }
         return arrivals;
--- a/src/main/java/rushproxy/lab/world/UpstreamServer.java
+++ b/src/main/java/rushproxy/lab/world/UpstreamServer.java
@@ -39,6 +39,7 @@
     /** Small, so that a few connections of the laboratory's own fill it and the kernel drops all further ones. */
     /** So much of a longer answer comes, and then nothing. */
     private static final int LONG_BEGINNING = 20_000;
+
     private static final int BACKLOG = 8;
     private static final int MAX_BODY = 1 << 20;
 
@@ -79,12 +80,23 @@
     private boolean refuses;
     /** How a part of the answers is spoilt; null where none is. */
     private String spoils;
+
     private double spoilt;
 
-    UpstreamServer(int number, String zone, int cell, rushproxy.lab.scenario.Scenario.Servers spec,
-                   rushproxy.lab.scenario.Scenario.Rules rules, EventLoop loop, Observations seen, Network network,
-                   List<Network.End> nodes, List<InetSocketAddress> addresses, Shared shared, DoubleSupplier chance,
-                   Runnable fell) {
+    UpstreamServer(
+            int number,
+            String zone,
+            int cell,
+            rushproxy.lab.scenario.Scenario.Servers spec,
+            rushproxy.lab.scenario.Scenario.Rules rules,
+            EventLoop loop,
+            Observations seen,
+            Network network,
+            List<Network.End> nodes,
+            List<InetSocketAddress> addresses,
+            Shared shared,
+            DoubleSupplier chance,
+            Runnable fell) {
         this.number = number;
         this.id = "s" + number;
         this.zone = zone;
@@ -248,7 +260,14 @@
         if (unseen.remove(job)) {
             Work work = (Work) job.tag;
             boolean repeat = work.needs.idempotencyKey() != null && shared.repeated(this, work.needs);
-            seen.see(repeat ? What.DROPPED : What.RAN, work.connection.node.name(), id, work.id, null, null, job.workMs,
+            seen.see(
+                    repeat ? What.DROPPED : What.RAN,
+                    work.connection.node.name(),
+                    id,
+                    work.id,
+                    null,
+                    null,
+                    job.workMs,
                     job.startedUs());
         }
     }
@@ -266,7 +285,8 @@
         }
 
         void done() {
-            String body = UpstreamServer.this.id + ":" + id + ":" + Long.toHexString((long) (chance.getAsDouble() * (1L << 50)));
+            String body = UpstreamServer.this.id + ":" + id + ":"
+                    + Long.toHexString((long) (chance.getAsDouble() * (1L << 50)));
             seen.see(What.REPLIED, connection.node.name(), UpstreamServer.this.id, id, null, "200 " + body, 0, 0);
             connection.served(id, body);
         }
@@ -286,15 +306,19 @@
         }
 
         ChannelFuture listen() {
-            ChannelFuture bind = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+            ChannelFuture bind = new ServerBootstrap()
+                    .group(loop)
+                    .channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
                             accepted(channel);
                         }
-                    }).bind(address);
+                    })
+                    .bind(address);
             listener = bind.channel();
             bind.addListener(f -> look());
             return bind;
@@ -440,7 +464,9 @@
                 case "half" -> raw(half(body));
                 case "second" -> {
                     raw(whole);
-                    loop.schedule(() -> raw("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"), 1 + (int) (chance.getAsDouble() * 3),
+                    loop.schedule(
+                            () -> raw("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"),
+                            1 + (int) (chance.getAsDouble() * 3),
                             TimeUnit.MILLISECONDS);
                 }
                 case "reset" -> link.outward(this::reset);
@@ -464,9 +490,12 @@
             return switch ((int) (chance.getAsDouble() * 5)) {
                 case 0 -> "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + begun;
                 case 1 -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-                case 2 -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + begun;
+                case 2 ->
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length())
+                            + "\r\n" + begun;
                 case 3 -> "HTTP/1.1 200 OK\r\n\r\n" + begun;
-                default -> "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1fffff\r\n" + "x".repeat(LONG_BEGINNING);
+                default ->
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1fffff\r\n" + "x".repeat(LONG_BEGINNING);
             };
         }
 
@@ -474,21 +503,26 @@
         private void raw(String text) {
             link.outward(() -> {
                 if (channel.isActive()) {
-                    channel.pipeline().context(HttpServerCodec.class).writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+                    channel.pipeline()
+                            .context(HttpServerCodec.class)
+                            .writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
                 }
             });
         }
 
         private String report() {
-            return String.format(Locale.ROOT, "TEXT inflight=%d, queue=%d, util=%.2f", inFlight(),
+            return String.format(
+                    Locale.ROOT,
+                    "TEXT inflight=%d, queue=%d, util=%.2f",
+                    inFlight(),
                     model == null ? 0 : model.waiting(),
                     model == null ? 0 : Math.min(1, model.working() / spec.cores()));
         }
 
         private void answer(HttpResponseStatus status, String body, String turnedAway) {
             jobs.clear();
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                    Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
             response.headers().set("Content-Length", response.content().readableBytes());
             if (turnedAway != null) {
                 response.headers().set("X-Turned-Away", turnedAway);
@@ -511,7 +545,8 @@
             link.inward(() -> {
                 if (model != null) {
                     jobs.forEach(model::leave);
-                    unseen.removeAll(jobs.stream().filter(j -> j.startedUs() < 0).toList());
+                    unseen.removeAll(
+                            jobs.stream().filter(j -> j.startedUs() < 0).toList());
                     look();
                 }
             });
--- a/src/main/java/rushproxy/lab/world/World.java
+++ b/src/main/java/rushproxy/lab/world/World.java
@@ -53,6 +53,7 @@
     private final Map<String, Long> effects = new HashMap<>();
     /** Lateness of the loop's beats, in microseconds. Read after {@link #close}. */
     private final Histogram lateness = new Histogram(3);
+
     private long beatAtNanos;
     private Path processorFigures;
     private long worstUs;
@@ -78,10 +79,19 @@
         relay = new PeerRelay(loop, network, nodes, addresses);
         List<InetSocketAddress> sidecars = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            sidecars.add(direct ? addresses.upstream(i, i % ScenarioReader.serverNames(scenario).size()) : addresses.listen(i));
+            sidecars.add(
+                    direct
+                            ? addresses.upstream(
+                                    i, i % ScenarioReader.serverNames(scenario).size())
+                            : addresses.listen(i));
         }
-        clients = new Clients(loop, seen, scenario, random(4)::nextDouble,
-                Traffic.draw(scenario, random(5), MOST_ARRIVALS), sidecars);
+        clients = new Clients(
+                loop,
+                seen,
+                scenario,
+                random(4)::nextDouble,
+                Traffic.draw(scenario, random(5), MOST_ARRIVALS),
+                sidecars);
         makeServers(chance);
     }
 
@@ -91,11 +101,24 @@
      */
     public static void rehearse(Scenario scenario) throws IOException, InterruptedException {
         Scenario.Traffic t = scenario.traffic();
-        Scenario brief = new Scenario(scenario.name(), "", scenario.seed(), REHEARSAL_US, scenario.fleet(), scenario.servers(),
-                scenario.classes(), new Scenario.Traffic(REHEARSAL_PER_S, 0, t.skew(), t.keys(), t.zipf(), 0, t.tryShare(), 0, 0,
-                List.of()), scenario.network(), scenario.discovery(), scenario.rules(), scenario.lateness(), List.of(), List.of());
+        Scenario brief = new Scenario(
+                scenario.name(),
+                "",
+                scenario.seed(),
+                REHEARSAL_US,
+                scenario.fleet(),
+                scenario.servers(),
+                scenario.classes(),
+                new Scenario.Traffic(
+                        REHEARSAL_PER_S, 0, t.skew(), t.keys(), t.zipf(), 0, t.tryShare(), 0, 0, List.of()),
+                scenario.network(),
+                scenario.discovery(),
+                scenario.rules(),
+                scenario.lateness(),
+                List.of(),
+                List.of());
         try (Addresses addresses = Addresses.take();
-             World world = new World(brief, new Observations(o -> { }), addresses, true)) {
+                World world = new World(brief, new Observations(o -> {}), addresses, true)) {
             world.open();
             world.ask().get(REHEARSAL_MOST_S, TimeUnit.SECONDS);
         } catch (ExecutionException | TimeoutException e) {
@@ -119,8 +142,19 @@
                     at.add(addresses.upstream(node, server));
                 }
                 UpstreamServer[] self = new UpstreamServer[1];
-                self[0] = new UpstreamServer(server, zones.get(server), cells + i % spec.pods(), spec, scenario.rules(), loop,
-                        seen, network, nodes, at, new Shared(), chance::nextDouble,
+                self[0] = new UpstreamServer(
+                        server,
+                        zones.get(server),
+                        cells + i % spec.pods(),
+                        spec,
+                        scenario.rules(),
+                        loop,
+                        seen,
+                        network,
+                        nodes,
+                        at,
+                        new Shared(),
+                        chance::nextDouble,
                         () -> registry.changed(self[0], "Gone"));
                 servers.add(self[0]);
             }
@@ -171,7 +205,8 @@
         for (ChannelFuture bind : binds) {
             bind.await();
             if (!bind.isSuccess()) {
-                throw new IOException("an address of the laboratory is taken: " + bind.cause().getMessage(), bind.cause());
+                throw new IOException(
+                        "an address of the laboratory is taken: " + bind.cause().getMessage(), bind.cause());
             }
         }
     }
@@ -192,7 +227,9 @@
     /** How much processor the calling thread has had and waited for, as the kernel tells; null where it does not. */
     private static Path figuresOfThisThread() {
         try {
-            return Path.of("/proc").resolve(Files.readSymbolicLink(Path.of("/proc/thread-self"))).resolve("schedstat");
+            return Path.of("/proc")
+                    .resolve(Files.readSymbolicLink(Path.of("/proc/thread-self")))
+                    .resolve("schedstat");
         } catch (IOException e) {
             return null;
         }
@@ -258,21 +295,38 @@
     public void begin(Scenario.Fault fault) {
         loop.execute(() -> {
             switch (fault.what()) {
-                case "cut", "delay", "peer-loss" -> lasts(fault, () -> {
-                    network.begin(fault);
-                    servers.forEach(UpstreamServer::linksChanged);
-                }, () -> {
-                    network.end(fault);
-                    servers.forEach(UpstreamServer::linksChanged);
-                });
+                case "cut", "delay", "peer-loss" ->
+                    lasts(
+                            fault,
+                            () -> {
+                                network.begin(fault);
+                                servers.forEach(UpstreamServer::linksChanged);
+                            },
+                            () -> {
+                                network.end(fault);
+                                servers.forEach(UpstreamServer::linksChanged);
+                            });
                 case "reset" -> servers.forEach(s -> s.reset(fault));
-                case "clients" -> lasts(fault, () -> clients.misbehave(fault.call(), fault.factor()), () -> clients.misbehave(null, 0));
-                case "list-silent" -> lasts(fault, () -> agents(fault, n -> registry.silent(n, true)),
-                        () -> agents(fault, n -> registry.silent(n, false)));
-                case "list-late" -> lasts(fault, () -> agents(fault, n -> registry.late(n, fault.factor())),
-                        () -> agents(fault, n -> registry.late(n, 0)));
-                case "list-splits" -> lasts(fault, () -> agents(fault, n -> registry.splits(n, fault.factor())),
-                        () -> agents(fault, n -> registry.splits(n, 0)));
+                case "clients" ->
+                    lasts(
+                            fault,
+                            () -> clients.misbehave(fault.call(), fault.factor()),
+                            () -> clients.misbehave(null, 0));
+                case "list-silent" ->
+                    lasts(
+                            fault,
+                            () -> agents(fault, n -> registry.silent(n, true)),
+                            () -> agents(fault, n -> registry.silent(n, false)));
+                case "list-late" ->
+                    lasts(
+                            fault,
+                            () -> agents(fault, n -> registry.late(n, fault.factor())),
+                            () -> agents(fault, n -> registry.late(n, 0)));
+                case "list-splits" ->
+                    lasts(
+                            fault,
+                            () -> agents(fault, n -> registry.splits(n, fault.factor())),
+                            () -> agents(fault, n -> registry.splits(n, 0)));
                 default -> ofServers(fault);
             }
         });
--- a/src/main/java/rushproxy/sidecar/AcceptCall.java
+++ b/src/main/java/rushproxy/sidecar/AcceptCall.java
@@ -64,10 +64,15 @@
         static Internals find() {
             try {
                 Class<?> listener = Class.forName("sun.nio.ch.ServerSocketChannelImpl");
-                Method accept = Class.forName("sun.nio.ch.Net").getDeclaredMethod("accept", FileDescriptor.class, FileDescriptor.class,
-                        InetSocketAddress[].class);
-                Constructor<?> channel = Class.forName("sun.nio.ch.SocketChannelImpl").getDeclaredConstructor(SelectorProvider.class,
-                        ProtocolFamily.class, FileDescriptor.class, SocketAddress.class);
+                Method accept = Class.forName("sun.nio.ch.Net")
+                        .getDeclaredMethod(
+                                "accept", FileDescriptor.class, FileDescriptor.class, InetSocketAddress[].class);
+                Constructor<?> channel = Class.forName("sun.nio.ch.SocketChannelImpl")
+                        .getDeclaredConstructor(
+                                SelectorProvider.class,
+                                ProtocolFamily.class,
+                                FileDescriptor.class,
+                                SocketAddress.class);
                 Field descriptor = listener.getDeclaredField("fd");
                 Field family = listener.getDeclaredField("family");
                 for (AccessibleObject part : new AccessibleObject[] {accept, channel, descriptor, family}) {
@@ -97,14 +102,17 @@
 
         Object newChannel(Accepted accepted) throws IOException {
             try {
-                return channel.newInstance(SelectorProvider.provider(), accepted.family, accepted.descriptor, accepted.peer);
+                return channel.newInstance(
+                        SelectorProvider.provider(), accepted.family, accepted.descriptor, accepted.peer);
             } catch (ReflectiveOperationException e) {
                 throw asIo(e);
             }
         }
 
         private static IOException asIo(ReflectiveOperationException e) {
-            return e instanceof InvocationTargetException && e.getCause() instanceof IOException io ? io : new IOException(e);
+            return e instanceof InvocationTargetException && e.getCause() instanceof IOException io
+                    ? io
+                    : new IOException(e);
         }
     }
 }
--- a/src/main/java/rushproxy/sidecar/AdminServer.java
+++ b/src/main/java/rushproxy/sidecar/AdminServer.java
@@ -83,7 +83,9 @@
     }
 
     private ServerBootstrap accepting() {
-        return new ServerBootstrap().group(loop).channelFactory(TcpListener::new)
+        return new ServerBootstrap()
+                .group(loop)
+                .channelFactory(TcpListener::new)
                 .option(ChannelOption.SO_BACKLOG, 128)
                 // A caller may end its side with its line and still read the answer.
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -92,7 +94,8 @@
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                         // A call is due within a second: the next accept must not wait for as long.
                         ctx.channel().config().setAutoRead(false);
-                        loop.schedule(() -> ctx.channel().config().setAutoRead(true), ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
+                        loop.schedule(
+                                () -> ctx.channel().config().setAutoRead(true), ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
                     }
                 })
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -109,8 +112,11 @@
         }
         callers.add(channel);
         channel.closeFuture().addListener(f -> callers.remove(channel));
-        channel.pipeline().addLast(new LineBasedFrameDecoder(MOST_BYTES, true, true),
-                new StringDecoder(StandardCharsets.UTF_8), new Caller());
+        channel.pipeline()
+                .addLast(
+                        new LineBasedFrameDecoder(MOST_BYTES, true, true),
+                        new StringDecoder(StandardCharsets.UTF_8),
+                        new Caller());
     }
 
     /** {@code done} hears what is wrong, {@code tells} what was asked for. */
@@ -132,12 +138,17 @@
             case "members/1" -> tell(calls.members(), "keeps no view of members", done, tells);
             case "verdicts/1" -> tell(calls.verdicts(), NOTHING_SHARED, done, tells);
             case "limits/1" -> tell(calls.limits(), NOTHING_SHARED, done, tells);
-            case "limit/5" -> done.accept(calls.limits() == null ? NOTHING_SHARED
-                    : calls.limit(words[1], words[2], words[3], words[4]));
+            case "limit/5" ->
+                done.accept(
+                        calls.limits() == null ? NOTHING_SHARED : calls.limit(words[1], words[2], words[3], words[4]));
             case "orders/1" -> tell(calls.orders(), NOTHING_SHARED, done, tells);
-            case "tallies/2" -> tell(calls.orders() == null ? null : calls.tallies(words[1]), NOTHING_SHARED, done, tells);
-            case "order/8" -> done.accept(calls.orders() == null ? NOTHING_SHARED
-                    : calls.order(Arrays.copyOfRange(words, 1, words.length)));
+            case "tallies/2" ->
+                tell(calls.orders() == null ? null : calls.tallies(words[1]), NOTHING_SHARED, done, tells);
+            case "order/8" ->
+                done.accept(
+                        calls.orders() == null
+                                ? NOTHING_SHARED
+                                : calls.order(Arrays.copyOfRange(words, 1, words.length)));
             case "unlimit/2" -> done.accept(calls.limits() == null ? NOTHING_SHARED : calls.unlimit(words[1]));
             default -> done.accept("no such call");
         }
--- a/src/main/java/rushproxy/sidecar/AnswerDeadlines.java
+++ b/src/main/java/rushproxy/sidecar/AnswerDeadlines.java
@@ -15,6 +15,7 @@
     static final long LEAST_MARGIN_US = 15_000;
     /** At most this, and at most a part of the time between aim and deadline, is kept for a hold-up out of the blue. */
     static final long MOST_RESERVE_US = 100_000;
+
     private static final int RESERVE_PART = 4;
     /** A margin takes no more than this part of a request's time. */
     private static final int MARGIN_PART = 4;
--- a/src/main/java/rushproxy/sidecar/AnswerProgress.java
+++ b/src/main/java/rushproxy/sidecar/AnswerProgress.java
@@ -11,6 +11,7 @@
     static final int SHORT_BYTES = Body.KEPT;
     /** An answer of unknown length that has brought so much and still moves is likely to be long. */
     static final int FLOWING_BYTES = 4 * 1024;
+
     static final long FLOWING_US = 50_000;
     /** After its deadline a short answer that is silent for so long has stopped; so has any when the process ends. */
     static final long SHORT_SILENCE_US = 100_000;
--- a/src/main/java/rushproxy/sidecar/Body.java
+++ b/src/main/java/rushproxy/sidecar/Body.java
@@ -20,17 +20,21 @@
     final long length;
     /** Runs whenever what is wanted of the client may have changed. */
     private final Runnable regulate;
+
     private ByteBuf kept;
     private boolean complete;
     /** The connection it flows to. */
     private Channel to;
+
     private Runnable written;
     private long stuckSinceUs;
 
     Body(Runnable regulate, long length) {
         this.regulate = regulate;
         this.length = length;
-        kept = length == 0 ? Unpooled.EMPTY_BUFFER : Unpooled.buffer((int) (length < 0 ? FIRST : Math.min(length, KEPT)));
+        kept = length == 0
+                ? Unpooled.EMPTY_BUFFER
+                : Unpooled.buffer((int) (length < 0 ? FIRST : Math.min(length, KEPT)));
     }
 
     /** Bytes to be kept for it at most. */
--- a/src/main/java/rushproxy/sidecar/Budget.java
+++ b/src/main/java/rushproxy/sidecar/Budget.java
@@ -26,7 +26,7 @@
     Runnable ask(int bytes, Runnable granted) {
         if (take(bytes)) {
             granted.run();
-            return () -> { };
+            return () -> {};
         }
         Asker asker = new Asker(bytes, granted);
         asking.add(asker);
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -35,6 +35,7 @@
     private static final int MOST_AHEAD = 32;
     /** A body has this long to get going, and then comes at half the pace at least of a client on a poor link. */
     private static final long BODY_STARTS_US = 2_200_000;
+
     private static final long BODY_BYTES_PER_S = 32_000;
     /** A body that rests for so long while it is waited for does not go on; a request may be written in 2 s. */
     private static final long BODY_RESTS_US = 2_200_000;
@@ -55,6 +56,7 @@
     private final Clock clock;
     /** Those that the request in hand belongs to. */
     private Requests requests;
+
     private final Set<String> classes;
     private final ClientServer server;
     private final Budget budget;
@@ -66,6 +68,7 @@
     private long readingSinceUs;
     /** When the head that was decoded last sent its first byte. */
     private long headSinceUs;
+
     private long activeUs;
     private final long openedUs;
     /** Since when what was read last may have lain there. */
@@ -77,6 +80,7 @@
     private boolean busy;
     /** Its end has not come yet. */
     private boolean receiving;
+
     private boolean answered;
     /** The kernel has the last byte of its answer. */
     private boolean written;
@@ -88,12 +92,15 @@
     private boolean refuses;
     /** An answer may still be on its way to the client. */
     private boolean anyAnswer;
+
     private HttpRequest head;
     /** What its head says; that of the request before where it is none of the protocol. */
     private RequestHead asked;
+
     private Body body;
     /** When its first byte was read. */
     private long firstByteUs;
+
     private long bodySinceUs;
     private long pieceUs;
     private long bodyBytes;
@@ -103,14 +110,22 @@
     private Runnable asking;
     /** Since when its body has had to wait for room, unread in the kernel; 0 where it has not. */
     private long unreadSinceUs;
+
     private Exchange current;
     /** Asks for more of an answer that comes in pieces; null where none does. */
     private Runnable resume;
 
     private record Arrival(HttpObject part, long atUs) {}
 
-    ClientConnection(TcpConnection channel, Clock clock, Set<String> classes, ClientServer server,
-                     Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines, RequestGuard guard) {
+    ClientConnection(
+            TcpConnection channel,
+            Clock clock,
+            Set<String> classes,
+            ClientServer server,
+            Budget budget,
+            LoopDelay loopDelay,
+            AnswerDeadlines deadlines,
+            RequestGuard guard) {
         this.channel = channel;
         this.clock = clock;
         this.classes = classes;
@@ -157,7 +172,8 @@
 
     /** The decoder gets no more than there is room for; the socket is read for as long as it may tell of the client's end. */
     private void regulate() {
-        input.regulate(ahead.size() >= MOST_AHEAD || body != null && body.full(),
+        input.regulate(
+                ahead.size() >= MOST_AHEAD || body != null && body.full(),
                 asking != null || body != null && body.stuck());
     }
 
@@ -228,7 +244,10 @@
         }
         String path = m.uri().split("\\?", 2)[0];
         if (path.equals("/health/ready") && m.method().equals(HttpMethod.GET)) {
-            write(server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, 0);
+            write(
+                    server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    Unpooled.EMPTY_BUFFER,
+                    0);
         } else if (server.isAttemptOfWarmUp(m)) {
             write(HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER, 0);
         } else if (!path.equals("/api") && !path.startsWith("/api/")) {
@@ -270,8 +289,8 @@
             if (!HttpUtil.is100ContinueExpected(m)) {
                 input.unreadSince(unreadSinceUs);
             } else {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
-                        Unpooled.EMPTY_BUFFER));
+                channel.writeAndFlush(new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
             body.look();
         });
@@ -287,12 +306,17 @@
     private void awaitRoom() {
         HttpRequest waits = head;
         unreadSinceUs = sentUs;
-        long untilUs = Math.min(clock.now() + ROOM_US, deadlines.dueUs(asked.requestClass(), sentUs, asked.remainingUs()));
-        channel.eventLoop().schedule(() -> {
-            if (asking != null && head == waits) {
-                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
-            }
-        }, untilUs - clock.now(), TimeUnit.MICROSECONDS);
+        long untilUs =
+                Math.min(clock.now() + ROOM_US, deadlines.dueUs(asked.requestClass(), sentUs, asked.remainingUs()));
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (asking != null && head == waits) {
+                                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                            }
+                        },
+                        untilUs - clock.now(),
+                        TimeUnit.MICROSECONDS);
     }
 
     private void go(HttpContent content, long atUs) {
@@ -348,12 +372,29 @@
             return;
         }
         long deadline = deadline(atUs);
-        Request request = new Request(asked.id(), asked.key(), asked.resent(), false, asked.estimateUs(),
-                Math.max(1, deadline - clock.now()), asked.tenant(), asked.requestClass(), !body.complete());
-        RequestTimes times = new RequestTimes(openedUs, firstByteUs, body.complete() ? clock.now() : 0, atUs,
-                atUs + asked.remainingUs());
-        current = new Exchange(request, head.method(), head.uri(), asked.idempotencyKey(), body, atUs,
-                asked.remainingUs(), deadline, new Answer(), times);
+        Request request = new Request(
+                asked.id(),
+                asked.key(),
+                asked.resent(),
+                false,
+                asked.estimateUs(),
+                Math.max(1, deadline - clock.now()),
+                asked.tenant(),
+                asked.requestClass(),
+                !body.complete());
+        RequestTimes times = new RequestTimes(
+                openedUs, firstByteUs, body.complete() ? clock.now() : 0, atUs, atUs + asked.remainingUs());
+        current = new Exchange(
+                request,
+                head.method(),
+                head.uri(),
+                asked.idempotencyKey(),
+                body,
+                atUs,
+                asked.remainingUs(),
+                deadline,
+                new Answer(),
+                times);
         requests.take(current);
     }
 
@@ -408,7 +449,8 @@
             } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
                 HttpUtil.setTransferEncodingChunked(response, true);
             } else {
-                // The end of the connection is the end of the answer: that of a broken one is a reset, whatever ends the process.
+                // The end of the connection is the end of the answer: that of a broken one is a reset, whatever ends
+                // the process.
                 last = true;
                 channel.options().set(StandardSocketOptions.SO_LINGER, 0);
             }
@@ -452,7 +494,8 @@
                 channel.options().whenSet(() -> close(CloseReason.ANSWER_BROKEN));
                 return;
             }
-            var stuck = channel.eventLoop().schedule(() -> close(CloseReason.ANSWER_BROKEN), BROKEN_US, TimeUnit.MICROSECONDS);
+            var stuck = channel.eventLoop()
+                    .schedule(() -> close(CloseReason.ANSWER_BROKEN), BROKEN_US, TimeUnit.MICROSECONDS);
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
                 stuck.cancel(false);
                 end(CloseReason.ANSWER_BROKEN);
@@ -489,7 +532,8 @@
     }
 
     private boolean bodyComes() {
-        return !head.decoderResult().isSuccess() || HttpUtil.isTransferEncodingChunked(head)
+        return !head.decoderResult().isSuccess()
+                || HttpUtil.isTransferEncodingChunked(head)
                 || HttpUtil.getContentLength(head, 0L) > 0;
     }
 
@@ -621,7 +665,8 @@
                 lookAtBody(now);
             }
         } else if (ahead.isEmpty()) {
-            boolean late = !proven ? now - openedUs >= firstPatienceUs
+            boolean late = !proven
+                    ? now - openedUs >= firstPatienceUs
                     : readingSinceUs != 0 && now - readingSinceUs >= patienceUs;
             if (late) {
                 end(CloseReason.REQUEST_UNFINISHED);
@@ -645,8 +690,8 @@
             return;
         }
         long sinceUs = now - bodySinceUs;
-        boolean slow = sinceUs >= BODY_STARTS_US
-                && bodyBytes < BODY_BYTES_PER_S * (sinceUs - BODY_STARTS_US) / 1_000_000 + 1;
+        boolean slow =
+                sinceUs >= BODY_STARTS_US && bodyBytes < BODY_BYTES_PER_S * (sinceUs - BODY_STARTS_US) / 1_000_000 + 1;
         if (slow || now - pieceUs >= BODY_RESTS_US) {
             abort();
             end(CloseReason.BODY_TOO_SLOW);
@@ -672,7 +717,8 @@
 
     /** A whole request that has no part of an answer yet gets one before its connection ends, which then follows on it. */
     private boolean answersFirst(CloseReason reason) {
-        boolean owed = busy && !receiving && !answered && current != null && !current.state.isOver() && channel.isActive();
+        boolean owed =
+                busy && !receiving && !answered && current != null && !current.state.isOver() && channel.isActive();
         if (owed) {
             guard.closesWith(current.request.id(), reason);
             last = true;
--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -42,9 +42,11 @@
     private long sentUs;
     /** What is read without a pause may have lain there since then, nothing having been read meanwhile; 0 otherwise. */
     private long unreadSinceUs;
+
     private long readAtUs;
     /** The socket was found empty after this: what is read from then on has come since. */
     private long emptySinceUs;
+
     private int reads;
     private boolean held;
     private boolean paused;
@@ -52,6 +54,7 @@
     private boolean full;
     /** Counts the times at which it became full, for the look that follows each. */
     private int fills;
+
     private boolean passing;
     /** Nothing is read any more. */
     private boolean stopped;
@@ -124,11 +127,15 @@
         if (!granted || keptBytes >= MOST_KEPT) {
             full = true;
             int fill = ++fills;
-            context.executor().schedule(() -> {
-                if (full && fill == fills && context.channel().isActive()) {
-                    listener.unwatched();
-                }
-            }, UNWATCHED_MS, TimeUnit.MILLISECONDS);
+            context.executor()
+                    .schedule(
+                            () -> {
+                                if (full && fill == fills && context.channel().isActive()) {
+                                    listener.unwatched();
+                                }
+                            },
+                            UNWATCHED_MS,
+                            TimeUnit.MILLISECONDS);
             look();
         }
     }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -34,12 +34,15 @@
     private static final long SERVE_ON_US = 600_000;
     /** The end that is not asked for comes this long after the stop, and the longest deadline or this, no earlier. */
     private static final long KILLED_AFTER_US = 700_000;
+
     private static final long KILLED_MOST_US = 3_000_000;
     /** Before it: answers end their connections, nothing is left that could bring a request, all is answered, the end. */
     private static final long GOODBYE_US = 800_000;
+
     private static final long LAST_CALL_US = 450_000;
     /** A hold-up of the loop of 0.15 s just then must still leave time for the answers, and for the end. */
     private static final long LEAVE_DUE_US = 250_000;
+
     private static final long GONE_US = 180_000;
     private static final long LAST_LOOK_US = 100_000;
     /** Where the end that is not asked for does not come, an answer that still flows is waited for so much longer. */
@@ -48,13 +51,16 @@
     private static final long QUIET_US = 150_000;
     /** A request that crosses such a close is sent once more, on a new connection: it is still listened for. */
     private static final long CROSSED_US = 150_000;
+
     private static final long LOOK_MS = 20;
 
     /** After the call to drain the front comes for some tenths of a second; then what has been quiet for long may go. */
     private static final long DRAIN_ON_US = 600_000;
+
     private static final long DRAIN_QUIET_US = 500_000;
     /** At 4 s no connection may be idle or hold a request younger than 2 s: from here on none is left to bring one. */
     private static final long DRAIN_ALL_US = 1_600_000;
+
     private static final long DRAIN_DUE_US = 3_700_000;
     private static final long DRAIN_CLOSED_US = 3_900_000;
     /** So many quiet connections are read once more, in search of one that brings nothing. */
@@ -66,6 +72,7 @@
     private static final long PATIENCE_US = 2_500_000;
     /** A new one's time runs from its connection; the looks come late by up to their interval. */
     private static final long FIRST_PATIENCE_US = 2_700_000;
+
     private static final long SWEEP_MS = 200;
     /** A connection that could not be accepted is tried again after this. */
     private static final long ACCEPT_AGAIN_MS = 10;
@@ -77,27 +84,32 @@
     private final BooleanSupplier canServe;
     /** As many may be open now: it follows what upstreams take. */
     private final IntSupplier maxConnections;
+
     private final Budget budget;
     private final LoopDelay loopDelay;
     private final AnswerDeadlines deadlines;
     private final RequestGuard guard;
     /** No client waits longer than this for an answer. */
     private final long longestUs;
+
     private final Set<ClientConnection> connections = new HashSet<>();
     /** Those of them whose output has ended, the oldest first. */
     private final ArrayDeque<ClientConnection> lingering = new ArrayDeque<>();
+
     private final UnansweredConnections unanswered = new UnansweredConnections();
     private Channel listener;
     /** The listener is another's too: leaving it is not closing it. */
     private boolean shared;
     /** When the stop was asked for; 0 before. */
     private long stopAtUs;
+
     private long killedAtUs;
     private long acceptedUs;
     /** When the stop last closed a connection between requests. */
     private long closedUs;
     /** The stop has ended all that could still bring a request. */
     private boolean endedInputs;
+
     private boolean notReady;
     /** Null where nothing warms up. */
     private WarmUp warmUp;
@@ -105,13 +117,22 @@
     private boolean stuck;
     /** When the drain was asked for; 0 while there is none. */
     private long drainAtUs;
+
     private boolean drainLooked;
     /** All places are taken and none could be freed: that is tried again soon. */
     private boolean roomWanted;
 
-    ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
-                 IntSupplier maxConnections, Budget budget, LoopDelay loopDelay, AnswerDeadlines deadlines,
-                 RequestGuard guard) {
+    ClientServer(
+            EventLoop loop,
+            Clock clock,
+            Requests requests,
+            List<RequestClass> classes,
+            BooleanSupplier canServe,
+            IntSupplier maxConnections,
+            Budget budget,
+            LoopDelay loopDelay,
+            AnswerDeadlines deadlines,
+            RequestGuard guard) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
@@ -133,12 +154,16 @@
     /** Takes clients from a socket that listens already, and that others may take them from too. */
     void take(ServerSocketChannel socket) throws InterruptedException {
         loop.submit(() -> {
-            // A stop that came during the warm-up has left them to the others.
-            if (stopAtUs == 0) {
-                shared = true;
-                listener = accepting().channelFactory(() -> new TcpListener(socket)).register().channel();
-            }
-        }).sync();
+                    // A stop that came during the warm-up has left them to the others.
+                    if (stopAtUs == 0) {
+                        shared = true;
+                        listener = accepting()
+                                .channelFactory(() -> new TcpListener(socket))
+                                .register()
+                                .channel();
+                    }
+                })
+                .sync();
     }
 
     /** No more clients from where they were taken until now. */
@@ -151,7 +176,8 @@
     }
 
     private ServerBootstrap accepting() {
-        return Window.on(new ServerBootstrap()).group(loop)
+        return Window.on(new ServerBootstrap())
+                .group(loop)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
@@ -186,7 +212,8 @@
     private void accepted(TcpConnection channel) {
         stuck = false;
         acceptedUs = clock.now();
-        ClientConnection connection = new ClientConnection(channel, clock, classes, this, budget, loopDelay, deadlines, guard);
+        ClientConnection connection =
+                new ClientConnection(channel, clock, classes, this, budget, loopDelay, deadlines, guard);
         connections.add(connection);
         if (connections.size() >= maxConnections.getAsInt()) {
             makeRoom();
@@ -236,14 +263,17 @@
     }
 
     private Optional<ClientConnection> quietest() {
-        return connections.stream().filter(c -> c.quiet() && !c.isYoung())
+        return connections.stream()
+                .filter(c -> c.quiet() && !c.isYoung())
                 .min(Comparator.comparingLong(ClientConnection::activeUs));
     }
 
     /** Its output has ended. No more than a few wait so at once, and none where its descriptor is wanted. */
     void lingers(ClientConnection connection) {
         lingering.add(connection);
-        int most = connections.size() >= maxConnections.getAsInt() ? 0 : Math.max(1, maxConnections.getAsInt() / LINGERING_PART);
+        int most = connections.size() >= maxConnections.getAsInt()
+                ? 0
+                : Math.max(1, maxConnections.getAsInt() / LINGERING_PART);
         while (lingering.size() > most) {
             lingering.poll().close(CloseReason.ROOM_NEEDED);
         }
@@ -404,12 +434,17 @@
     private void look(Runnable stopped) {
         long now = clock.now();
         long left = killedAtUs - now;
-        boolean nobody = connections.isEmpty() && now - Math.max(stopAtUs, acceptedUs) >= SERVE_ON_US
+        boolean nobody = connections.isEmpty()
+                && now - Math.max(stopAtUs, acceptedUs) >= SERVE_ON_US
                 && now - closedUs >= CROSSED_US;
         if (shared ? now - stopAtUs >= SERVE_ON_US : left < GOODBYE_US) {
             for (ClientConnection c : Set.copyOf(connections)) {
                 boolean lastCall = left < LAST_CALL_US;
-                if (c.closeIfQuiet(lastCall ? now : now - QUIET_US, lastCall ? now : now - longestUs, true, CloseReason.STOPPING)) {
+                if (c.closeIfQuiet(
+                        lastCall ? now : now - QUIET_US,
+                        lastCall ? now : now - longestUs,
+                        true,
+                        CloseReason.STOPPING)) {
                     closedUs = now;
                 }
             }
--- a/src/main/java/rushproxy/sidecar/CloseReason.java
+++ b/src/main/java/rushproxy/sidecar/CloseReason.java
@@ -5,13 +5,33 @@
 /** Why this program ends a connection, for the debug log. */
 enum CloseReason {
     // ---- clients' connections
-    LAST_ANSWER, NO_HTTP, TOO_LONG_QUIET, REQUEST_UNFINISHED, BODY_TOO_SLOW, ANSWER_UNREAD, ANSWER_BROKEN, ROOM_NEEDED, STOPPING,
-    DRAINING, UNWATCHED, LINGERED, SENT_TOO_MUCH,
+    LAST_ANSWER,
+    NO_HTTP,
+    TOO_LONG_QUIET,
+    REQUEST_UNFINISHED,
+    BODY_TOO_SLOW,
+    ANSWER_UNREAD,
+    ANSWER_BROKEN,
+    ROOM_NEEDED,
+    STOPPING,
+    DRAINING,
+    UNWATCHED,
+    LINGERED,
+    SENT_TOO_MUCH,
     // ---- connections to upstreams
-    IDLE_TOO_LONG, UPSTREAM_LEAVES, CALL_ABANDONED, CALL_ENDED_BEFORE, NOT_ASKED_FOR, NOT_KEPT_ALIVE, NOT_WANTED, STALLED,
-    WRITE_FAILED, REMAINDER_TOO_LONG,
+    IDLE_TOO_LONG,
+    UPSTREAM_LEAVES,
+    CALL_ABANDONED,
+    CALL_ENDED_BEFORE,
+    NOT_ASKED_FOR,
+    NOT_KEPT_ALIVE,
+    NOT_WANTED,
+    STALLED,
+    WRITE_FAILED,
+    REMAINDER_TOO_LONG,
     // ---- either
-    PEER_ENDED, FAILED;
+    PEER_ENDED,
+    FAILED;
 
     String words() {
         return name().toLowerCase(Locale.ROOT).replace('_', ' ');
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -19,10 +19,24 @@
  * (the folder for what outlives the process), {@code peerListen} and {@code peersAll} are null where there are none.
  * {@code fleet}: the parts of the fleet plane that are on.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress admin, boolean inherits,
-              Path kept, long seed, int sockets, int memoryMb,
-              InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-              UpstreamList known, Settings settings, long dialTimeoutUs, Fleet fleet, Log.Style log) {
+record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        InetSocketAddress admin,
+        boolean inherits,
+        Path kept,
+        long seed,
+        int sockets,
+        int memoryMb,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        UpstreamList known,
+        Settings settings,
+        long dialTimeoutUs,
+        Fleet fleet,
+        Log.Style log) {
 
     /** {@code shared} is on only where {@code members} is; limits only where both are. */
     record Fleet(boolean members, boolean shared, List<Limits.Limit> limits) {
@@ -69,12 +83,24 @@
         Json limits = json.has("limits") ? json.object("limits") : null;
         int sockets = (int) (limits == null ? 1024 : limits.numberOr("sockets", 1024));
         int memoryMb = (int) (limits == null ? 192 : limits.numberOr("memory_mb", 192));
-        return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
-                told(json, environment, "discovery", "BALANCER_DISCOVERY"), admin(json, environment), inherits(environment),
+        return new Config(
+                name,
+                told(json, environment, "listen", "BALANCER_LISTEN"),
+                told(json, environment, "discovery", "BALANCER_DISCOVERY"),
+                admin(json, environment),
+                inherits(environment),
                 kept(environment, name),
-                seed(json.text("seed")), sockets, memoryMb,
-                optional(json, "peer_listen"), peers, optional(json, "peers_all"),
-                known(json), settings, reader.dialTimeoutUs(), fleet(json, settings, peers), log(json, environment, name));
+                seed(json.text("seed")),
+                sockets,
+                memoryMb,
+                optional(json, "peer_listen"),
+                peers,
+                optional(json, "peers_all"),
+                known(json),
+                settings,
+                reader.dialTimeoutUs(),
+                fleet(json, settings, peers),
+                log(json, environment, name));
     }
 
     /**
@@ -84,7 +110,10 @@
     private static Log.Style log(Json json, Map<String, String> environment, String name) {
         String level = environment.getOrDefault("BALANCER_LOG_LEVEL", "");
         if (!json.has("log")) {
-            return new Log.Style(Log.Form.PLAIN, word("BALANCER_LOG_LEVEL", Log.Level.class, level.isEmpty() ? "info" : level), name);
+            return new Log.Style(
+                    Log.Form.PLAIN,
+                    word("BALANCER_LOG_LEVEL", Log.Level.class, level.isEmpty() ? "info" : level),
+                    name);
         }
         Json log = json.object("log");
         for (String key : log.names()) {
@@ -92,9 +121,12 @@
                 throw new IllegalArgumentException("'log." + key + "' is unknown");
             }
         }
-        return new Log.Style(word("log.form", Log.Form.class, log.textOr("form", "plain")),
-                level.isEmpty() ? word("log.level", Log.Level.class, log.textOr("level", "info"))
-                        : word("BALANCER_LOG_LEVEL", Log.Level.class, level), name);
+        return new Log.Style(
+                word("log.form", Log.Form.class, log.textOr("form", "plain")),
+                level.isEmpty()
+                        ? word("log.level", Log.Level.class, log.textOr("level", "info"))
+                        : word("BALANCER_LOG_LEVEL", Log.Level.class, level),
+                name);
     }
 
     private static <E extends Enum<E>> E word(String field, Class<E> words, String text) {
@@ -103,8 +135,9 @@
                 return word;
             }
         }
-        throw new IllegalArgumentException("'" + field + "' is none of " + java.util.Arrays.toString(words.getEnumConstants())
-                .toLowerCase(java.util.Locale.ROOT) + " but '" + text + "'");
+        throw new IllegalArgumentException("'" + field + "' is none of "
+                + java.util.Arrays.toString(words.getEnumConstants()).toLowerCase(java.util.Locale.ROOT) + " but '"
+                + text + "'");
     }
 
     /** The parts of the fleet plane that are on: none where there is no {@code fleet}. */
@@ -121,8 +154,9 @@
         boolean members = fleet.has("members") && fleet.flag("members");
         boolean shared = fleet.has("shared") && fleet.flag("shared");
         if (members && (!json.has("peer_listen") || settings.me() < 0 || settings.me() >= peers.size())) {
-            throw new IllegalArgumentException("'fleet.members' needs 'peer_listen' and 'peers' with this sidecar's number, "
-                    + settings.me() + ", among them");
+            throw new IllegalArgumentException(
+                    "'fleet.members' needs 'peer_listen' and 'peers' with this sidecar's number, " + settings.me()
+                            + ", among them");
         }
         if (shared && !members) {
             throw new IllegalArgumentException("'fleet.shared' needs 'fleet.members'");
@@ -147,16 +181,21 @@
         }
         String name = json.text("name");
         if (json.has("per_second") == json.has("in_flight") || json.has("class") && json.has("tenant")) {
-            throw new IllegalArgumentException("'fleet.limits', '" + name + "' wants 'per_second' or 'in_flight', and 'class', "
-                    + "'tenant' or neither");
+            throw new IllegalArgumentException("'fleet.limits', '" + name
+                    + "' wants 'per_second' or 'in_flight', and 'class', " + "'tenant' or neither");
         }
         if (before.stream().anyMatch(l -> l.name().equals(name))) {
             throw new IllegalArgumentException("'fleet.limits' names '" + name + "' twice");
         }
         try {
-            return LimitWords.limit(name, json.has("class") ? "class:" + json.text("class") : json.has("tenant")
-                    ? "tenant:" + json.text("tenant") : "all", json.has("in_flight") ? "in_flight" : "per_second",
-                    json.realOr(json.has("in_flight") ? "in_flight" : "per_second", 0), settings);
+            return LimitWords.limit(
+                    name,
+                    json.has("class")
+                            ? "class:" + json.text("class")
+                            : json.has("tenant") ? "tenant:" + json.text("tenant") : "all",
+                    json.has("in_flight") ? "in_flight" : "per_second",
+                    json.realOr(json.has("in_flight") ? "in_flight" : "per_second", 0),
+                    settings);
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("'fleet.limits', '" + name + "': " + e.getMessage());
         }
@@ -194,7 +233,9 @@
     private static Path kept(Map<String, String> environment, String name) {
         String folder = environment.getOrDefault("TMPDIR", "");
         try {
-            return folder.isEmpty() ? null : Path.of(folder).resolve("rushproxy-" + name.replaceAll("[^A-Za-z0-9_-]", "_"));
+            return folder.isEmpty()
+                    ? null
+                    : Path.of(folder).resolve("rushproxy-" + name.replaceAll("[^A-Za-z0-9_-]", "_"));
         } catch (InvalidPathException e) {
             throw new IllegalArgumentException("'TMPDIR' is no path: '" + folder + "'");
         }
--- a/src/main/java/rushproxy/sidecar/ConnectionHistory.java
+++ b/src/main/java/rushproxy/sidecar/ConnectionHistory.java
@@ -3,12 +3,18 @@
 /** What is known of one connection at its end, for the log: its age, what was read of it, and why it ended. */
 final class ConnectionHistory {
     /** A call on a socket that can fail. */
-    enum Call { REGISTER, READ, WRITE, HANDLER }
+    enum Call {
+        REGISTER,
+        READ,
+        WRITE,
+        HANDLER
+    }
 
     private final long openedNanos = System.nanoTime();
     private long readBytes;
     /** The peer has ended its side. */
     private boolean peerEnded;
+
     private boolean answered;
     private CloseReason reason;
     private Call failedCall;
@@ -54,6 +60,8 @@
     /** Why it ended, as words without figures of its own, so that ends of one kind can be counted. */
     String end() {
         String words = reason == null ? "not taken" : reason.words();
-        return failedCall == null ? words : words + " (" + failedCall.name().toLowerCase(java.util.Locale.ROOT) + ": " + error + ")";
+        return failedCall == null
+                ? words
+                : words + " (" + failedCall.name().toLowerCase(java.util.Locale.ROOT) + ": " + error + ")";
     }
 }
--- a/src/main/java/rushproxy/sidecar/CordonStore.java
+++ b/src/main/java/rushproxy/sidecar/CordonStore.java
@@ -33,6 +33,7 @@
     private static final long LOOK_MS = 100;
     /** Far more than are called out at once; a folder that holds more is not this program's. */
     private static final int MOST_FILES = 4_096;
+
     private static final int MOST_BYTES = 2_000;
 
     /** Whether the upstream is left out, and since when it is so. */
@@ -45,6 +46,7 @@
     private final Path folder;
     /** A call back is forgotten after this long: the server is warm by then, whenever it started. */
     private final long backMs;
+
     private final Consumer<Map<String, Mark>> changed;
     private final LongSupplier nanos;
     private final ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor(work -> {
@@ -120,7 +122,8 @@
     private void write(String id, Mark mark) throws IOException {
         Files.createDirectories(folder);
         String text = JSON.std.asString(Map.of("version", VERSION, "id", id, "out", mark.out, "atMs", mark.atMs));
-        String name = UUID.nameUUIDFromBytes(id.getBytes(StandardCharsets.UTF_8)).toString();
+        String name =
+                UUID.nameUUIDFromBytes(id.getBytes(StandardCharsets.UTF_8)).toString();
         // Both processes may write at once: each has a file of its own until it takes the place of the old one.
         Path fresh = Files.createTempFile(folder, "new-", SUFFIX);
         try {
@@ -208,7 +211,8 @@
                     // The other process has just deleted what is forgotten.
                 } catch (IOException | IllegalArgumentException e) {
                     if (useless.add(file)) {
-                        Log.warn("a kept file is of no use, and is left aside: " + file.getFileName() + ": " + e.getMessage());
+                        Log.warn("a kept file is of no use, and is left aside: " + file.getFileName() + ": "
+                                + e.getMessage());
                     }
                 }
             }
--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/sidecar/Dialling.java
@@ -24,14 +24,24 @@
 
     /** Each connection gets a handler of its own, which sees whole answers of at most {@code maxBody} bytes. */
     static Bootstrap whole(EventLoop loop, int maxBody, Supplier<ChannelHandler> handler) {
-        return dialling(loop, channel -> channel.pipeline().addLast(new HttpRequestEncoder(),
-                new AnswerDecoder(), new HttpObjectAggregator(maxBody), handler.get())).channelFactory(TcpConnection::new);
+        return dialling(
+                        loop,
+                        channel -> channel.pipeline()
+                                .addLast(
+                                        new HttpRequestEncoder(),
+                                        new AnswerDecoder(),
+                                        new HttpObjectAggregator(maxBody),
+                                        handler.get()))
+                .channelFactory(TcpConnection::new);
     }
 
     /** As {@link #whole}, but the handler sees each part of an answer as it comes. */
     static Bootstrap http(EventLoop loop, Supplier<ChannelHandler> handler) {
-        return Window.on(dialling(loop, channel -> channel.pipeline().addLast(new HttpRequestEncoder(),
-                new AnswerDecoder(), handler.get()))).channelFactory(() -> Window.sized(new TcpConnection()));
+        return Window.on(dialling(
+                        loop,
+                        channel -> channel.pipeline()
+                                .addLast(new HttpRequestEncoder(), new AnswerDecoder(), handler.get())))
+                .channelFactory(() -> Window.sized(new TcpConnection()));
     }
 
     /** How a connection came up, or did not: told once, on the loop. */
@@ -55,7 +65,8 @@
             return null;
         }
         Attempt attempt = new Attempt(connecting, dialled);
-        Future<?> timeout = loop.schedule(() -> SocketLook.before(loop, attempt::giveUp), timeoutUs, TimeUnit.MICROSECONDS);
+        Future<?> timeout =
+                loop.schedule(() -> SocketLook.before(loop, attempt::giveUp), timeoutUs, TimeUnit.MICROSECONDS);
         connecting.addListener(f -> {
             timeout.cancel(false);
             attempt.tell(f.cause());
@@ -83,12 +94,15 @@
         }
 
         void tell(Throwable failure) {
-            dialled.told(gaveUp && failure != null ? new ConnectTimeoutException("no connection in its time") : failure);
+            dialled.told(
+                    gaveUp && failure != null ? new ConnectTimeoutException("no connection in its time") : failure);
         }
     }
 
     private static Bootstrap dialling(EventLoop loop, Consumer<Channel> init) {
-        return new Bootstrap().group(loop).disableResolver()
+        return new Bootstrap()
+                .group(loop)
+                .disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_TIMEOUT_OF_NETTY)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -38,6 +38,7 @@
     private static final String PATH = "/registry/instances";
     /** A list of some thousands of upstreams, indented too; more is no list. Held in memory only while it comes. */
     private static final int MAX_ANSWER = 4 << 20;
+
     private static final long CONNECT_US = 1_000_000;
     private static final long WAIT_MS = 2_000;
     private static final long SILENT_MS = 500;
@@ -67,6 +68,7 @@
     private boolean watching;
     /** Calls in a row that failed, and answers in a row that made no sense. */
     private int failures;
+
     private int senseless;
     private Channel channel;
     private Future<?> timeout;
@@ -74,6 +76,7 @@
     private Future<?> next;
     /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
     private long call;
+
     private long calls;
     private long begunUs;
     /** Where lists are pushed the module asks for nothing: the watch is this class's own. */
@@ -81,8 +84,16 @@
     /** Told once, when the first call is over; null before it is wanted and after. */
     private Runnable heard;
 
-    Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, StartTimes starts, InetSocketAddress address,
-              long generation, long askEveryUs, boolean pushed) {
+    Discovery(
+            EventLoop loop,
+            Clock clock,
+            Decisions decisions,
+            Upstreams upstreams,
+            StartTimes starts,
+            InetSocketAddress address,
+            long generation,
+            long askEveryUs,
+            boolean pushed) {
         this.starts = starts;
         this.pushed = pushed;
         this.loop = loop;
@@ -152,10 +163,13 @@
         if (restMs <= 0) {
             begin();
         } else {
-            next = loop.schedule(() -> {
-                next = null;
-                begin();
-            }, restMs, TimeUnit.MILLISECONDS);
+            next = loop.schedule(
+                    () -> {
+                        next = null;
+                        begin();
+                    },
+                    restMs,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -163,8 +177,8 @@
         long number = ++calls;
         call = number;
         begunUs = clock.now();
-        long patienceMs = watching && !doubt ? waitMs + SILENT_MS
-                : Math.min(MOST_NOW_MS, NOW_MS << Math.min(failures, 8));
+        long patienceMs =
+                watching && !doubt ? waitMs + SILENT_MS : Math.min(MOST_NOW_MS, NOW_MS << Math.min(failures, 8));
         timeout = loop.schedule(() -> failed(number, "no answer"), patienceMs, TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             write(number);
@@ -206,7 +220,7 @@
             Log.warn("a call to discovery failed: " + why + "; the list before holds");
         }
         if (!pushed && told) {
-            decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), () -> { });
+            decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), () -> {});
         }
         goOn();
         over();
@@ -259,8 +273,10 @@
         upstreams.update(list);
         if (asked || list.whole() || !list.entries().isEmpty()) {
             asked = false;
-            List<Upstream> entries = list.entries().stream().map(UpstreamList.Entry::upstream).toList();
-            decisions.call(m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries), () -> { });
+            List<Upstream> entries =
+                    list.entries().stream().map(UpstreamList.Entry::upstream).toList();
+            decisions.call(
+                    m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries), () -> {});
         }
         goOn();
         over();
--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -39,12 +39,15 @@
     final String uri;
     /** Null where the request carries no key. */
     final String idempotencyKey;
+
     final Body body;
     /** When the client may have sent its last byte, and how long it waits from then on. */
     long sentUs;
+
     final long remainingUs;
     /** Module time by which the final answer must be on its way; none while the request is still coming. */
     long deadlineUs;
+
     final Answer answer;
     final RequestTimes times;
     final List<Upstreams.Call> attempts = new ArrayList<>(1);
@@ -55,8 +58,17 @@
     /** The attempt whose answer the client is getting in pieces. */
     Upstreams.Call passing;
 
-    Exchange(Request request, HttpMethod method, String uri, String idempotencyKey, Body body, long sentUs,
-             long remainingUs, long deadlineUs, Answer answer, RequestTimes times) {
+    Exchange(
+            Request request,
+            HttpMethod method,
+            String uri,
+            String idempotencyKey,
+            Body body,
+            long sentUs,
+            long remainingUs,
+            long deadlineUs,
+            Answer answer,
+            RequestTimes times) {
         this.request = request;
         this.method = method;
         this.uri = uri;
--- a/src/main/java/rushproxy/sidecar/FleetPlane.java
+++ b/src/main/java/rushproxy/sidecar/FleetPlane.java
@@ -47,9 +47,11 @@
     private final Config config;
     /** The servers that may be used now. */
     private final Supplier<List<Balancer.Upstream>> servers;
+
     private Membership members;
     /** Null, with all that follows, where nothing is shared. */
     private Store store;
+
     private Verdicts verdicts;
     private Limits limits;
     private Orders orders;
@@ -57,9 +59,10 @@
     private boolean weighed;
     private WarmStart warm;
     private boolean warmed;
-    private Runnable whenWarm = () -> { };
+    private Runnable whenWarm = () -> {};
     /** Null where nothing outlives the process. */
     private Snapshot snapshot;
+
     private long snapshotUs;
     private List<Verdicts.Case> cases = List.of();
     private long sharedUs;
@@ -68,8 +71,13 @@
     private long tellUs;
     private Future<?> ticks;
 
-    FleetPlane(EventLoop loop, Clock clock, Peers peers, Decisions decisions, Config config,
-               Supplier<List<Balancer.Upstream>> servers) {
+    FleetPlane(
+            EventLoop loop,
+            Clock clock,
+            Peers peers,
+            Decisions decisions,
+            Config config,
+            Supplier<List<Balancer.Upstream>> servers) {
         this.servers = servers;
         this.loop = loop;
         this.clock = clock;
@@ -81,17 +89,44 @@
     void start() {
         Balancer.Settings s = config.settings();
         int taken = PeerWord.length(s.zones().size(), s.kinds().size());
-        members = new Membership(new Membership.Self(config.name(), s.me(), config.peers().size(),
-                Math.max(0, s.zones().indexOf(s.zone())), s.zones().size(), VERSION, PART_MEMBERS | (config.fleet().shared() ? PART_SHARED : 0),
-                clock.now() / 1_000, taken), clock.now(), config.seed(), this);
+        members = new Membership(
+                new Membership.Self(
+                        config.name(),
+                        s.me(),
+                        config.peers().size(),
+                        Math.max(0, s.zones().indexOf(s.zone())),
+                        s.zones().size(),
+                        VERSION,
+                        PART_MEMBERS | (config.fleet().shared() ? PART_SHARED : 0),
+                        clock.now() / 1_000,
+                        taken),
+                clock.now(),
+                config.seed(),
+                this);
         if (config.fleet().shared()) {
             long me = members.self().id();
             Host says = new Says("shared: ");
-            store = new Store(me, PART_SHARED, taken, List.of(Table.VERDICTS, Table.LIMITS, Table.COUNTS, Table.ORDERS), clock.now(),
-                    config.seed() + 1, members, says);
+            store = new Store(
+                    me,
+                    PART_SHARED,
+                    taken,
+                    List.of(Table.VERDICTS, Table.LIMITS, Table.COUNTS, Table.ORDERS),
+                    clock.now(),
+                    config.seed() + 1,
+                    members,
+                    says);
             verdicts = new Verdicts(store, me, members.self().zone(), members, says);
-            limits = new Limits(me, s.balancers(), PART_SHARED, taken, store, config.fleet().limits(), clock.now(),
-                    config.seed() + 2, members, says);
+            limits = new Limits(
+                    me,
+                    s.balancers(),
+                    PART_SHARED,
+                    taken,
+                    store,
+                    config.fleet().limits(),
+                    clock.now(),
+                    config.seed() + 2,
+                    members,
+                    says);
             orders = new Orders(store, clock.now(), says);
             watch = new Watch(orders, s.rules().rampUs());
             warm = new WarmStart(me, PART_SHARED, taken, clock.now(), config.seed() + 3, members, says, this::known);
@@ -108,15 +143,25 @@
         View view = members.view();
         if (now >= tellUs || told == null || view.here() != told.here() || view.standing() != told.standing()) {
             if (told == null || view.standing() != told.standing()) {
-                Log.event(Log.Level.INFO, "sees a " + view.standing().name().toLowerCase(java.util.Locale.ROOT)
-                        + " of its fleet: " + view.here() + " of " + view.expected(), "standing", view.standing(), "here",
-                        view.here(), "expected", view.expected());
+                Log.event(
+                        Log.Level.INFO,
+                        "sees a " + view.standing().name().toLowerCase(java.util.Locale.ROOT) + " of its fleet: "
+                                + view.here() + " of " + view.expected(),
+                        "standing",
+                        view.standing(),
+                        "here",
+                        view.here(),
+                        "expected",
+                        view.expected());
             }
             told = view;
             tellUs = now + TELL_US;
-            Balancer.Fleet fact = new Balancer.Fleet(view.here(), view.byZone(),
-                    Balancer.Standing.valueOf(view.standing().name()), now + COUNTS_US);
-            decisions.call(m -> m.onFleet(now, fact), () -> { });
+            Balancer.Fleet fact = new Balancer.Fleet(
+                    view.here(),
+                    view.byZone(),
+                    Balancer.Standing.valueOf(view.standing().name()),
+                    now + COUNTS_US);
+            decisions.call(m -> m.onFleet(now, fact), () -> {});
         }
         if (store != null && !members.isQuiet()) {
             share(now);
@@ -134,7 +179,8 @@
         if (now >= sharedUs) {
             sharedUs = now + TELL_US;
             Map<String, Integer> zones = new HashMap<>();
-            servers.get().forEach(u -> zones.put(u.id(), config.settings().zones().indexOf(u.zone())));
+            servers.get()
+                    .forEach(u -> zones.put(u.id(), config.settings().zones().indexOf(u.zone())));
             verdicts.servers(zones);
             judge(now);
             weigh(now);
@@ -142,16 +188,17 @@
         if (now >= limitsUs) {
             long passed = limitsUs == 0 ? Limits.TICK_US : now - limitsUs + Limits.TICK_US;
             limitsUs = now + Limits.TICK_US;
-            decisions.call(m -> m.demands(passed).forEach((name, demand) -> limits.demand(now, name, demand)), () -> { });
+            decisions.call(
+                    m -> m.demands(passed).forEach((name, demand) -> limits.demand(now, name, demand)), () -> {});
             limits.onTick(now, incarnation);
             List<Balancer.Share> shares = limits.shares(now, 2 * Limits.TICK_US);
-            decisions.call(m -> m.onShares(now, shares), () -> { });
+            decisions.call(m -> m.onShares(now, shares), () -> {});
         }
     }
 
     private byte[] known() {
         byte[][] known = new byte[1][];
-        decisions.call(m -> known[0] = m.know(), () -> { });
+        decisions.call(m -> known[0] = m.know(), () -> {});
         return known[0] == null ? new byte[0] : known[0];
     }
 
@@ -173,11 +220,16 @@
                 byte[] kept = !told.isEmpty() || snapshot == null ? null : snapshot.read(now / 1_000);
                 List<byte[]> all = kept == null ? told : List.of(kept);
                 if (!all.isEmpty()) {
-                    decisions.call(m -> {
-                        int read = m.onKnow(now, all);
-                        Log.line("shared: begins with what " + (kept != null ? "the process before" : told.size() + " others") + " knew"
-                                + (read < all.size() ? "; " + (all.size() - read) + " of another shape left aside" : ""));
-                    }, () -> { });
+                    decisions.call(
+                            m -> {
+                                int read = m.onKnow(now, all);
+                                Log.line("shared: begins with what "
+                                        + (kept != null ? "the process before" : told.size() + " others") + " knew"
+                                        + (read < all.size()
+                                                ? "; " + (all.size() - read) + " of another shape left aside"
+                                                : ""));
+                            },
+                            () -> {});
                 }
                 whenWarm.run();
             }
@@ -190,7 +242,7 @@
     private void judge(long now) {
         cases = verdicts.look(now);
         List<Balancer.Verdict> said = cases.stream().map(Verdicts.Case::verdict).toList();
-        decisions.call(m -> m.onVerdicts(now, said), () -> { });
+        decisions.call(m -> m.onVerdicts(now, said), () -> {});
     }
 
     private void weigh(long now) {
@@ -199,7 +251,7 @@
         Map<String, Double> weights = orders.weights(servers.get());
         if (weighed || !weights.isEmpty()) {
             weighed = !weights.isEmpty();
-            decisions.call(m -> m.onWeights(now, new Balancer.Weights(weights, now + COUNTS_US)), () -> { });
+            decisions.call(m -> m.onWeights(now, new Balancer.Weights(weights, now + COUNTS_US)), () -> {});
         }
     }
 
@@ -273,17 +325,34 @@
         Map<String, Object> view = new LinkedHashMap<>();
         view.put("self", config.name());
         view.put("servers", servers.get().size());
-        view.put("verdicts", cases.stream().map(c -> {
-            Map<String, Object> one = new LinkedHashMap<>();
-            one.put("server", c.server());
-            one.put("kind", word(c.verdict().kind()));
-            one.put("factor", c.verdict().factor());
-            one.put("holds", c.verdict().holds());
-            one.put("why", c.why());
-            one.put("words", c.words().stream().map(w -> Map.of("by", members.name(w.witness()), "kind", word(w.kind()),
-                    "count", w.count(), "zone", w.zone(), "age_ms", w.ageUs() / 1_000)).toList());
-            return one;
-        }).toList());
+        view.put(
+                "verdicts",
+                cases.stream()
+                        .map(c -> {
+                            Map<String, Object> one = new LinkedHashMap<>();
+                            one.put("server", c.server());
+                            one.put("kind", word(c.verdict().kind()));
+                            one.put("factor", c.verdict().factor());
+                            one.put("holds", c.verdict().holds());
+                            one.put("why", c.why());
+                            one.put(
+                                    "words",
+                                    c.words().stream()
+                                            .map(w -> Map.of(
+                                                    "by",
+                                                    members.name(w.witness()),
+                                                    "kind",
+                                                    word(w.kind()),
+                                                    "count",
+                                                    w.count(),
+                                                    "zone",
+                                                    w.zone(),
+                                                    "age_ms",
+                                                    w.ageUs() / 1_000))
+                                            .toList());
+                            return one;
+                        })
+                        .toList());
         return json(view);
     }
 
@@ -291,19 +360,23 @@
     String limits() {
         Map<String, Object> view = new LinkedHashMap<>();
         view.put("self", config.name());
-        view.put("limits", limits.held(clock.now()).stream().map(h -> {
-            Map<String, Object> one = new LinkedHashMap<>();
-            one.put("name", h.limit().name());
-            one.put("of", LimitWords.words(h.limit()));
-            one.put("per", h.limit().inFlight() ? "in_flight" : "per_second");
-            one.put("most", h.limit().most());
-            one.put("share", h.share());
-            one.put("alone", h.alone());
-            one.put("lent", h.lent());
-            one.put("borrowed", h.borrowed());
-            one.put("demand", h.demand());
-            return one;
-        }).toList());
+        view.put(
+                "limits",
+                limits.held(clock.now()).stream()
+                        .map(h -> {
+                            Map<String, Object> one = new LinkedHashMap<>();
+                            one.put("name", h.limit().name());
+                            one.put("of", LimitWords.words(h.limit()));
+                            one.put("per", h.limit().inFlight() ? "in_flight" : "per_second");
+                            one.put("most", h.limit().most());
+                            one.put("share", h.share());
+                            one.put("alone", h.alone());
+                            one.put("lent", h.lent());
+                            one.put("borrowed", h.borrowed());
+                            one.put("demand", h.demand());
+                            return one;
+                        })
+                        .toList());
         return json(view);
     }
 
@@ -328,18 +401,26 @@
         Map<String, Object> view = new LinkedHashMap<>();
         view.put("self", config.name());
         Map<String, Double> weights = orders.weights(servers.get());
-        view.put("orders", orders.look(clock.now(), members.view().here() > 1).stream().map(o -> {
-            Map<String, Object> one = new LinkedHashMap<>();
-            one.put("release", o.release());
-            one.put("epoch", o.epoch());
-            one.put("step", o.step());
-            one.put("state", word(o.state()));
-            one.put("weight", o.weight());
-            one.put("safe", o.safe());
-            one.put("whom", o.whom().words());
-            one.put("servers", servers.get().stream().filter(o.whom()::takes).count());
-            return one;
-        }).toList());
+        view.put(
+                "orders",
+                orders.look(clock.now(), members.view().here() > 1).stream()
+                        .map(o -> {
+                            Map<String, Object> one = new LinkedHashMap<>();
+                            one.put("release", o.release());
+                            one.put("epoch", o.epoch());
+                            one.put("step", o.step());
+                            one.put("state", word(o.state()));
+                            one.put("weight", o.weight());
+                            one.put("safe", o.safe());
+                            one.put("whom", o.whom().words());
+                            one.put(
+                                    "servers",
+                                    servers.get().stream()
+                                            .filter(o.whom()::takes)
+                                            .count());
+                            return one;
+                        })
+                        .toList());
         view.put("weights", weights);
         return json(view);
     }
@@ -360,8 +441,16 @@
     String order(String release, String epoch, String step, String state, String weight, String safe, String whom) {
         try {
             Order.State is = Order.State.valueOf(state.toUpperCase(java.util.Locale.ROOT));
-            String no = orders.give(clock.now(), new Order(release, Integer.parseInt(epoch), Integer.parseInt(step), is,
-                    Double.parseDouble(weight), Double.parseDouble(safe), Order.Selector.of(whom)));
+            String no = orders.give(
+                    clock.now(),
+                    new Order(
+                            release,
+                            Integer.parseInt(epoch),
+                            Integer.parseInt(step),
+                            is,
+                            Double.parseDouble(weight),
+                            Double.parseDouble(safe),
+                            Order.Selector.of(whom)));
             if (no == null) {
                 weigh(clock.now());
             }
--- a/src/main/java/rushproxy/sidecar/Invariants.java
+++ b/src/main/java/rushproxy/sidecar/Invariants.java
@@ -32,8 +32,13 @@
     void breached(Breach what, String id, String words) {
         counts.merge(what, 1, Integer::sum);
         if (++total <= MOST_LINES) {
-            Log.event(Log.Level.ERROR, "invariant_violations=1 " + what + ": request " + id + " " + words, "breach", what,
-                    "request", id);
+            Log.event(
+                    Log.Level.ERROR,
+                    "invariant_violations=1 " + what + ": request " + id + " " + words,
+                    "breach",
+                    what,
+                    "request",
+                    id);
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/Json.java
+++ b/src/main/java/rushproxy/sidecar/Json.java
@@ -24,7 +24,8 @@
             return new Json(fields);
         } catch (IOException e) {
             String reason = String.valueOf(e.getMessage());
-            throw new IllegalArgumentException("no JSON object: " + reason.lines().findFirst().orElse(""));
+            throw new IllegalArgumentException(
+                    "no JSON object: " + reason.lines().findFirst().orElse(""));
         }
     }
 
@@ -67,17 +68,22 @@
 
     @SuppressWarnings("unchecked")
     List<Json> objects(String name) {
-        return ((List<Object>) of(name, List.class, "a list")).stream().map(o -> {
-            if (!(o instanceof Map)) {
-                throw new IllegalArgumentException("'" + name + "' holds what is no object");
-            }
-            return new Json((Map<String, Object>) o);
-        }).toList();
+        return ((List<Object>) of(name, List.class, "a list"))
+                .stream()
+                        .map(o -> {
+                            if (!(o instanceof Map)) {
+                                throw new IllegalArgumentException("'" + name + "' holds what is no object");
+                            }
+                            return new Json((Map<String, Object>) o);
+                        })
+                        .toList();
     }
 
     @SuppressWarnings("unchecked")
     List<String> textsOrNone(String name) {
-        return has(name) ? ((List<Object>) of(name, List.class, "a list")).stream().map(String::valueOf).toList()
+        return has(name)
+                ? ((List<Object>) of(name, List.class, "a list"))
+                        .stream().map(String::valueOf).toList()
                 : List.of();
     }
 
@@ -104,7 +110,9 @@
             map.forEach((k, v) -> flatten(path.isEmpty() ? "" + k : path + "." + k, v, out));
         } else if (value instanceof List<?> list) {
             if (list.stream().noneMatch(Map.class::isInstance)) {
-                out.put(path, String.join(",", list.stream().map(String::valueOf).toList()));
+                out.put(
+                        path,
+                        String.join(",", list.stream().map(String::valueOf).toList()));
                 return;
             }
             out.put(path + ".count", "" + list.size());
