--- a/src/main/java/rushproxy/sidecar/LimitWords.java
+++ b/src/main/java/rushproxy/sidecar/LimitWords.java
@@ -25,7 +25,8 @@
         if (scope == Scope.ALL != whom.isEmpty()) {
             throw new IllegalArgumentException("'" + of + "' is not all, class:NAME or tenant:NAME");
         }
-        if (scope == Scope.CLASS && settings.classes().stream().noneMatch(c -> c.name().equals(whom))) {
+        if (scope == Scope.CLASS
+                && settings.classes().stream().noneMatch(c -> c.name().equals(whom))) {
             throw new IllegalArgumentException("no class '" + whom + "'");
         }
         if (!per.equals("per_second") && !per.equals("in_flight")) {
--- a/src/main/java/rushproxy/sidecar/LingeringClose.java
+++ b/src/main/java/rushproxy/sidecar/LingeringClose.java
@@ -35,10 +35,14 @@
             }
         });
         channel.config().setAutoRead(true);
-        var end = channel.eventLoop().schedule(() -> {
-            RequestLog.closes(channel, CloseReason.LINGERED);
-            channel.close();
-        }, mostUs, TimeUnit.MICROSECONDS);
+        var end = channel.eventLoop()
+                .schedule(
+                        () -> {
+                            RequestLog.closes(channel, CloseReason.LINGERED);
+                            channel.close();
+                        },
+                        mostUs,
+                        TimeUnit.MICROSECONDS);
         channel.closeFuture().addListener(f -> end.cancel(false));
     }
 
--- a/src/main/java/rushproxy/sidecar/Log.java
+++ b/src/main/java/rushproxy/sidecar/Log.java
@@ -15,7 +15,9 @@
  */
 final class Log {
     enum Level {
-        ERROR(java.util.logging.Level.SEVERE), WARN(java.util.logging.Level.WARNING), INFO(java.util.logging.Level.INFO),
+        ERROR(java.util.logging.Level.SEVERE),
+        WARN(java.util.logging.Level.WARNING),
+        INFO(java.util.logging.Level.INFO),
         DEBUG(java.util.logging.Level.FINE);
 
         private final java.util.logging.Level theirs;
@@ -25,12 +27,19 @@
         }
 
         static Level of(java.util.logging.Level level) {
-            return level.intValue() >= ERROR.theirs.intValue() ? ERROR : level.intValue() >= WARN.theirs.intValue() ? WARN
-                    : level.intValue() >= INFO.theirs.intValue() ? INFO : DEBUG;
+            return level.intValue() >= ERROR.theirs.intValue()
+                    ? ERROR
+                    : level.intValue() >= WARN.theirs.intValue()
+                            ? WARN
+                            : level.intValue() >= INFO.theirs.intValue() ? INFO : DEBUG;
         }
     }
 
-    enum Form { PLAIN, TEXT, JSON }
+    enum Form {
+        PLAIN,
+        TEXT,
+        JSON
+    }
 
     /** How it is to write. {@code least}: what is less grave is left out. */
     record Style(Form form, Level least, String node) {
@@ -61,7 +70,8 @@
             public String format(LogRecord r) {
                 Object[] fields = r.getParameters();
                 String text = r.getThrown() == null ? r.getMessage() : r.getMessage() + ": " + r.getThrown();
-                return Log.format(style, r.getMillis(), Level.of(r.getLevel()), text, fields == null ? new Object[0] : fields);
+                return Log.format(
+                        style, r.getMillis(), Level.of(r.getLevel()), text, fields == null ? new Object[0] : fields);
             }
         });
         ROOT.addHandler(handler);
@@ -102,7 +112,12 @@
 
     private static String text(Style style, long atMs, Level level, String text, Object... fields) {
         StringBuilder line = new StringBuilder(64 + text.length());
-        line.append(Instant.ofEpochMilli(atMs)).append(' ').append(level).append(' ').append(style.node).append(' ')
+        line.append(Instant.ofEpochMilli(atMs))
+                .append(' ')
+                .append(level)
+                .append(' ')
+                .append(style.node)
+                .append(' ')
                 .append(text.replace('\n', ' '));
         for (int i = 0; i + 1 < fields.length; i += 2) {
             String value = String.valueOf(fields[i + 1]);
@@ -119,8 +134,11 @@
 
     private static String json(Style style, long atMs, Level level, String text, Object... fields) {
         StringBuilder line = new StringBuilder(96 + text.length());
-        line.append("{\"time\":\"").append(Instant.ofEpochMilli(atMs)).append("\",\"level\":\"")
-                .append(level.name().toLowerCase(Locale.ROOT)).append("\",\"node\":");
+        line.append("{\"time\":\"")
+                .append(Instant.ofEpochMilli(atMs))
+                .append("\",\"level\":\"")
+                .append(level.name().toLowerCase(Locale.ROOT))
+                .append("\",\"node\":");
         quote(line, style.node);
         line.append(",\"text\":");
         quote(line, text);
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -31,9 +31,11 @@
     private volatile Channel channel;
     /** Null until the socket is told to be bound. */
     private RegistrationRetry registration;
+
     private boolean refused;
     /** Null where the fleet plane is off: then whatever comes is the module's. */
     private Fleet fleet;
+
     private int wordLength;
 
     /** Takes all datagrams but the module's own, which are known by their length, and hears of those. */
@@ -58,8 +60,13 @@
      * that hears. Word of peers is of use but no need, so a start does not fail without.
      */
     void listen(EventLoop loop, InetSocketAddress address) {
-        new Bootstrap().group(loop).channel(NioDatagramChannel.class).option(ChannelOption.SO_REUSEADDR, true)
-                .handler(new Handler()).bind(address).addListener((ChannelFuture f) -> {
+        new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .handler(new Handler())
+                .bind(address)
+                .addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
                         heardOn(f.channel(), loop, address);
                         return;
@@ -140,12 +147,11 @@
             if (fleet != null) {
                 fleet.word(number);
             }
-            decisions.call(m -> m.onPeer(clock.now(), number, message), () -> { });
+            decisions.call(m -> m.onPeer(clock.now(), number, message), () -> {});
         }
 
         /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
         @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        }
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {}
     }
 }
--- a/src/main/java/rushproxy/sidecar/Recurring.java
+++ b/src/main/java/rushproxy/sidecar/Recurring.java
@@ -13,13 +13,17 @@
 
     /** The result ends it. */
     static Future<?> every(EventLoop loop, long ms, Runnable work) {
-        return loop.scheduleAtFixedRate(() -> {
-            try {
-                work.run();
-            } catch (Throwable e) {
-                trouble(e);
-            }
-        }, ms, ms, TimeUnit.MILLISECONDS);
+        return loop.scheduleAtFixedRate(
+                () -> {
+                    try {
+                        work.run();
+                    } catch (Throwable e) {
+                        trouble(e);
+                    }
+                },
+                ms,
+                ms,
+                TimeUnit.MILLISECONDS);
     }
 
     private static void trouble(Throwable e) {
--- a/src/main/java/rushproxy/sidecar/RequestDecoder.java
+++ b/src/main/java/rushproxy/sidecar/RequestDecoder.java
@@ -31,7 +31,9 @@
     static boolean framed(HttpMessage message) {
         HttpHeaders h = message.headers();
         List<String> coded = h.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        return coded.isEmpty() || coded.size() == 1 && coded.get(0).equalsIgnoreCase("chunked")
-                && message.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        return coded.isEmpty()
+                || coded.size() == 1
+                        && coded.get(0).equalsIgnoreCase("chunked")
+                        && message.protocolVersion().equals(HttpVersion.HTTP_1_1);
     }
 }
--- a/src/main/java/rushproxy/sidecar/RequestGuard.java
+++ b/src/main/java/rushproxy/sidecar/RequestGuard.java
@@ -57,8 +57,10 @@
     private String whyNotRepeat(Exchange x, Call call) {
         for (Call other : x.attempts) {
             if (other != call && other.mayRun() && !repeatable(x, other, call)) {
-                invariants.breached(Breach.REPEATED, x.request.id(), "may run at " + other.upstream + " and was to be sent to "
-                        + call.upstream);
+                invariants.breached(
+                        Breach.REPEATED,
+                        x.request.id(),
+                        "may run at " + other.upstream + " and was to be sent to " + call.upstream);
                 return "it may have run";
             }
         }
@@ -99,7 +101,10 @@
     long tellUs(Exchange x, long untilUs) {
         long clientUntilUs = x.sentUs + x.remainingUs;
         if (untilUs > clientUntilUs) {
-            invariants.breached(Breach.TOLD_TOO_MUCH_TIME, x.request.id(), "was to be told " + (untilUs - clientUntilUs) + " us too much");
+            invariants.breached(
+                    Breach.TOLD_TOO_MUCH_TIME,
+                    x.request.id(),
+                    "was to be told " + (untilUs - clientUntilUs) + " us too much");
         }
         return Math.min(untilUs, clientUntilUs) - clock.now();
     }
--- a/src/main/java/rushproxy/sidecar/RequestHead.java
+++ b/src/main/java/rushproxy/sidecar/RequestHead.java
@@ -14,8 +14,15 @@
  * @param remainingUs how long the client waits from the last byte of its request on
  * @param key         what the request is about; -1 where it does not say
  */
-record RequestHead(String id, String requestClass, long remainingUs, long estimateUs, long key, String tenant, boolean resent,
-                   String idempotencyKey) {
+record RequestHead(
+        String id,
+        String requestClass,
+        long remainingUs,
+        long estimateUs,
+        long key,
+        String tenant,
+        boolean resent,
+        String idempotencyKey) {
     private static final int KEY_BITS = 53;
     private static final long NO_KEY = -1;
 
@@ -25,12 +32,19 @@
         String id = headers.get(Headers.TXN);
         String requestClass = headers.get(Headers.CLASS);
         long remainingMs = wholeNumber(headers.get(Headers.REMAINING));
-        boolean methodFits = message.method().equals(HttpMethod.GET) || message.method().equals(HttpMethod.POST);
+        boolean methodFits =
+                message.method().equals(HttpMethod.GET) || message.method().equals(HttpMethod.POST);
         if (id == null || id.isEmpty() || requestClass == null || remainingMs <= 0 || !methodFits) {
             return Optional.empty();
         }
-        return Optional.of(new RequestHead(id, requestClass, remainingMs * 1000, Math.max(0, wholeNumber(headers.get(Headers.ESTIMATE))),
-                key(headers.get(HttpHeaderNames.COOKIE)), headers.get(Headers.TENANT), "1".equals(headers.get(Headers.RESENT)),
+        return Optional.of(new RequestHead(
+                id,
+                requestClass,
+                remainingMs * 1000,
+                Math.max(0, wholeNumber(headers.get(Headers.ESTIMATE))),
+                key(headers.get(HttpHeaderNames.COOKIE)),
+                headers.get(Headers.TENANT),
+                "1".equals(headers.get(Headers.RESENT)),
                 headers.get(Headers.IDEMPOTENCY_KEY)));
     }
 
--- a/src/main/java/rushproxy/sidecar/RequestTimes.java
+++ b/src/main/java/rushproxy/sidecar/RequestTimes.java
@@ -11,6 +11,7 @@
     private final long firstByteUs;
     /** When its last byte was read, and when its client may have sent that at the earliest. */
     private final long wholeUs;
+
     private final long sentUs;
     private final long clientDeadlineUs;
     private long firstAttemptUs;
@@ -41,9 +42,20 @@
         if (!Log.debugs()) {
             return;
         }
-        String text = String.format(Locale.ROOT, "request %s %s after %.1f ms of %.1f; opened %.1f, first byte %.1f, whole %.1f,"
-                        + " attempt %.1f (%d), answer %.1f", id, end, ms(now), ms(clientDeadlineUs), ms(openedUs),
-                ms(firstByteUs), ms(wholeUs), ms(firstAttemptUs), attempts, ms(answeredUs));
+        String text = String.format(
+                Locale.ROOT,
+                "request %s %s after %.1f ms of %.1f; opened %.1f, first byte %.1f, whole %.1f,"
+                        + " attempt %.1f (%d), answer %.1f",
+                id,
+                end,
+                ms(now),
+                ms(clientDeadlineUs),
+                ms(openedUs),
+                ms(firstByteUs),
+                ms(wholeUs),
+                ms(firstAttemptUs),
+                attempts,
+                ms(answeredUs));
         Log.event(Log.Level.DEBUG, text);
     }
 
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -22,7 +22,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private Watch watch = (upstream, requestClass, outcome, tookUs) -> { };
+    private Watch watch = (upstream, requestClass, outcome, tookUs) -> {};
     private final Decisions decisions;
     private final Upstreams upstreams;
     private final RequestGuard guard;
@@ -32,6 +32,7 @@
     private long endUs = Long.MAX_VALUE;
     /** Since the last {@link #tally}. */
     private int taken;
+
     private int served;
     private int refused;
     private int failed;
@@ -41,7 +42,13 @@
     private final UnservedRequests unserved = new UnservedRequests();
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
 
-    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, RequestGuard guard, int maxAttempts) {
+    Requests(
+            EventLoop loop,
+            Clock clock,
+            Decisions decisions,
+            Upstreams upstreams,
+            RequestGuard guard,
+            int maxAttempts) {
         this.guard = guard;
         this.loop = loop;
         this.clock = clock;
@@ -67,7 +74,10 @@
 
     private void await(Exchange x) {
         // After a hold-up its answer may lie in a socket, and what its attempts are told comes first.
-        x.overdue = loop.schedule(() -> SocketLook.before(loop, () -> overdue(x)), x.deadlineUs + OVERDUE_US - clock.now(), TimeUnit.MICROSECONDS);
+        x.overdue = loop.schedule(
+                () -> SocketLook.before(loop, () -> overdue(x)),
+                x.deadlineUs + OVERDUE_US - clock.now(),
+                TimeUnit.MICROSECONDS);
     }
 
     /** The last byte of the request has come: its time runs from now. */
@@ -141,7 +151,7 @@
     }
 
     private void expired(Exchange x) {
-        decisions.call(m -> m.onExpired(clock.now(), x.request.id()), () -> { });
+        decisions.call(m -> m.onExpired(clock.now(), x.request.id()), () -> {});
     }
 
     /** After a call that broke off: what the module held may be forgotten, so it is answered now. */
@@ -160,10 +170,11 @@
         }
         int number = x.attempts.size();
         long now = clock.now();
-        long until = !x.body.complete() ? now + UPLOAD_US : untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
+        long until =
+                !x.body.complete() ? now + UPLOAD_US : untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
         String moot = whyMoot(x, number, until <= now);
-        Upstreams.Call call = new Upstreams.Call(upstream, until, false, left -> message(x, number), x.body,
-                new Upstreams.Result() {
+        Upstreams.Call call =
+                new Upstreams.Call(upstream, until, false, left -> message(x, number), x.body, new Upstreams.Result() {
                     @Override
                     public void ended(Upstreams.Call c, Outcome outcome, LoadReport report, ByteBuf body) {
                         Requests.this.ended(x, number, c, outcome, report, body);
@@ -187,7 +198,7 @@
                     @Override
                     public void sent(Upstreams.Call c) {
                         if (x.request.partial()) {
-                            decisions.call(m -> m.onSent(clock.now(), x.request.id(), number), () -> { });
+                            decisions.call(m -> m.onSent(clock.now(), x.request.id(), number), () -> {});
                         }
                     }
                 });
@@ -205,7 +216,8 @@
 
     /** Asked just before the first byte, on every way to it: the module, then the guard. */
     private boolean mayBegin(Exchange x, int number, Upstreams.Call call) {
-        String why = decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number)) ? guard.whyNotSend(x, call)
+        String why = decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number))
+                ? guard.whyNotSend(x, call)
                 : "the module says no";
         if (why != null) {
             RequestLog.notAttempted(x.request.id(), number, call.upstream, why);
@@ -295,7 +307,8 @@
         upstreams.endBy(call, endUs);
         x.answer.begins(length, resume);
         long now = clock.now();
-        decisions.call(m -> m.onStreamStart(now, x.request.id(), number, call.upstream, upstreams.tookUs(call)), () -> { });
+        decisions.call(
+                m -> m.onStreamStart(now, x.request.id(), number, call.upstream, upstreams.tookUs(call)), () -> {});
         return true;
     }
 
@@ -312,8 +325,9 @@
         forgetIfSettled(x);
         long now = clock.now();
         watch.ended(call.upstream, x.request.requestClass(), outcome, tookUs);
-        decisions.call(m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, tookUs, x.state.isOver(),
-                report), () -> failUnlessOut(x));
+        decisions.call(
+                m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, tookUs, x.state.isOver(), report),
+                () -> failUnlessOut(x));
     }
 
     private void failUnlessOut(Exchange x) {
@@ -380,8 +394,28 @@
                 + " held; attempts " + outcomes;
         Map<String, Integer> reasons = unserved.sinceLast();
         words += reasons.isEmpty() ? "" : "; not served " + reasons;
-        to.of(words, "taken", taken, "served", served, "broken_off", broken, "refused", refused, "failed", failed, "overdue",
-                overdue, "left", left, "held", open.size(), "attempts", outcomes, "not_served", reasons);
+        to.of(
+                words,
+                "taken",
+                taken,
+                "served",
+                served,
+                "broken_off",
+                broken,
+                "refused",
+                refused,
+                "failed",
+                failed,
+                "overdue",
+                overdue,
+                "left",
+                left,
+                "held",
+                open.size(),
+                "attempts",
+                outcomes,
+                "not_served",
+                reasons);
         taken = served = refused = failed = overdue = left = broken = 0;
         outcomes.clear();
     }
@@ -402,7 +436,8 @@
         if (x.overdue != null) {
             x.overdue.cancel(false);
         }
-        // A connection may still be coming up for one: whoever has gone, or has been answered, is sent nothing more for.
+        // A connection may still be coming up for one: whoever has gone, or has been answered, is sent nothing more
+        // for.
         List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
         forgetIfSettled(x);
         return true;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -26,6 +26,7 @@
 public final class Sidecar {
     /** Descriptors for the program itself: some 15 files, listeners and selectors, and all that operators may hold. */
     private static final int OWN_DESCRIPTORS = 32 + AdminServer.MOST_CALLERS;
+
     private static final int LEAST_PER_SIDE = 16;
     /** A sixteenth of the memory may hold bodies and answers: the runtime's own parts take a third and more. */
     private static final int KEPT_SHIFT = 4;
@@ -34,6 +35,7 @@
 
     /** A configuration counts 4 s after the signal: by then it was read if it could be. */
     private static final int MOST_RELOAD_TRIES = 30;
+
     private static final long RELOAD_AGAIN_MS = 100;
 
     private static final long BEAT_MS = LoopDelay.BEAT_US / 1000;
@@ -55,22 +57,27 @@
     private final StartTimes starts;
     /** The list that the process was started with. */
     private final UpstreamList known;
+
     private final Discovery discovery;
     private final Peers peers;
     /** Null where no part of it is on. */
     private final FleetPlane fleet;
+
     private final ClientServer clients;
     /** Null where no second address is named: nobody could call anything out, or back. */
     private final CordonStore cordons;
+
     private Map<String, CordonStore.Mark> marks = Map.of();
     private InetSocketAddress listening;
     /** Null where no second address is named. */
     private InetSocketAddress administered;
+
     private final LoopDelay loopDelay = new LoopDelay();
     private final AnswerDeadlines deadlines;
     private long worstLagUs;
     /** At the last line of the log; null where the kernel does not tell. */
     private ThreadFigures figures;
+
     private long beats;
     private boolean leaving;
 
@@ -89,30 +96,58 @@
         // Those who only come to stay are on the clients' side. What that does not use upstreams may have.
         int free = Math.max(2 * LEAST_PER_SIDE, config.sockets() - OWN_DESCRIPTORS);
         int ofClients = free - Math.max(LEAST_PER_SIDE, free / 4);
-        upstreams = new Upstreams(loop, new RunningTime(clock, loopDelay), settings.limits().connIdleUs(), Upstreams.REST_US, config.dialTimeoutUs(),
+        upstreams = new Upstreams(
+                loop,
+                new RunningTime(clock, loopDelay),
+                settings.limits().connIdleUs(),
+                Upstreams.REST_US,
+                config.dialTimeoutUs(),
                 () -> free - Math.min(ofClients, clients().open()),
                 budget);
         guard = new RequestGuard(clock, settings.classes(), invariants);
-        requests = new Requests(loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts());
+        requests = new Requests(
+                loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts());
         starts = new StartTimes(clock, System::currentTimeMillis);
         known = starts.known(config.known());
-        discovery = new Discovery(loop, clock, decisions, upstreams, starts, config.discovery(), config.known().generation(),
-                settings.rules().askEveryUs(), !settings.discoveryOnRequest());
+        discovery = new Discovery(
+                loop,
+                clock,
+                decisions,
+                upstreams,
+                starts,
+                config.discovery(),
+                config.known().generation(),
+                settings.rules().askEveryUs(),
+                !settings.discoveryOnRequest());
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
-        fleet = config.fleet().members() ? new FleetPlane(loop, clock, peers, decisions, config, upstreams::ready) : null;
+        fleet = config.fleet().members()
+                ? new FleetPlane(loop, clock, peers, decisions, config, upstreams::ready)
+                : null;
         if (fleet != null) {
             requests.watch(fleet::ended);
         }
-        cordons = config.admin() == null ? null : new CordonStore(config.kept(), settings.rules().rampUs() / 1000,
-                now -> loop.execute(() -> mark(now)));
+        cordons = config.admin() == null
+                ? null
+                : new CordonStore(
+                        config.kept(), settings.rules().rampUs() / 1000, now -> loop.execute(() -> mark(now)));
         deadlines = new AnswerDeadlines(settings.classes(), loopDelay);
-        clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady,
-                () -> Math.min(ofClients, free - upstreams.open()), budget, loopDelay, deadlines, guard);
+        clients = new ClientServer(
+                loop,
+                clock,
+                requests,
+                settings.classes(),
+                upstreams::anyReady,
+                () -> Math.min(ofClients, free - upstreams.open()),
+                budget,
+                loopDelay,
+                deadlines,
+                guard);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
     public static int serve(Map<String, String> environment) throws InterruptedException {
-        // Before all else: without handlers of its own the Java runtime ends on these, and a reload that comes now is meant.
+        // Before all else: without handlers of its own the Java runtime ends on these, and a reload that comes now is
+        // meant.
         Signals signals = new Signals(environment);
         boolean reloads = signals.take();
         Config config;
@@ -132,8 +167,8 @@
                     throw new IOException("descriptor 0 is no listening socket");
                 }
             }
-            sidecar = new Sidecar(config, inherited,
-                    (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
+            sidecar = new Sidecar(
+                    config, inherited, (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
             // Before anybody can ask.
             sidecar.clients.notReady();
             sidecar.start();
@@ -156,6 +191,7 @@
         private final Map<String, String> environment;
         /** Null while there is none yet. */
         private Sidecar sidecar;
+
         private boolean reload;
 
         Signals(Map<String, String> environment) {
@@ -179,7 +215,8 @@
         }
 
         private synchronized void end() {
-            // A stop that was asked for and went well is no failure, whatever signal asked; before the start nothing is held.
+            // A stop that was asked for and went well is no failure, whatever signal asked; before the start nothing is
+            // held.
             if (sidecar == null) {
                 Runtime.getRuntime().halt(0);
             }
@@ -233,15 +270,23 @@
     }
 
     void start() throws InterruptedException {
-        // Where the selector's own wake-up could not be registered, a loop without timers would never see what is handed to it.
-        Future<?> wakes = Recurring.every(loop, BEAT_MS, () -> { });
+        // Where the selector's own wake-up could not be registered, a loop without timers would never see what is
+        // handed to it.
+        Future<?> wakes = Recurring.every(loop, BEAT_MS, () -> {});
         upstreams.update(known);
-        loop.submit(() -> decisions.start(actions -> {
-            Balancer made = module.create(config, clock.now(), actions);
-            made.onList(clock.now(), ListKind.CACHED,
-                    known.entries().stream().map(UpstreamList.Entry::upstream).toList());
-            return made;
-        }, new Hands())).sync();
+        loop.submit(() -> decisions.start(
+                        actions -> {
+                            Balancer made = module.create(config, clock.now(), actions);
+                            made.onList(
+                                    clock.now(),
+                                    ListKind.CACHED,
+                                    known.entries().stream()
+                                            .map(UpstreamList.Entry::upstream)
+                                            .toList());
+                            return made;
+                        },
+                        new Hands()))
+                .sync();
         if (cordons != null) {
             cordons.start();
         }
@@ -281,8 +326,8 @@
         }
         if (++beats % BEATS == 0) {
             tellUnanswered();
-            requests.tally((words, fields) ->
-                    Log.event(Log.Level.INFO, "in " + BEATS * BEAT_MS / 1000 + " s " + words + "; " + held() + broken(), fields));
+            requests.tally((words, fields) -> Log.event(
+                    Log.Level.INFO, "in " + BEATS * BEAT_MS / 1000 + " s " + words + "; " + held() + broken(), fields));
             tellLag();
         }
     }
@@ -292,13 +337,22 @@
         ThreadFigures before = figures;
         figures = ThreadFigures.ofCallingThread().orElse(null);
         if (worstLagUs >= LAG_US) {
-            String words = "the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s";
+            String words =
+                    "the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s";
             if (before == null || figures == null) {
                 Log.event(Log.Level.WARN, words, "late_ms", worstLagUs / 1000);
             } else {
                 ThreadFigures since = figures.since(before);
-                Log.event(Log.Level.WARN, words + ", in which it ran for " + since.ranMs() + " ms and waited for a processor for "
-                        + since.waitedMs() + " ms", "late_ms", worstLagUs / 1000, "ran_ms", since.ranMs(), "waited_ms", since.waitedMs());
+                Log.event(
+                        Log.Level.WARN,
+                        words + ", in which it ran for " + since.ranMs() + " ms and waited for a processor for "
+                                + since.waitedMs() + " ms",
+                        "late_ms",
+                        worstLagUs / 1000,
+                        "ran_ms",
+                        since.ranMs(),
+                        "waited_ms",
+                        since.waitedMs());
             }
         }
         worstLagUs = 0;
@@ -307,8 +361,11 @@
     private void tellUnanswered() {
         Map<String, Integer> ends = clients.unansweredSinceLast();
         if (!ends.isEmpty()) {
-            Log.event(Log.Level.WARN, "in " + BEATS * BEAT_MS / 1000 + " s clients' connections ended with no answer: " + ends,
-                    "unanswered", ends);
+            Log.event(
+                    Log.Level.WARN,
+                    "in " + BEATS * BEAT_MS / 1000 + " s clients' connections ended with no answer: " + ends,
+                    "unanswered",
+                    ends);
         }
     }
 
@@ -320,7 +377,8 @@
             WarmUp warmUp = new WarmUp(loop, clock, config.settings());
             clients.warmsUp(warmUp);
             warmUp.begin(listening, () -> {
-                Log.line("warmed up with " + warmUp.served() + " requests in " + (clock.now() - sinceUs) / 1_000 + " ms");
+                Log.line("warmed up with " + warmUp.served() + " requests in " + (clock.now() - sinceUs) / 1_000
+                        + " ms");
                 done.countDown();
             });
         });
@@ -397,11 +455,17 @@
         for (Map.Entry<String, CordonStore.Mark> e : now.entrySet()) {
             CordonStore.Mark mark = e.getValue();
             if (!mark.equals(before.get(e.getKey()))) {
-                Log.event(Log.Level.INFO, (mark.out() ? "leaves out " : "has back ") + e.getKey() + ", as the operators ask",
-                        "upstream", e.getKey(), "out", mark.out());
+                Log.event(
+                        Log.Level.INFO,
+                        (mark.out() ? "leaves out " : "has back ") + e.getKey() + ", as the operators ask",
+                        "upstream",
+                        e.getKey(),
+                        "out",
+                        mark.out());
                 upstreams.cordon(e.getKey(), mark.out());
-                // Told here, it is news of now: the wall clock by which the mark was written may have been stepped since.
-                decisions.call(m -> m.onCordon(clock.now(), e.getKey(), mark.out(), clock.now()), () -> { });
+                // Told here, it is news of now: the wall clock by which the mark was written may have been stepped
+                // since.
+                decisions.call(m -> m.onCordon(clock.now(), e.getKey(), mark.out(), clock.now()), () -> {});
             }
         }
     }
@@ -518,9 +582,14 @@
 
         @Override
         public void probe(String upstream) {
-            upstreams.start(new Upstreams.Call(upstream, clock.now() + PROBE_US, true, left -> probe(), null,
-                    (call, outcome, report, body) -> decisions.call(m -> m.onProbe(clock.now(), upstream, outcome,
-                            upstreams.tookUs(call), report), () -> { })));
+            upstreams.start(new Upstreams.Call(
+                    upstream,
+                    clock.now() + PROBE_US,
+                    true,
+                    left -> probe(),
+                    null,
+                    (call, outcome, report, body) -> decisions.call(
+                            m -> m.onProbe(clock.now(), upstream, outcome, upstreams.tookUs(call), report), () -> {})));
         }
 
         private static HttpRequest probe() {
@@ -544,7 +613,9 @@
 
         @Override
         public void timer(String mark, long delayUs) {
-            loop.schedule(() -> decisions.call(m -> m.onTimer(clock.now(), mark), requests::failHeld), delayUs,
+            loop.schedule(
+                    () -> decisions.call(m -> m.onTimer(clock.now(), mark), requests::failHeld),
+                    delayUs,
                     TimeUnit.MICROSECONDS);
         }
 
--- a/src/main/java/rushproxy/sidecar/Snapshot.java
+++ b/src/main/java/rushproxy/sidecar/Snapshot.java
@@ -19,6 +19,7 @@
     private static final byte VERSION = 1;
     /** Magic, version, check of all that follows, time. */
     private static final int HEAD = 17;
+
     private static final int MOST_BYTES = 4_096;
     /** Speeds and rates change within some tens of seconds. */
     static final long MOST_AGE_MS = 60_000;
@@ -92,7 +93,12 @@
     }
 
     static byte[] bytes(byte[] known, long nowMs) {
-        ByteBuffer b = ByteBuffer.allocate(HEAD + known.length).putInt(MAGIC).put(VERSION).putInt(0).putLong(nowMs).put(known);
+        ByteBuffer b = ByteBuffer.allocate(HEAD + known.length)
+                .putInt(MAGIC)
+                .put(VERSION)
+                .putInt(0)
+                .putLong(nowMs)
+                .put(known);
         return b.putInt(5, check(b.array())).array();
     }
 
--- a/src/main/java/rushproxy/sidecar/SocketErrors.java
+++ b/src/main/java/rushproxy/sidecar/SocketErrors.java
@@ -13,15 +13,22 @@
  */
 final class SocketErrors {
     /** What Linux says for ECONNRESET (the runtime says it shorter), EPIPE, ETIMEDOUT, EHOSTUNREACH and ENOTCONN. */
-    private static final Set<String> ENDS = Set.of("Connection reset", "Connection reset by peer", "Broken pipe", "Connection timed out",
-            "No route to host", "Transport endpoint is not connected");
+    private static final Set<String> ENDS = Set.of(
+            "Connection reset",
+            "Connection reset by peer",
+            "Broken pipe",
+            "Connection timed out",
+            "No route to host",
+            "Transport endpoint is not connected");
 
     private SocketErrors() {}
 
     /** Whether a connection could not be opened by the peer's doing or the network's, and not this machine's. */
     static boolean isOfPeer(Throwable failedDial) {
-        return failedDial instanceof ConnectException || failedDial instanceof NoRouteToHostException
-                || failedDial instanceof ClosedChannelException || endsConnection(failedDial);
+        return failedDial instanceof ConnectException
+                || failedDial instanceof NoRouteToHostException
+                || failedDial instanceof ClosedChannelException
+                || endsConnection(failedDial);
     }
 
     /** Whether the call has failed since there is no connection any more, by the peer's doing or the network's. */
--- a/src/main/java/rushproxy/sidecar/SocketLook.java
+++ b/src/main/java/rushproxy/sidecar/SocketLook.java
@@ -12,8 +12,10 @@
  */
 final class SocketLook {
     static {
-        // Where a change of a registration fails the selector wakes for nothing until it is made anew (RegistrationRetry, 15 ms). Netty
-        // would rather register everything with another selector, and where that fails for some nobody would know which.
+        // Where a change of a registration fails the selector wakes for nothing until it is made anew
+        // (RegistrationRetry, 15 ms). Netty
+        // would rather register everything with another selector, and where that fails for some nobody would know
+        // which.
         System.setProperty("io.netty.selectorAutoRebuildThreshold", "0");
     }
 
@@ -26,7 +28,8 @@
 
     /** Costs two turns of the loop, without a wait. */
     static void before(EventLoop loop, Runnable work) {
-        // A task runs in the turn that it is put into, if that goes on; the turn after is the next to ask for sockets. Netty
+        // A task runs in the turn that it is put into, if that goes on; the turn after is the next to ask for sockets.
+        // Netty
         // tells of a connection's end by a task of that turn, so the work goes behind those.
         ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(() -> loop.execute(work)));
     }
--- a/src/main/java/rushproxy/sidecar/SocketOptions.java
+++ b/src/main/java/rushproxy/sidecar/SocketOptions.java
@@ -22,6 +22,7 @@
     private final Map<SocketOption<?>, Object> pending = new LinkedHashMap<>();
     /** Null until the socket belongs to one. */
     private EventLoop loop;
+
     private int tries;
     private boolean scheduled;
     /** Runs once nothing is pending, or no more is tried; null where nobody waits. */
--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -19,7 +19,9 @@
  */
 final class TcpConnection extends NioSocketChannel implements RegistrationRetry.Registered {
     /** Told to the handlers where it could not be read for so long that its peer may have gone unseen. */
-    enum ReadsFail { FOR_LONG }
+    enum ReadsFail {
+        FOR_LONG
+    }
 
     private static final int END = -1;
 
@@ -29,6 +31,7 @@
     private final FailureSpell reads = new FailureSpell(System::nanoTime);
     /** Not asked for readiness to read until the next try. */
     private boolean readPaused;
+
     private boolean toldUnwatched;
     private final FailureSpell writes = new FailureSpell(System::nanoTime);
     private boolean writePaused;
--- a/src/main/java/rushproxy/sidecar/TcpListener.java
+++ b/src/main/java/rushproxy/sidecar/TcpListener.java
@@ -18,8 +18,7 @@
     private final RegistrationRetry registration = new RegistrationRetry(this);
 
     /** One that is to be bound. */
-    TcpListener() {
-    }
+    TcpListener() {}
 
     /** One that listens already. */
     TcpListener(ServerSocketChannel socket) {
--- a/src/main/java/rushproxy/sidecar/UnansweredConnections.java
+++ b/src/main/java/rushproxy/sidecar/UnansweredConnections.java
@@ -10,6 +10,7 @@
 final class UnansweredConnections {
     /** Kinds of ends that are counted apart; what is beyond is counted as one kind. */
     private static final int MOST_KINDS = 32;
+
     private static final String OTHERS = "others";
 
     private final Map<String, Integer> counts = new TreeMap<>();
--- a/src/main/java/rushproxy/sidecar/UnservedRequests.java
+++ b/src/main/java/rushproxy/sidecar/UnservedRequests.java
@@ -10,6 +10,7 @@
     private static final long[] AGES_MS = {10, 100, 1_000};
     /** Reasons beyond that are counted together. */
     private static final int MOST_REASONS = 64;
+
     private static final String OTHERS = "others";
 
     private Map<String, Integer> counts = new TreeMap<>();
@@ -22,7 +23,8 @@
     }
 
     private static String attempts(Exchange x) {
-        return x.attempts.stream().map(call -> call.outcome() == null ? "out" : call.outcome().toString())
+        return x.attempts.stream()
+                .map(call -> call.outcome() == null ? "out" : call.outcome().toString())
                 .collect(Collectors.joining(" ", "[", "]"));
     }
 
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -42,9 +42,11 @@
     private BiConsumer<Call, Channel> release;
     /** The head of the call's answer; null until it has come. */
     private HttpResponse head;
+
     private Outcome outcome;
     /** What is kept of it; null where none is, or none any more. */
     private ByteBuf kept;
+
     private int reserved;
     private long skipped;
     private boolean passing;
@@ -52,10 +54,12 @@
     private boolean passesAtOnce;
     /** All of the answer has been read, and perhaps more. */
     private boolean whole;
+
     private boolean interim;
     private boolean gaveUp;
     /** Bytes read of the connection when it was last looked at. */
     private long readBefore;
+
     private Future<?> timer;
     /** Of the answer that is being read; null between answers. */
     private AnswerProgress progress;
@@ -270,14 +274,17 @@
         Call current = call;
         call = null;
         settle();
-        if (HttpUtil.isKeepAlive(response) && ctx.pipeline().get(AnswerDecoder.class).betweenAnswers()) {
+        if (HttpUtil.isKeepAlive(response)
+                && ctx.pipeline().get(AnswerDecoder.class).betweenAnswers()) {
             ctx.channel().config().setAutoRead(true);
             release.accept(current, ctx.channel());
         } else {
             close(ctx, CloseReason.NOT_KEPT_ALIVE);
         }
-        LoadReport report = LoadReports.read(current.reportInBody()
-                ? body.toString(StandardCharsets.UTF_8) : response.headers().get(Headers.LOAD));
+        LoadReport report = LoadReports.read(
+                current.reportInBody()
+                        ? body.toString(StandardCharsets.UTF_8)
+                        : response.headers().get(Headers.LOAD));
         current.end(told, report, told == Outcome.OK ? body : null);
     }
 
--- a/src/main/java/rushproxy/sidecar/UpstreamList.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamList.java
@@ -22,8 +22,15 @@
                 case "Gone" -> UpstreamState.GONE;
                 default -> throw new IllegalArgumentException("lifecycle '" + e.text("lifecycle") + "' is unknown");
             };
-            entries.add(new Entry(new Upstream(e.text("instanceId"), e.textOr("zone", ""), e.textOr("machineType", ""),
-                    (int) e.numberOr("cell", -1), e.numberOr("startedAtMs", 0) * 1000, e.realOr("weight", 1), state),
+            entries.add(new Entry(
+                    new Upstream(
+                            e.text("instanceId"),
+                            e.textOr("zone", ""),
+                            e.textOr("machineType", ""),
+                            (int) e.numberOr("cell", -1),
+                            e.numberOr("startedAtMs", 0) * 1000,
+                            e.realOr("weight", 1),
+                            state),
                     address(e.text("hostPort"))));
         }
         return new UpstreamList(json.number("generation"), json.flag("reset"), entries);
@@ -37,8 +44,8 @@
             throw new IllegalArgumentException("no address: '" + text + "'");
         }
         try {
-            return new InetSocketAddress(java.net.InetAddress.getByAddress(host),
-                    Integer.parseInt(text.substring(colon + 1)));
+            return new InetSocketAddress(
+                    java.net.InetAddress.getByAddress(host), Integer.parseInt(text.substring(colon + 1)));
         } catch (java.net.UnknownHostException | NumberFormatException e) {
             throw new IllegalArgumentException("no address: '" + text + "'");
         }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -39,6 +39,7 @@
      * nobody asked for, and ends it.
      */
     static final long REST_US = 6_000;
+
     private static final long SWEEP_MS = 1_000;
     /** A connection that this machine fails to open is tried so often, a few milliseconds apart. */
     private static final int MOST_DIALS = 12;
@@ -71,8 +72,7 @@
         }
 
         /** The last byte of the message has been written. */
-        default void sent(Call call) {
-        }
+        default void sent(Call call) {}
     }
 
     /** One message to an upstream, until its outcome. */
@@ -85,11 +85,13 @@
         private final LongFunction<HttpRequest> message;
         /** Null where there is none. */
         private final Body body;
+
         private final Result result;
         private final boolean reportInBody;
         private RunningTime.Mark sent;
         /** When its upstream was given something to act on: a connection to accept, or a message on an old one; null before. */
         private RunningTime.Mark offered;
+
         private Target target;
         private Channel channel;
         private Future<?> timeout;
@@ -99,6 +101,7 @@
         private boolean awaitsRest;
         /** Its first byte has been handed to a connection. */
         private boolean started;
+
         private long startedUs;
         private boolean written;
         private boolean ended;
@@ -109,8 +112,13 @@
         /** Its answer is being passed on. */
         private boolean begun;
 
-        Call(String upstream, long untilUs, boolean reportInBody, LongFunction<HttpRequest> message,
-             Body body, Result result) {
+        Call(
+                String upstream,
+                long untilUs,
+                boolean reportInBody,
+                LongFunction<HttpRequest> message,
+                Body body,
+                Result result) {
             this.upstream = upstream;
             this.untilUs = untilUs;
             this.message = message;
@@ -271,7 +279,8 @@
         }
 
         boolean is(UpstreamList.Entry entry) {
-            return address.equals(entry.address()) && startedUs == entry.upstream().startedUs();
+            return address.equals(entry.address())
+                    && startedUs == entry.upstream().startedUs();
         }
     }
 
@@ -286,12 +295,19 @@
     private final Map<String, Target> targets = new HashMap<>();
     /** Left out by the operators, whatever the list says. */
     private final Set<String> cordoned = new HashSet<>();
+
     private final Future<?> sweep;
     private int connections;
 
     /** {@code restUs}: connections are used again no earlier than this after an answer. */
-    Upstreams(EventLoop loop, RunningTime time, long connIdleUs, long restUs, long dialTimeoutUs, IntSupplier maxConnections,
-              Budget budget) {
+    Upstreams(
+            EventLoop loop,
+            RunningTime time,
+            long connIdleUs,
+            long restUs,
+            long dialTimeoutUs,
+            IntSupplier maxConnections,
+            Budget budget) {
         this.loop = loop;
         this.time = time;
         this.clock = time.clock();
@@ -349,8 +365,10 @@
 
     /** Those listed as ready that the operators don't leave out. */
     List<Upstream> ready() {
-        return targets.entrySet().stream().filter(e -> e.getValue().state == UpstreamState.READY && !cordoned.contains(e.getKey()))
-                .map(e -> e.getValue().upstream).toList();
+        return targets.entrySet().stream()
+                .filter(e -> e.getValue().state == UpstreamState.READY && !cordoned.contains(e.getKey()))
+                .map(e -> e.getValue().upstream)
+                .toList();
     }
 
     /** Whether the list names it, or has named it since the whole list came. */
@@ -451,7 +469,8 @@
             call.timeout.cancel(false);
         }
         // After a hold-up its answer may lie in the socket, and its connection may have come up.
-        call.timeout = loop.schedule(() -> SocketLook.before(loop, () -> timedOut(call)), untilUs - clock.now(), TimeUnit.MICROSECONDS);
+        call.timeout = loop.schedule(
+                () -> SocketLook.before(loop, () -> timedOut(call)), untilUs - clock.now(), TimeUnit.MICROSECONDS);
     }
 
     private void timedOut(Call call) {
@@ -524,7 +543,8 @@
         }
         connections++;
         call.offered = time.mark();
-        call.channel = Dialling.connect(bootstrap, loop, call.target.address, dialTimeoutUs, failure -> dialled(call, failure));
+        call.channel = Dialling.connect(
+                bootstrap, loop, call.target.address, dialTimeoutUs, failure -> dialled(call, failure));
     }
 
     /** {@code failure} is null where the connection is up; it then counts until it is closed. */
@@ -580,8 +600,10 @@
     private boolean dropOldestIdle() {
         Target oldest = null;
         for (Target t : targets.values()) {
-            if (!t.idle.isEmpty() && (oldest == null || connection(t.idle.peekLast()).idleSinceUs
-                    < connection(oldest.idle.peekLast()).idleSinceUs)) {
+            if (!t.idle.isEmpty()
+                    && (oldest == null
+                            || connection(t.idle.peekLast()).idleSinceUs
+                                    < connection(oldest.idle.peekLast()).idleSinceUs)) {
                 oldest = t;
             }
         }
@@ -624,16 +646,23 @@
         }
         ByteBuf body = call.body == null ? Unpooled.EMPTY_BUFFER : call.body.copy();
         head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        call.channel.writeAndFlush(new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body,
-                head.headers(), EmptyHttpHeaders.INSTANCE)).addListener(f -> {
-            if (f.isSuccess()) {
-                call.written = true;
-                call.result.sent(call);
-            } else {
-                close(call.channel, CloseReason.WRITE_FAILED);
-                call.broke();
-            }
-        });
+        call.channel
+                .writeAndFlush(new DefaultFullHttpRequest(
+                        head.protocolVersion(),
+                        head.method(),
+                        head.uri(),
+                        body,
+                        head.headers(),
+                        EmptyHttpHeaders.INSTANCE))
+                .addListener(f -> {
+                    if (f.isSuccess()) {
+                        call.written = true;
+                        call.result.sent(call);
+                    } else {
+                        close(call.channel, CloseReason.WRITE_FAILED);
+                        call.broke();
+                    }
+                });
     }
 
     /** Its first byte could not be written for a moment: what was asked before it is asked again, and the time that it tells is old. */
--- a/src/main/java/rushproxy/sidecar/WarmUp.java
+++ b/src/main/java/rushproxy/sidecar/WarmUp.java
@@ -29,12 +29,15 @@
 final class WarmUp {
     /** The compiler takes a method up after some hundred calls. */
     static final int REQUESTS = 400;
+
     private static final int AT_ONCE = 4;
     /** However little of a core there is, a start is not held up for longer. */
     private static final long MOST_US = 5_000_000;
+
     private static final long REMAINING_US = 1_000_000;
     /** As many as a choice of two needs, and one more. */
     private static final List<String> UPSTREAMS = List.of("self-0", "self-1", "self-2");
+
     private static final String CLIENTS = "clients";
     private static final int TOKEN_BYTES = 16;
     private static final int SEED = 1;
@@ -45,11 +48,13 @@
     private final List<RequestClass> classes;
     /** Nobody else can guess it. */
     private final String uri = "/api/warm-up?" + token();
+
     private final Decisions decisions = new Decisions();
     private final Upstreams upstreams;
     private final Requests requests;
     /** The clients' side: connections on which requests come. */
     private final Upstreams clients;
+
     private Runnable done;
     private long untilUs;
     private int begun;
@@ -64,12 +69,23 @@
         classes = settings.classes();
         upstreams = connections();
         clients = connections();
-        requests = new Requests(loop, clock, decisions, upstreams, new RequestGuard(clock, classes, new Invariants()),
+        requests = new Requests(
+                loop,
+                clock,
+                decisions,
+                upstreams,
+                new RequestGuard(clock, classes, new Invariants()),
                 settings.limits().maxAttempts());
     }
 
     private Upstreams connections() {
-        return new Upstreams(loop, new RunningTime(clock, new LoopDelay()), MOST_US, 0, MOST_US, () -> AT_ONCE,
+        return new Upstreams(
+                loop,
+                new RunningTime(clock, new LoopDelay()),
+                MOST_US,
+                0,
+                MOST_US,
+                () -> AT_ONCE,
                 new Budget(AT_ONCE * Body.KEPT));
     }
 
@@ -108,13 +124,16 @@
             return;
         }
         List<Upstream> list = UPSTREAMS.stream().map(this::upstream).toList();
-        upstreams.update(new UpstreamList(0, true, list.stream().map(u -> new UpstreamList.Entry(u, self)).toList()));
+        upstreams.update(new UpstreamList(
+                0, true, list.stream().map(u -> new UpstreamList.Entry(u, self)).toList()));
         clients.update(new UpstreamList(0, true, List.of(new UpstreamList.Entry(upstream(CLIENTS), self))));
-        decisions.start(actions -> {
-            Balancer module = new Policy(settings, SEED, clock.now(), actions);
-            module.onList(clock.now(), ListKind.FULL, list);
-            return module;
-        }, new Hands());
+        decisions.start(
+                actions -> {
+                    Balancer module = new Policy(settings, SEED, clock.now(), actions);
+                    module.onList(clock.now(), ListKind.FULL, list);
+                    return module;
+                },
+                new Hands());
         for (int i = 0; i < AT_ONCE; i++) {
             request();
         }
@@ -128,7 +147,12 @@
     private void request() {
         out++;
         int number = begun++;
-        clients.start(new Upstreams.Call(CLIENTS, untilUs + REMAINING_US, false, left -> message(number), null,
+        clients.start(new Upstreams.Call(
+                CLIENTS,
+                untilUs + REMAINING_US,
+                false,
+                left -> message(number),
+                null,
                 (call, outcome, report, body) -> {
                     out--;
                     served += outcome == Outcome.OK ? 1 : 0;
@@ -139,8 +163,11 @@
 
     private HttpRequest message(int number) {
         HttpRequest message = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-        message.headers().set(Headers.TXN, "warm-up-" + number).set(Headers.CLASS, classes.get(number % classes.size()).name())
-                .set(Headers.REMAINING, REMAINING_US / 1_000).set(HttpHeaderNames.COOKIE, Headers.KEY_COOKIE + "=" + number);
+        message.headers()
+                .set(Headers.TXN, "warm-up-" + number)
+                .set(Headers.CLASS, classes.get(number % classes.size()).name())
+                .set(Headers.REMAINING, REMAINING_US / 1_000)
+                .set(HttpHeaderNames.COOKIE, Headers.KEY_COOKIE + "=" + number);
         return message;
     }
 
@@ -186,16 +213,14 @@
 
         @Override
         public void probe(String upstream) {
-            decisions.call(m -> m.onProbe(clock.now(), upstream, Outcome.OK, 0, new LoadReport(0, 0, 0)), () -> { });
+            decisions.call(m -> m.onProbe(clock.now(), upstream, Outcome.OK, 0, new LoadReport(0, 0, 0)), () -> {});
         }
 
         @Override
-        public void subscribe() {
-        }
+        public void subscribe() {}
 
         @Override
-        public void tell(int peer, byte[] message) {
-        }
+        public void tell(int peer, byte[] message) {}
 
         @Override
         public void close(String upstream) {
@@ -204,15 +229,17 @@
 
         @Override
         public void timer(String mark, long delayUs) {
-            loop.schedule(() -> {
-                if (!over) {
-                    decisions.call(m -> m.onTimer(clock.now(), mark), requests::failHeld);
-                }
-            }, delayUs, TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (!over) {
+                            decisions.call(m -> m.onTimer(clock.now(), mark), requests::failHeld);
+                        }
+                    },
+                    delayUs,
+                    TimeUnit.MICROSECONDS);
         }
 
         @Override
-        public void log(String text) {
-        }
+        public void log(String text) {}
     }
 }
--- a/src/main/java/rushproxy/wire/LoadValues.java
+++ b/src/main/java/rushproxy/wire/LoadValues.java
@@ -14,7 +14,7 @@
             case "busy_reqs", "inflight" -> inFlight = value;
             case "pending", "queue" -> queued = value;
             case "cpu_share", "util" -> utilisation = value;
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/rushproxy/wire/SettingsReader.java
+++ b/src/main/java/rushproxy/wire/SettingsReader.java
@@ -43,33 +43,64 @@
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < (int) need("profiles.count"); i++) {
             String p = "profiles." + i + ".";
-            classes.add(new RequestClass(word(p + "name"), semantics(word(p + "semantics")),
-                    group(values.getOrDefault(p + "group", "all")), (long) real(p + "window_us", 0),
-                    (long) need(p + "objective_us"), real(p + "aim_stretch", 0), (long) need(p + "give_up_us"),
-                    real(p + "importance", 1), real(p + "late_worth", 0), flag(p + "stream", false)));
+            classes.add(new RequestClass(
+                    word(p + "name"),
+                    semantics(word(p + "semantics")),
+                    group(values.getOrDefault(p + "group", "all")),
+                    (long) real(p + "window_us", 0),
+                    (long) need(p + "objective_us"),
+                    real(p + "aim_stretch", 0),
+                    (long) need(p + "give_up_us"),
+                    real(p + "importance", 1),
+                    real(p + "late_worth", 0),
+                    flag(p + "stream", false)));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < (int) real("accounts.count", 0); i++) {
             String p = "accounts." + i + ".";
             tenants.add(new Tenant(word(p + "name"), real(p + "share", 0), real(p + "quota_rps", 0)));
         }
-        Limits limits = new Limits((int) real("limits.max_attempts", 1), flag("limits.second_copies", false),
-                flag("limits.cancelling", false), flag("limits.probing", false), flag("limits.peers", false),
-                flag("limits.retry_after", false), (long) real("limits.max_retry_after_us", 0),
-                (long) real("limits.conn_idle_us", 15_000_000), real("limits.cpu_us_per_request", 0));
-        Rules rules = new Rules((long) need("rules.drain_grace_us"), need("rules.cold_share"),
-                (long) need("rules.ramp_time_us"), need("rules.fall_multiple"), (long) need("rules.fall_us"),
-                (long) real("rules.ask_every_us", 0), (long) real("rules.answer_slack_us", 0),
+        Limits limits = new Limits(
+                (int) real("limits.max_attempts", 1),
+                flag("limits.second_copies", false),
+                flag("limits.cancelling", false),
+                flag("limits.probing", false),
+                flag("limits.peers", false),
+                flag("limits.retry_after", false),
+                (long) real("limits.max_retry_after_us", 0),
+                (long) real("limits.conn_idle_us", 15_000_000),
+                real("limits.cpu_us_per_request", 0));
+        Rules rules = new Rules(
+                (long) need("rules.drain_grace_us"),
+                need("rules.cold_share"),
+                (long) need("rules.ramp_time_us"),
+                need("rules.fall_multiple"),
+                (long) need("rules.fall_us"),
+                (long) real("rules.ask_every_us", 0),
+                (long) real("rules.answer_slack_us", 0),
                 (long) real("rules.close_on_drain_within_us", 0));
-        Prices prices = new Prices(real("tariffs.cross_zone", 0), real("tariffs.peer", 0), real("tariffs.probe", 0),
-                real("tariffs.connection", 0), real("tariffs.handshake", 0));
-        return new Settings((int) need("me"), (int) need("balancers"), word("zone"),
+        Prices prices = new Prices(
+                real("tariffs.cross_zone", 0),
+                real("tariffs.peer", 0),
+                real("tariffs.probe", 0),
+                real("tariffs.connection", 0),
+                real("tariffs.handshake", 0));
+        return new Settings(
+                (int) need("me"),
+                (int) need("balancers"),
+                word("zone"),
                 Arrays.asList(values.getOrDefault("azs", word("zone")).split(",")),
-                Arrays.asList(values.getOrDefault("kinds", "").split(",")), classes, tenants, limits, rules,
+                Arrays.asList(values.getOrDefault("kinds", "").split(",")),
+                classes,
+                tenants,
+                limits,
+                rules,
                 reports(values.getOrDefault("load_info.how", "off")),
                 values.getOrDefault("discovery", "pushed").equals("on_request"),
-                values.getOrDefault("counted_by", "request").equals("work"), real("over_share_worth", 1),
-                prices, (long) real("period_us", 1000));
+                values.getOrDefault("counted_by", "request").equals("work"),
+                real("over_share_worth", 1),
+                prices,
+                (long) real("period_us", 1000));
     }
 
     /** A connection that is not up within this time never comes up. */
--- a/src/main/java/rushproxy/wire/SimHost.java
+++ b/src/main/java/rushproxy/wire/SimHost.java
@@ -17,8 +17,8 @@
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Request;
-import rushproxy.Balancer.UpstreamState;
 import rushproxy.Balancer.Upstream;
+import rushproxy.Balancer.UpstreamState;
 import rushproxy.Policy;
 
 /** Hosts many isolated instances of the module on the simulator's wire. Translates, decides nothing. */
@@ -136,15 +136,20 @@
                 long seed = f.number();
                 SettingsReader reader = new SettingsReader(f);
                 Balancer.Settings settings = reader.read();
-                guarded(name, () -> instances.put(name,
-                        new Instance(new Policy(settings, seed, now, new Writer(name)), reader.reportFields())));
+                guarded(
+                        name,
+                        () -> instances.put(
+                                name,
+                                new Instance(
+                                        new Policy(settings, seed, now, new Writer(name)), reader.reportFields())));
             }
             case "DOWN" -> instances.remove(name);
             case "ANNOUNCE" -> {
                 ListKind kind = listKind(f.number());
                 f.numberOr(0);
                 int number = (int) f.numberOr(-1);
-                List<Upstream> entries = kind == ListKind.FAILED ? List.of()
+                List<Upstream> entries = kind == ListKind.FAILED
+                        ? List.of()
                         : number >= 0 && number < pages.size() ? pages.get(number) : null;
                 if (entries == null) {
                     throw new WireException("ANNOUNCE names PAGE " + number + ", which was never sent");
@@ -170,8 +175,9 @@
                 long latency = f.numberOr(0);
                 boolean done = f.flag();
                 LoadReport report = report(f.textOrNull(), instance.reportFields);
-                guarded(name, () -> instance.balancer.onOutcome(now, id, attempt, upstream, outcome, latency, done,
-                        report));
+                guarded(
+                        name,
+                        () -> instance.balancer.onOutcome(now, id, attempt, upstream, outcome, latency, done, report));
             }
             case "OPENED" -> {
                 String id = f.text();
@@ -214,8 +220,10 @@
             died = true;
             by(name);
             StackTraceElement[] trace = e.getStackTrace();
-            reply.append("DIE ").append(e.toString().replace('\n', ' '))
-                    .append(trace.length > 0 ? " at " + trace[0] : "").append('\n');
+            reply.append("DIE ")
+                    .append(e.toString().replace('\n', ' '))
+                    .append(trace.length > 0 ? " at " + trace[0] : "")
+                    .append('\n');
         }
     }
 
@@ -289,7 +297,13 @@
 
         @Override
         public void send(String request, String upstream, long untilUs) {
-            line("ASSIGN ").append(request).append(' ').append(upstream).append(' ').append(untilUs).append('\n');
+            line("ASSIGN ")
+                    .append(request)
+                    .append(' ')
+                    .append(upstream)
+                    .append(' ')
+                    .append(untilUs)
+                    .append('\n');
         }
 
         @Override
@@ -319,7 +333,11 @@
 
         @Override
         public void tell(int peer, byte[] message) {
-            line("WRITE_PEER ").append(peer).append(' ').append(Base64.getEncoder().encodeToString(message)).append('\n');
+            line("WRITE_PEER ")
+                    .append(peer)
+                    .append(' ')
+                    .append(Base64.getEncoder().encodeToString(message))
+                    .append('\n');
         }
 
         @Override
--- a/src/test/java/rushproxy/ColdRampTest.java
+++ b/src/test/java/rushproxy/ColdRampTest.java
@@ -15,9 +15,9 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import rushproxy.Balancer.Group;
-import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Limits;
 import rushproxy.Balancer.ListKind;
+import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Prices;
 import rushproxy.Balancer.Reports;
@@ -80,8 +80,8 @@
         final Random random;
         final int n;
         final Reports reports;
-        final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atUs != b.atUs ? Long.compare(a.atUs, b.atUs)
-                : Long.compare(a.order, b.order));
+        final PriorityQueue<Event> events = new PriorityQueue<>(
+                (a, b) -> a.atUs != b.atUs ? Long.compare(a.atUs, b.atUs) : Long.compare(a.order, b.order));
         final List<Policy> fleet = new ArrayList<>();
         final Server[] servers = new Server[SERVERS];
         final java.util.Map<String, double[]> works = new java.util.HashMap<>();
@@ -108,18 +108,32 @@
             for (int c = 0; c < 3; c++) {
                 means[c] = (40 + 80 * random.nextDouble()) * 1_000;
                 long aim = (long) (means[c] * (3 + 4 * random.nextDouble()));
-                classes.add(new RequestClass("c" + c, Semantics.SAFE, Group.ALL, 5 * S, aim, 0, 4 * aim, 1 + c, 0, false));
+                classes.add(
+                        new RequestClass("c" + c, Semantics.SAFE, Group.ALL, 5 * S, aim, 0, 4 * aim, 1 + c, 0, false));
             }
             int slow = random.nextInt(2);
             for (int i = 0; i < SERVERS; i++) {
                 // Two speeds, and each server somewhat off its kind.
-                servers[i] = new Server((i % 2 == slow ? 0.9 : 1.8) * Math.exp(0.15 * random.nextGaussian()), i == 0 ? now + 4 * S : 0);
+                servers[i] = new Server(
+                        (i % 2 == slow ? 0.9 : 1.8) * Math.exp(0.15 * random.nextGaussian()), i == 0 ? now + 4 * S : 0);
             }
             for (int me = 0; me < n; me++) {
-                Settings settings = new Settings(me, n, "z", List.of("z"), List.of("k0", "k1"), classes, List.of(),
+                Settings settings = new Settings(
+                        me,
+                        n,
+                        "z",
+                        List.of("z"),
+                        List.of("k0", "k1"),
+                        classes,
+                        List.of(),
                         new Limits(3, false, true, false, false, true, S, 15 * S, 0),
-                        new Rules(S / 2, cold, rampUs, multiple, windowUs, 10 * S, 5_000, 0), reports, false,
-                        false, 0.1, new Prices(0, 0, 0, 0, 0), 1_000);
+                        new Rules(S / 2, cold, rampUs, multiple, windowUs, 10 * S, 5_000, 0),
+                        reports,
+                        false,
+                        false,
+                        0.1,
+                        new Prices(0, 0, 0, 0, 0),
+                        1_000);
                 int sidecar = me;
                 fleet.add(new Policy(settings, random.nextLong(), now, new Hands(sidecar)));
             }
@@ -140,13 +154,16 @@
         }
 
         double capacity(Server s, long us) {
-            double warm = s.startedUs == 0 ? 1 : cold + (1 - cold) * Math.max(0, Math.min(1, (us - s.startedUs) / (double) rampUs));
+            double warm = s.startedUs == 0
+                    ? 1
+                    : cold + (1 - cold) * Math.max(0, Math.min(1, (us - s.startedUs) / (double) rampUs));
             return CORES * s.speed * warm;
         }
 
         Found run() {
             double mean = (means[0] + means[1] + means[2]) / 3;
-            double all = Arrays.stream(servers).mapToDouble(s -> CORES * s.speed).sum() * 1e6 / mean;
+            double all =
+                    Arrays.stream(servers).mapToDouble(s -> CORES * s.speed).sum() * 1e6 / mean;
             // From quiet to a crowd that no fleet could serve.
             double rate = all * (0.4 + 1.6 * random.nextDouble());
             double[] part = new double[n];
@@ -161,7 +178,9 @@
                 fleet.get(i).onList(now, ListKind.FULL, list(false));
                 double own = rate * part[i] / sum / 1e6;
                 at(now + gap(own), () -> arrive(me, own, end));
-                at(servers[0].startedUs + random.nextInt(100_000), () -> fleet.get(me).onList(now, ListKind.FULL, list(true)));
+                at(
+                        servers[0].startedUs + random.nextInt(100_000),
+                        () -> fleet.get(me).onList(now, ListKind.FULL, list(true)));
             }
             for (Event e; (e = events.poll()) != null && e.atUs < end; ) {
                 now = e.atUs;
@@ -181,7 +200,8 @@
             double cv = 0.7;
             double sigma = Math.sqrt(Math.log(1 + cv * cv));
             works.put(id, new double[] {means[c] * Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2), 0});
-            fleet.get(sidecar).onRequest(now, new Request(id, -1, false, false, 0, (long) (means[c] * 16), null, "c" + c));
+            fleet.get(sidecar)
+                    .onRequest(now, new Request(id, -1, false, false, 0, (long) (means[c] * 16), null, "c" + c));
         }
 
         private void begin(Server s) {
@@ -193,8 +213,19 @@
                     s.running--;
                     begin(s);
                     served++;
-                    LoadReport report = reports == Reports.NONE ? null : new LoadReport(s.running + s.queue.size(), s.queue.size(), 0.5);
-                    fleet.get(call.sidecar).onOutcome(now, call.id, call.number, call.server, Outcome.OK, now - call.sentUs, true, report);
+                    LoadReport report = reports == Reports.NONE
+                            ? null
+                            : new LoadReport(s.running + s.queue.size(), s.queue.size(), 0.5);
+                    fleet.get(call.sidecar)
+                            .onOutcome(
+                                    now,
+                                    call.id,
+                                    call.number,
+                                    call.server,
+                                    Outcome.OK,
+                                    now - call.sentUs,
+                                    true,
+                                    report);
                 });
             }
         }
@@ -241,32 +272,25 @@
             }
 
             @Override
-            public void refuse(String request, long retryAfterUs) {
-            }
+            public void refuse(String request, long retryAfterUs) {}
 
             @Override
-            public void fail(String request) {
-            }
+            public void fail(String request) {}
 
             @Override
-            public void cancel(String request, int attempt) {
-            }
+            public void cancel(String request, int attempt) {}
 
             @Override
-            public void probe(String upstream) {
-            }
+            public void probe(String upstream) {}
 
             @Override
-            public void subscribe() {
-            }
+            public void subscribe() {}
 
             @Override
-            public void tell(int peer, byte[] message) {
-            }
+            public void tell(int peer, byte[] message) {}
 
             @Override
-            public void close(String upstream) {
-            }
+            public void close(String upstream) {}
 
             @Override
             public void timer(String mark, long delayUs) {
@@ -274,8 +298,7 @@
             }
 
             @Override
-            public void log(String text) {
-            }
+            public void log(String text) {}
         }
     }
 
@@ -283,8 +306,10 @@
      * By the number of sidecars: of 1,000 seeds the one that came nearest to the bound, and the one that went furthest beyond it
      * (or nearest to it) where the cold budget was taken out of the module.
      */
-    private static final Map<Integer, int[]> HARD = new TreeMap<>(Map.of(5, new int[] {1357, 1815}, 20, new int[] {1766, 1983},
-            30, new int[] {1652, 1872}, 120, new int[] {1040, 1489}));
+    private static final Map<Integer, int[]> HARD = new TreeMap<>(
+            Map.of(5, new int[] {1357, 1815}, 20, new int[] {1766, 1983}, 30, new int[] {1652, 1872}, 120, new int[] {
+                1040, 1489
+            }));
 
     @Test
     void theFleetStaysInsideTheBudgetOfTheTrueCapacity() {
@@ -293,7 +318,9 @@
                 for (int seed : seeds) {
                     Found f = new Play(seed, n, reports).run();
                     assertTrue(f.toCold > 0, "nobody warms it");
-                    assertTrue(f.calls <= 0 && f.work <= 0, () -> n + " sidecars, seed " + seed + ", reports " + reports + ": " + f);
+                    assertTrue(
+                            f.calls <= 0 && f.work <= 0,
+                            () -> n + " sidecars, seed " + seed + ", reports " + reports + ": " + f);
                 }
             }
         });
@@ -322,8 +349,19 @@
                 sent += f.toCold;
                 served += f.served;
             }
-            System.out.printf(Locale.ROOT, "reports %s, %d sidecars, %d seeds: excess %.1f calls, %.1f of mean work, over in %d, "
-                    + "worst seed %d, sent %.0f, served %.3f%n", reports, n, seeds, calls, work, over, worst, sent / seeds, served / seeds);
+            System.out.printf(
+                    Locale.ROOT,
+                    "reports %s, %d sidecars, %d seeds: excess %.1f calls, %.1f of mean work, over in %d, "
+                            + "worst seed %d, sent %.0f, served %.3f%n",
+                    reports,
+                    n,
+                    seeds,
+                    calls,
+                    work,
+                    over,
+                    worst,
+                    sent / seeds,
+                    served / seeds);
         }
     }
 }
--- a/src/test/java/rushproxy/KnowledgeTest.java
+++ b/src/test/java/rushproxy/KnowledgeTest.java
@@ -46,9 +46,24 @@
     }
 
     private static Balancer.Settings settings() {
-        Balancer.RequestClass c = new Balancer.RequestClass("c", Balancer.Semantics.SAFE, Balancer.Group.ALL, 0, 1, 0, 1, 1, 0, false);
-        return new Balancer.Settings(0, 2, "za", List.of("za", "zb", "zc"), List.of("k"), List.of(c), List.of(), null, null,
-                Balancer.Reports.INLINE, false, false, 0, null, 1);
+        Balancer.RequestClass c =
+                new Balancer.RequestClass("c", Balancer.Semantics.SAFE, Balancer.Group.ALL, 0, 1, 0, 1, 1, 0, false);
+        return new Balancer.Settings(
+                0,
+                2,
+                "za",
+                List.of("za", "zb", "zc"),
+                List.of("k"),
+                List.of(c),
+                List.of(),
+                null,
+                null,
+                Balancer.Reports.INLINE,
+                false,
+                false,
+                0,
+                null,
+                1);
     }
 
     @Test
--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -29,9 +29,15 @@
     private Process start(String config, String shell) throws Exception {
         Path file = folder.resolve("config.json");
         Files.writeString(file, config);
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", shell,
+        ProcessBuilder builder = new ProcessBuilder(
+                "/bin/sh",
+                "-c",
+                shell,
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "rushproxy.Main", "serve");
+                "-cp",
+                System.getProperty("java.class.path"),
+                "rushproxy.Main",
+                "serve");
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.redirectError(folder.resolve("log").toFile());
@@ -39,8 +45,10 @@
     }
 
     private List<String> log() throws Exception {
-        return Files.readString(folder.resolve("log"), StandardCharsets.UTF_8).lines()
-                .filter(l -> !l.startsWith("Picked up ")).toList();
+        return Files.readString(folder.resolve("log"), StandardCharsets.UTF_8)
+                .lines()
+                .filter(l -> !l.startsWith("Picked up "))
+                .toList();
     }
 
     @Test
@@ -73,7 +81,7 @@
     @Test
     void askedToReloadItWatchesTheNewAddressAndLivesOn() throws Exception {
         try (ServerSocket before = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-             ServerSocket after = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+                ServerSocket after = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             String config = CONFIG.replace("on_request", "pushed");
             Process p = start(config.replace("127.0.0.1:9", "127.0.0.1:" + before.getLocalPort()));
             try (Socket old = before.accept()) {
@@ -81,7 +89,8 @@
                 Files.writeString(folder.resolve("config.json"), "{");
                 hangUp(p);
                 awaitLog(p, "nothing reloaded");
-                Files.writeString(folder.resolve("config.json"),
+                Files.writeString(
+                        folder.resolve("config.json"),
                         config.replace("127.0.0.1:9", "127.0.0.1:" + after.getLocalPort()));
                 hangUp(p);
                 try (Socket fresh = after.accept()) {
@@ -101,7 +110,7 @@
     @Test
     void aConfigurationThatCanNotBeReadForAMomentIsReadAgain() throws Exception {
         try (ServerSocket before = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-             ServerSocket after = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+                ServerSocket after = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             after.setSoTimeout(20_000);
             String config = CONFIG.replace("on_request", "pushed");
             Process p = start(config.replace("127.0.0.1:9", "127.0.0.1:" + before.getLocalPort()));
@@ -110,7 +119,8 @@
                 Files.writeString(folder.resolve("config.json"), "{");
                 hangUp(p);
                 awaitLog(p, "nothing reloaded");
-                Files.writeString(folder.resolve("config.json"),
+                Files.writeString(
+                        folder.resolve("config.json"),
                         config.replace("127.0.0.1:9", "127.0.0.1:" + after.getLocalPort()));
                 try (Socket fresh = after.accept()) {
                     assertTrue(p.isAlive(), log().toString());
@@ -126,7 +136,8 @@
     @Test
     void anAddressThatIsTakenForAMomentIsWaitedFor() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            Process p = start(CONFIG.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + taken.getLocalPort() + "\""));
+            Process p = start(CONFIG.replace(
+                    "\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + taken.getLocalPort() + "\""));
             try {
                 assertTrue(!p.waitFor(1_500, TimeUnit.MILLISECONDS), log().toString());
                 taken.close();
@@ -169,8 +180,12 @@
     void askedToReloadWhileItStartsItDoesSoAndLives() throws Exception {
         Path file = folder.resolve("config.json");
         assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "rushproxy.Main", "serve");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "rushproxy.Main",
+                "serve");
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.redirectError(folder.resolve("log").toFile());
@@ -182,8 +197,10 @@
                 hangUp(p);
                 // Handled by now, or it would have ended the process by now: it waits for the rest of the file.
                 assertTrue(!p.waitFor(500, TimeUnit.MILLISECONDS), log().toString());
-                Files.writeString(folder.resolve("next.json"), CONFIG.replace("on_request", "pushed")
-                        .replace("127.0.0.1:9", "127.0.0.1:" + moved.getLocalPort()));
+                Files.writeString(
+                        folder.resolve("next.json"),
+                        CONFIG.replace("on_request", "pushed")
+                                .replace("127.0.0.1:9", "127.0.0.1:" + moved.getLocalPort()));
                 // What is open stays the pipe; what is read next is this.
                 Files.move(folder.resolve("next.json"), file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
                 first.write(CONFIG.replace("on_request", "pushed").getBytes(StandardCharsets.US_ASCII));
@@ -203,17 +220,30 @@
         StringBuilder servers = new StringBuilder();
         StringBuilder peers = new StringBuilder();
         for (int i = 0; i < 1_024; i++) {
-            servers.append(i == 0 ? "" : ",").append("{\n    \"instanceId\": \"s").append(i).append("\",\n    \"hostPort\": \"127.0.0.1:")
-                    .append(20_000 + i).append("\",\n    \"zone\": \"z\",\n    \"machineType\": \"k\",\n    \"cell\": 1,\n    \"lifecycle\": ")
+            servers.append(i == 0 ? "" : ",")
+                    .append("{\n    \"instanceId\": \"s")
+                    .append(i)
+                    .append("\",\n    \"hostPort\": \"127.0.0.1:")
+                    .append(20_000 + i)
+                    .append(
+                            "\",\n    \"zone\": \"z\",\n    \"machineType\": \"k\",\n    \"cell\": 1,\n    \"lifecycle\": ")
                     .append("\"Ready\",\n    \"weight\": 1.0,\n    \"startedAtMs\": 0\n  }");
-            peers.append(i == 0 ? "" : ",").append("\"127.0.0.1:").append(30_000 + i).append('"');
+            peers.append(i == 0 ? "" : ",")
+                    .append("\"127.0.0.1:")
+                    .append(30_000 + i)
+                    .append('"');
         }
-        String config = CONFIG.replace("\"instances\":[]", "\"instances\":[" + servers + "]").replace("\"balancers\":1", "\"balancers\":1024")
-                .replace("\"peer_listen\"", "\"fleet\":{\"members\":true,\"shared\":true},\"peers\":[" + peers + "],\"peer_listen\"");
+        String config = CONFIG.replace("\"instances\":[]", "\"instances\":[" + servers + "]")
+                .replace("\"balancers\":1", "\"balancers\":1024")
+                .replace(
+                        "\"peer_listen\"",
+                        "\"fleet\":{\"members\":true,\"shared\":true},\"peers\":[" + peers + "],\"peer_listen\"");
         Process p = start(config, "exec \"$0\" -XX:+UseSerialGC -Xmx16m -XX:MaxDirectMemorySize=40m \"$@\"");
         try {
             awaitLog(p, " serves on ");
-            assertTrue(log().stream().noneMatch(l -> l.contains("OutOfMemory") || l.contains("failed: java")), log().toString());
+            assertTrue(
+                    log().stream().noneMatch(l -> l.contains("OutOfMemory") || l.contains("failed: java")),
+                    log().toString());
         } finally {
             p.destroy();
             p.waitFor();
--- a/src/test/java/rushproxy/ModuleLimitsTest.java
+++ b/src/test/java/rushproxy/ModuleLimitsTest.java
@@ -9,9 +9,10 @@
 
 /** On-call reads the whole module at night: it stays short and narrow. */
 class ModuleLimitsTest {
-    private static final List<String> MODULE =
-            List.of("src/main/java/rushproxy/Policy.java", "src/main/java/rushproxy/State.java",
-                    "src/main/java/rushproxy/SlowStart.java");
+    private static final List<String> MODULE = List.of(
+            "src/main/java/rushproxy/Policy.java",
+            "src/main/java/rushproxy/State.java",
+            "src/main/java/rushproxy/SlowStart.java");
 
     @Test
     void linesAndWidth() throws Exception {
@@ -28,7 +29,8 @@
     @Test
     void theDeployFileNamesTheWholeModule() throws Exception {
         String deploy = Files.readString(Path.of("deploy/balancer.toml"));
-        String policy = deploy.lines().filter(l -> l.startsWith("policy")).findFirst().orElse("");
+        String policy =
+                deploy.lines().filter(l -> l.startsWith("policy")).findFirst().orElse("");
         for (String file : MODULE) {
             assertTrue(policy.contains(file), file);
         }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -48,8 +48,8 @@
     @Test
     void whatIsOfMostWorthGoesFirst() {
         Rig rig = new Rig();
-        rig.otherClasses = List.of(new RequestClass("rich", Semantics.SAFE, Group.ALL, 4_000_000, 900_000, 0, 2_000_000,
-                30, 0, false));
+        rig.otherClasses = List.of(
+                new RequestClass("rich", Semantics.SAFE, Group.ALL, 4_000_000, 900_000, 0, 2_000_000, 30, 0, false));
         rig.start().list(A);
         int busy = 0;
         while (rig.take("send").size() == busy) {
@@ -302,7 +302,10 @@
             rig.after(3_000_000);
             rig.policy.onCordon(rig.now, "a", false, rig.now);
             for (int i = 0; i < 40 && rig.take("send").stream().noneMatch(a -> a.contains(" a ")); i++) {
-                rig.request("r" + i).after(20_000).outcome("r" + i, 0, "b", Outcome.OK, 20_000).after(80_000);
+                rig.request("r" + i)
+                        .after(20_000)
+                        .outcome("r" + i, 0, "b", Outcome.OK, 20_000)
+                        .after(80_000);
             }
             assertTrue(rig.take("send").stream().anyMatch(a -> a.contains(" a ")), "seed " + seed);
         }
@@ -321,7 +324,8 @@
                 rig.request("r" + i).outcome("r" + i, 0, "a", Outcome.OK, 5_000).after(5_000);
             }
         }
-        assertTrue(back.take("send").size() < warm.take("send").size(),
+        assertTrue(
+                back.take("send").size() < warm.take("send").size(),
                 back.take("send").size() + " of " + warm.take("send").size());
     }
 
@@ -330,8 +334,8 @@
     @Test
     void nothingGoesToAServerToldDrainingOrGone() {
         Rig rig = new Rig().start().list(A, B);
-        rig.policy.onList(rig.now, ListKind.DELTA,
-                List.of(new Upstream("a", "za", "k", 1, 0, 1, UpstreamState.DRAINING)));
+        rig.policy.onList(
+                rig.now, ListKind.DELTA, List.of(new Upstream("a", "za", "k", 1, 0, 1, UpstreamState.DRAINING)));
         rig.request("r1").request("r2");
         rig.policy.onList(rig.now, ListKind.FULL, List.of(A));
         rig.after(1).request("r3");
@@ -519,7 +523,10 @@
         assertEquals(0, rig.take("close").size());
         rig.after(1_800_000).request("r2");
         assertEquals(1, rig.take("close a").size());
-        rig.after(75_000).outcome("r2", 0, "a", Outcome.OK, 75_000).after(500_000).request("r3");
+        rig.after(75_000)
+                .outcome("r2", 0, "a", Outcome.OK, 75_000)
+                .after(500_000)
+                .request("r3");
         assertEquals(1, rig.take("close a").size(), "hardly idle: kept");
     }
 
@@ -672,8 +679,7 @@
         for (long t = 0; t < 120_000; t++) {
             rig.after(1_000);
             if (t % 15 == 0) {
-                rig.policy.onRequest(rig.now, new Request("r" + next, -1, false, false, 100_000, 4_000_000, null,
-                        "c"));
+                rig.policy.onRequest(rig.now, new Request("r" + next, -1, false, false, 100_000, 4_000_000, null, "c"));
                 next++;
             }
             rig.fire("hold");
@@ -749,8 +755,11 @@
             if (answers) {
                 rig.request("r3").after(50_000).outcome("r3", 0, "a", Outcome.OK, 50_000);
             }
-            rig.after(700_000).outcome("r1", 0, "a", Outcome.TIMEOUT, 800_000)
-                    .outcome("r2", 0, "a", Outcome.TIMEOUT, 800_000).after(20_000).request("n");
+            rig.after(700_000)
+                    .outcome("r1", 0, "a", Outcome.TIMEOUT, 800_000)
+                    .outcome("r2", 0, "a", Outcome.TIMEOUT, 800_000)
+                    .after(20_000)
+                    .request("n");
             assertEquals(answers ? "a" : null, rig.sentTo("n", 0));
         }
     }
--- a/src/test/java/rushproxy/Rig.java
+++ b/src/test/java/rushproxy/Rig.java
@@ -47,10 +47,22 @@
         RequestClass c = new RequestClass("c", semantics, group, windowUs, aimUs, 0, 800_000, 3, 0, stream);
         List<RequestClass> classes = new ArrayList<>(otherClasses);
         classes.add(c);
-        Settings settings = new Settings(me, balancers, "za", List.of("za", "zb", "zc"), List.of("k"), classes, tenants,
+        Settings settings = new Settings(
+                me,
+                balancers,
+                "za",
+                List.of("za", "zb", "zc"),
+                List.of("k"),
+                classes,
+                tenants,
                 new Limits(maxAttempts, secondCopies, true, probing, peers, true, 1_000_000, 15_000_000, 0),
-                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, closeOnDrainUs), reports, onRequest,
-                false, 0.1, new Prices(crossZonePrice, 0.01, 0.002, connectionPrice, connectionPrice), 1000);
+                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, closeOnDrainUs),
+                reports,
+                onRequest,
+                false,
+                0.1,
+                new Prices(crossZonePrice, 0.01, 0.002, connectionPrice, connectionPrice),
+                1000);
         policy = new Policy(settings, seed, now, this);
         return this;
     }
--- a/src/test/java/rushproxy/SharedFactsTest.java
+++ b/src/test/java/rushproxy/SharedFactsTest.java
@@ -38,7 +38,10 @@
                 rig.after(20_000).outcome(id, 0, rig.sentTo(id, 0), Outcome.OK, 20_000);
             }
         }
-        return rig.take("send ").stream().skip(before).filter(a -> a.split(" ")[2].equals(server)).count();
+        return rig.take("send ").stream()
+                .skip(before)
+                .filter(a -> a.split(" ")[2].equals(server))
+                .count();
     }
 
     @Test
@@ -77,7 +80,9 @@
     void noWordUndoesACordonOrADrain() {
         Rig rig = rig();
         rig.policy.onCordon(rig.now, "s1", true, rig.now);
-        rig.list(Rig.up("s0", "za", 0), Rig.up("s1", "za", 1),
+        rig.list(
+                Rig.up("s0", "za", 0),
+                Rig.up("s1", "za", 1),
                 new Upstream("s2", "za", "k", 2, 0, 1, UpstreamState.DRAINING));
         told(rig, "s1", Evidence.GOOD, 1, true);
         told(rig, "s2", Evidence.GOOD, 1, true);
@@ -95,7 +100,9 @@
         assertEquals(List.of("evidence " + at + " SILENT"), rig.take("evidence "));
         rig.after(3 * S);
         sent(rig, at, 60);
-        assertTrue(rig.take("evidence ").contains("evidence " + at + " GOOD"), rig.take("evidence ").toString());
+        assertTrue(
+                rig.take("evidence ").contains("evidence " + at + " GOOD"),
+                rig.take("evidence ").toString());
     }
 
     @Test
@@ -121,12 +128,14 @@
         long cold = sent(rig, "s1", 60);
         assertTrue(cold < warm, cold + " and " + warm);
         // Nobody's word makes it warm before its time.
-        Rig other = new Rig().start().list(Rig.up("s0", "za", 0),
-                new Upstream("s1", "za", "k", 1, rig.now - S, 1, UpstreamState.READY));
+        Rig other = new Rig()
+                .start()
+                .list(Rig.up("s0", "za", 0), new Upstream("s1", "za", "k", 1, rig.now - S, 1, UpstreamState.READY));
         other.now = rig.now;
         told(other, "s1", Evidence.COLD, 1_000, true);
-        Rig without = new Rig().start().list(Rig.up("s0", "za", 0),
-                new Upstream("s1", "za", "k", 1, rig.now - S, 1, UpstreamState.READY));
+        Rig without = new Rig()
+                .start()
+                .list(Rig.up("s0", "za", 0), new Upstream("s1", "za", "k", 1, rig.now - S, 1, UpstreamState.READY));
         without.now = rig.now;
         assertEquals(sent(without, "s1", 60), sent(other, "s1", 60));
     }
@@ -183,7 +192,8 @@
         Rig rig = rig();
         weigh(rig, Map.of("s1", 0.2));
         long part = sent(rig, "s1", 600);
-        // Without a weight a third; of 1 + 1 + 0.2 shares a server of 0.2 is drawn first or second and wins in some 200 / 2.2 cases.
+        // Without a weight a third; of 1 + 1 + 0.2 shares a server of 0.2 is drawn first or second and wins in some 200
+        // / 2.2 cases.
         assertTrue(part > 20 && part < 110, "of 600: " + part);
         weigh(rig, Map.of("s1", 0.0));
         assertEquals(0, sent(rig, "s1", 200));
--- a/src/test/java/rushproxy/SlowStartTest.java
+++ b/src/test/java/rushproxy/SlowStartTest.java
@@ -28,9 +28,22 @@
     private final Server server = server();
 
     private static Settings settings(int me) {
-        return new Settings(me, SIDECARS, "a", List.of("a"), List.of("k"), List.of(), List.of(),
-                new Limits(3, true, true, false, false, true, 0, 5_000_000, 0), new Rules(0, 0.2, RAMP_US, 3, WINDOW_US, 0, 0, 0),
-                Reports.NONE, false, true, 0, new Prices(0, 0, 0, 0, 0), 1_000);
+        return new Settings(
+                me,
+                SIDECARS,
+                "a",
+                List.of("a"),
+                List.of("k"),
+                List.of(),
+                List.of(),
+                new Limits(3, true, true, false, false, true, 0, 5_000_000, 0),
+                new Rules(0, 0.2, RAMP_US, 3, WINDOW_US, 0, 0, 0),
+                Reports.NONE,
+                false,
+                true,
+                0,
+                new Prices(0, 0, 0, 0, 0),
+                1_000);
     }
 
     private static Server server() {
--- a/src/test/java/rushproxy/StartTest.java
+++ b/src/test/java/rushproxy/StartTest.java
@@ -14,14 +14,16 @@
 /** A sidecar's start loads nothing of what only people use. */
 @Timeout(120)
 class StartTest {
-    private static final String NOT_OF_SERVE = "rushproxy\\.(lab|cli)|picocli|com\\.fasterxml\\.jackson\\.(databind|dataformat)"
-            + "|org\\.HdrHistogram|org\\.apache\\.commons";
+    private static final String NOT_OF_SERVE =
+            "rushproxy\\.(lab|cli)|picocli|com\\.fasterxml\\.jackson\\.(databind|dataformat)"
+                    + "|org\\.HdrHistogram|org\\.apache\\.commons";
 
     private static final String CONFIG = """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","known":{"generation":1,"reset":true,"instances":[]},
              "settings":{"me":0,"balancers":1,"zone":"z","discovery":"on_request",
               "profiles":[{"name":"c","semantics":"safe","objective_us":1,"give_up_us":1}],
               "rules":{"drain_grace_us":1,"cold_share":0.2,"ramp_time_us":1,"fall_multiple":3,"fall_us":1}}}""";
+
     @TempDir
     Path folder;
 
@@ -30,8 +32,13 @@
         Path config = Files.writeString(folder.resolve("config.json"), CONFIG);
         Path loaded = folder.resolve("loaded");
         Path log = folder.resolve("log");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xlog:class+load:file=" + loaded, "-cp", System.getProperty("java.class.path"), "rushproxy.Main", "serve");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xlog:class+load:file=" + loaded,
+                "-cp",
+                System.getProperty("java.class.path"),
+                "rushproxy.Main",
+                "serve");
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", config.toString());
         Process p = builder.redirectError(log.toFile()).start();
@@ -45,7 +52,12 @@
             assertTrue(p.waitFor(60, TimeUnit.SECONDS));
         }
         List<String> classes = Files.readAllLines(loaded);
-        assertTrue(classes.stream().anyMatch(l -> l.contains(" rushproxy.sidecar.Sidecar ")), "nothing was written down");
-        assertEquals(List.of(), classes.stream().filter(l -> l.matches(".* (" + NOT_OF_SERVE + ")\\..*")).toList());
+        assertTrue(
+                classes.stream().anyMatch(l -> l.contains(" rushproxy.sidecar.Sidecar ")), "nothing was written down");
+        assertEquals(
+                List.of(),
+                classes.stream()
+                        .filter(l -> l.matches(".* (" + NOT_OF_SERVE + ")\\..*"))
+                        .toList());
     }
 }
--- a/src/test/java/rushproxy/cli/ReleaseJournalTest.java
+++ b/src/test/java/rushproxy/cli/ReleaseJournalTest.java
@@ -25,10 +25,16 @@
 class ReleaseJournalTest {
     private static final long S = 1_000_000;
     private static final Gate.Rule RULE = new Gate.Rule(10 * S, 300 * S, 100, 0.01, 0.02, 1.25, 0.3);
-    private static final Plan PLAN = new Plan("r1", Order.Selector.of("kind=new"), List.of(new Plan.Stage(0.05, RULE),
-            new Plan.Stage(0.25, RULE), new Plan.Stage(1, RULE)), 0.05, 5 * S);
+    private static final Plan PLAN = new Plan(
+            "r1",
+            Order.Selector.of("kind=new"),
+            List.of(new Plan.Stage(0.05, RULE), new Plan.Stage(0.25, RULE), new Plan.Stage(1, RULE)),
+            0.05,
+            5 * S);
+
     @TempDir
     Path folder;
+
     private final CountedFleet fleet = new CountedFleet();
     private long now = 1_000 * S;
 
@@ -98,8 +104,10 @@
                     Conductor.Step last = known == 0 ? null : j.steps().get(known - 1);
                     Conductor next = new Conductor(PLAN, 2, last, now, s -> keep(j, s));
                     if (last != null) {
-                        assertEquals(last.order().state() + " " + last.order().weight(), next.last().order().state() + " "
-                                + next.last().order().weight());
+                        assertEquals(
+                                last.order().state() + " " + last.order().weight(),
+                                next.last().order().state() + " "
+                                        + next.last().order().weight());
                         assertEquals(2, next.last().order().epoch());
                     }
                     play(next, 100);
@@ -131,7 +139,10 @@
                 int records = j.steps().size();
                 assertTrue(length == whole.length ? records == 2 : records < 2);
                 long kept = Files.size(path);
-                assertTrue(kept == length ? j.cut() == null : j.cut().contains("after record " + records + " were half written"));
+                assertTrue(
+                        kept == length
+                                ? j.cut() == null
+                                : j.cut().contains("after record " + records + " were half written"));
             }
         }
         byte[] spoilt = whole.clone();
@@ -142,7 +153,12 @@
             assertNotNull(j.cut());
         }
         Files.write(path, whole);
-        Files.write(path, new byte[] {0, 0, 0, 1, (byte) 0xE8, (byte) 0xB7, (byte) 0xBE, 0x43, 'a'}, StandardOpenOption.APPEND);
-        assertTrue(assertThrows(IOException.class, () -> new ReleaseJournal(path)).getMessage().contains("record 3 is no step"));
+        Files.write(
+                path,
+                new byte[] {0, 0, 0, 1, (byte) 0xE8, (byte) 0xB7, (byte) 0xBE, 0x43, 'a'},
+                StandardOpenOption.APPEND);
+        assertTrue(assertThrows(IOException.class, () -> new ReleaseJournal(path))
+                .getMessage()
+                .contains("record 3 is no step"));
     }
 }
--- a/src/test/java/rushproxy/fleet/member/MembershipTest.java
+++ b/src/test/java/rushproxy/fleet/member/MembershipTest.java
@@ -22,6 +22,7 @@
     private static final long S = 1_000_000;
     /** Bounds that docs/MEMBERSHIP.md states. */
     private static final long DEAD_BY = 4 * S;
+
     private static final long HEALED_BY = 20 * S;
 
     private static MemberSim fleet(int n, long seed, double loss) {
@@ -37,8 +38,13 @@
         while (!sim.agree() && sim.us() < until) {
             sim.until(sim.us() + 100_000);
         }
-        assertTrue(sim.agree(), () -> "not whole: " + sim.nodes().stream().map(n -> n.name + " sees "
-                + (n.up() ? n.membership().view() : "-")).toList());
+        assertTrue(
+                sim.agree(),
+                () -> "not whole: "
+                        + sim.nodes().stream()
+                                .map(n -> n.name + " sees "
+                                        + (n.up() ? n.membership().view() : "-"))
+                                .toList());
     }
 
     private static boolean noted(Node n, String text) {
@@ -134,7 +140,9 @@
         }
         sim.cut((from, to) -> false);
         wholeAgain(sim, HEALED_BY);
-        sim.nodes().forEach(n -> assertEquals(View.Standing.MAJORITY, n.membership().view().standing()));
+        sim.nodes()
+                .forEach(n -> assertEquals(
+                        View.Standing.MAJORITY, n.membership().view().standing()));
     }
 
     @Test
@@ -201,7 +209,8 @@
             old.onTick(1_700_000_000_000_000L + sim.us());
             sim.until(sim.us() + 100_000);
             for (Node n : sim.nodes()) {
-                assertFalse(MemberSim.state(n, node) == Member.State.DEAD || MemberSim.state(n, node) == Member.State.LEFT,
+                assertFalse(
+                        MemberSim.state(n, node) == Member.State.DEAD || MemberSim.state(n, node) == Member.State.LEFT,
                         "at " + n.name);
                 assertTrue(n.membership().view().here() <= 6, n.name + " counts both");
             }
@@ -228,7 +237,8 @@
         assertEquals(1, at.membership().member(victim).slot);
         assertEquals(incarnation, at.membership().member(victim).incarnation());
         assertEquals(null, at.membership().member(ghost));
-        assertTrue(at.membership().here(victim) && at.membership().here(liar.membership().self().id()));
+        assertTrue(at.membership().here(victim)
+                && at.membership().here(liar.membership().self().id()));
         // Where the place is silent it may be another's.
         sim.kill(liar);
         sim.until(8 * S);
@@ -254,7 +264,9 @@
         sim.until(5 * S);
         sim.start(twin);
         sim.until(60 * S);
-        assertTrue(noted(sim.node(1), "another process of this name"), sim.node(1).notes.toString());
+        assertTrue(
+                noted(sim.node(1), "another process of this name"),
+                sim.node(1).notes.toString());
         assertTrue(noted(twin, "another process of this name"), twin.notes.toString());
         assertTrue(sim.node(1).membership().isQuiet() && !twin.membership().isQuiet());
         int before = sim.node(0).notes.size();
@@ -332,11 +344,14 @@
     void spoiltDatagramsChangeNothing() {
         MemberSim sim = fleet(5, 17, 0);
         SplittableRandom random = new SplittableRandom(17);
-        Envelope good = Envelope.from(Envelope.id("n1"), sim.node(1).membership().self().incarnation());
+        Envelope good =
+                Envelope.from(Envelope.id("n1"), sim.node(1).membership().self().incarnation());
         byte[] whole = good.add(6, ByteBuffer.allocate(36).put(new byte[36])).bytes(-1);
         for (int i = 0; i < 20_000; i++) {
             byte[] bytes = Arrays.copyOf(whole, random.nextInt(2) == 0 ? whole.length : random.nextInt(whole.length));
-            for (int flips = random.nextInt(4) + (bytes.length == whole.length ? 1 : 0); flips > 0 && bytes.length > 0; flips--) {
+            for (int flips = random.nextInt(4) + (bytes.length == whole.length ? 1 : 0);
+                    flips > 0 && bytes.length > 0;
+                    flips--) {
                 bytes[random.nextInt(bytes.length)] ^= (byte) (1 << random.nextInt(8));
             }
             sim.deliver(sim.node(1), sim.node(0), bytes);
@@ -356,9 +371,19 @@
             ByteBuffer b = ByteBuffer.allocate(Member.BYTES);
             Envelope.put48(b, Envelope.id("n2"));
             Envelope.put48(b, lie[0]);
-            b.put((byte) lie[1]).put((byte) lie[2]).putShort((short) 2).put((byte) 1).put((byte) 0);
-            sim.deliver(sim.node(1), n0, Envelope.from(Envelope.id("n1"), sim.node(1).membership().self().incarnation())
-                    .add(6, b).bytes(-1));
+            b.put((byte) lie[1])
+                    .put((byte) lie[2])
+                    .putShort((short) 2)
+                    .put((byte) 1)
+                    .put((byte) 0);
+            sim.deliver(
+                    sim.node(1),
+                    n0,
+                    Envelope.from(
+                                    Envelope.id("n1"),
+                                    sim.node(1).membership().self().incarnation())
+                            .add(6, b)
+                            .bytes(-1));
             assertEquals(Member.State.ALIVE, MemberSim.state(n0, sim.node(2)));
             assertEquals(now, n0.membership().member(Envelope.id("n2")).incarnation());
         }
@@ -374,9 +399,17 @@
         ByteBuffer b = ByteBuffer.allocate(Member.BYTES);
         Envelope.put48(b, Envelope.id("n3"));
         Envelope.put48(b, incarnation + 5);
-        b.put((byte) Member.State.DEAD.ordinal()).put((byte) 0).putShort((short) 3).put((byte) 1).put((byte) 0);
-        sim.deliver(sim.node(1), sim.node(0), Envelope.from(Envelope.id("n1"), sim.node(1).membership().self().incarnation())
-                .add(6, b).bytes(-1));
+        b.put((byte) Member.State.DEAD.ordinal())
+                .put((byte) 0)
+                .putShort((short) 3)
+                .put((byte) 1)
+                .put((byte) 0);
+        sim.deliver(
+                sim.node(1),
+                sim.node(0),
+                Envelope.from(Envelope.id("n1"), sim.node(1).membership().self().incarnation())
+                        .add(6, b)
+                        .bytes(-1));
         assertEquals(Member.State.DEAD, MemberSim.state(sim.node(0), sim.node(3)));
         sim.until(sim.us() + 2 * S);
         wholeAgain(sim, HEALED_BY);
@@ -387,9 +420,11 @@
     @Test
     void anEnvelopeNeverHasTheLengthThatIsTaken() {
         for (int section = 0; section < 200; section++) {
-            Envelope e = Envelope.from(5, 6).add(200, ByteBuffer.allocate(section).put(new byte[section]));
+            Envelope e =
+                    Envelope.from(5, 6).add(200, ByteBuffer.allocate(section).put(new byte[section]));
             int length = e.bytes(-1).length;
-            Envelope again = Envelope.from(5, 6).add(200, ByteBuffer.allocate(section).put(new byte[section]));
+            Envelope again =
+                    Envelope.from(5, 6).add(200, ByteBuffer.allocate(section).put(new byte[section]));
             byte[] padded = again.bytes(length);
             assertEquals(length + 1, padded.length);
             assertEquals(1, Envelope.read(padded).sections().size());
--- a/src/test/java/rushproxy/fleet/release/ConductorTest.java
+++ b/src/test/java/rushproxy/fleet/release/ConductorTest.java
@@ -14,8 +14,12 @@
 class ConductorTest {
     private static final long S = 1_000_000;
     static final Gate.Rule RULE = new Gate.Rule(10 * S, 300 * S, 100, 0.01, 0.02, 1.25, 0.3);
-    static final Plan PLAN = new Plan("r1", Order.Selector.of("kind=new"), List.of(new Plan.Stage(0.05, RULE),
-            new Plan.Stage(0.25, RULE), new Plan.Stage(1, RULE)), 0.05, 5 * S);
+    static final Plan PLAN = new Plan(
+            "r1",
+            Order.Selector.of("kind=new"),
+            List.of(new Plan.Stage(0.05, RULE), new Plan.Stage(0.25, RULE), new Plan.Stage(1, RULE)),
+            0.05,
+            5 * S);
     private final CountedFleet fleet = new CountedFleet();
     private final List<Conductor.Step> kept = new ArrayList<>();
     private long now = 1_000 * S;
@@ -28,7 +32,11 @@
     }
 
     private String steps() {
-        return String.join(" ", kept.stream().map(s -> s.order().state() + ":" + s.order().weight()).toList());
+        return String.join(
+                " ",
+                kept.stream()
+                        .map(s -> s.order().state() + ":" + s.order().weight())
+                        .toList());
     }
 
     @Test
@@ -90,8 +98,14 @@
     @Test
     void plansThatCantBeAreRefused() {
         assertThrows(IllegalArgumentException.class, () -> new Plan("r", Order.Selector.of("kind=k"), List.of(), 0, S));
-        assertThrows(IllegalArgumentException.class, () -> new Plan("r", Order.Selector.of("kind=k"),
-                List.of(new Plan.Stage(0.5, RULE), new Plan.Stage(0.2, RULE)), 0, S));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new Plan(
+                        "r",
+                        Order.Selector.of("kind=k"),
+                        List.of(new Plan.Stage(0.5, RULE), new Plan.Stage(0.2, RULE)),
+                        0,
+                        S));
     }
 
     @Test
--- a/src/test/java/rushproxy/fleet/release/CountedFleet.java
+++ b/src/test/java/rushproxy/fleet/release/CountedFleet.java
@@ -13,7 +13,9 @@
     public Map<String, Map<String, Pair>> second() {
         Map<String, Map<String, Pair>> reports = new HashMap<>();
         for (int i = 0; i < 4; i++) {
-            Pair old = counted.containsKey("n" + i) ? counted.get("n" + i).get("read") : new Pair(new Tally(), new Tally());
+            Pair old = counted.containsKey("n" + i)
+                    ? counted.get("n" + i).get("read")
+                    : new Pair(new Tally(), new Tally());
             Pair pair = new Pair(old.fresh().since(null), old.control().since(null));
             for (int a = 0; a < 20; a++) {
                 if (a < badOf20) {
--- a/src/test/java/rushproxy/fleet/release/GateTest.java
+++ b/src/test/java/rushproxy/fleet/release/GateTest.java
@@ -29,8 +29,11 @@
     }
 
     /** Batches of a second until a verdict other than to wait; null where there is none in the time. */
-    private static Gate.Ruling play(Gate gate, int seconds, java.util.function.IntFunction<Tally> fresh,
-                                    java.util.function.IntFunction<Tally> control) {
+    private static Gate.Ruling play(
+            Gate gate,
+            int seconds,
+            java.util.function.IntFunction<Tally> fresh,
+            java.util.function.IntFunction<Tally> control) {
         for (int s = 0; s < seconds; s++) {
             gate.add("read in a", fresh.apply(s), control.apply(s));
             Gate.Ruling r = gate.rule(s * S);
@@ -57,7 +60,8 @@
         for (long seed = 1; seed <= 20; seed++) {
             for (Release bad : new Release[] {new Release(0.2, 1, false, 0, true), new Release(0, 3, false, 0, true)}) {
                 Judged j = GateFigures.judge(bad, 200, 0.2, RULE, seed);
-                assertTrue(j.verdict() == Verdict.HALT || j.verdict() == Verdict.BACK, bad + ", seed " + seed + ": " + j);
+                assertTrue(
+                        j.verdict() == Verdict.HALT || j.verdict() == Verdict.BACK, bad + ", seed " + seed + ": " + j);
                 assertTrue(j.afterS() < RULE.leastUs() / S, "before it would have gone on: " + j);
             }
         }
@@ -86,7 +90,8 @@
     @Test
     void goodForAMinuteAndThenBadIsFoundWhileTheStageLasts() {
         Gate.Rule slow = new Gate.Rule(120 * S, 600 * S, 200, 0.01, 0.02, 1.25, 0.3);
-        Gate.Ruling r = play(new Gate(slow), 115, s -> tally(20, 10_000, s < 60 ? 0 : 4, 0), s -> tally(60, 10_000, 0, 0));
+        Gate.Ruling r =
+                play(new Gate(slow), 115, s -> tally(20, 10_000, s < 60 ? 0 : 4, 0), s -> tally(60, 10_000, 0, 0));
         assertTrue(r.verdict() != Verdict.ON, r.toString());
     }
 
@@ -94,10 +99,16 @@
     void aFaultThatHitsBothTellsNothing() {
         Gate gate = new Gate(RULE);
         assertEquals(null, play(gate, 60, s -> tally(10, 10_000, 10, 0), s -> tally(30, 10_000, 30, 0)));
-        assertEquals("control servers fail too: nothing can be told", gate.rule(60 * S).why());
+        assertEquals(
+                "control servers fail too: nothing can be told",
+                gate.rule(60 * S).why());
         // And slowness of both is none of the new ones'.
         Gate other = new Gate(RULE);
-        Gate.Ruling r = play(other, 60, s -> tally(20, s < 10 ? 10_000 : 40_000, 0, 0), s -> tally(60, s < 10 ? 10_000 : 40_000, 0, 0));
+        Gate.Ruling r = play(
+                other,
+                60,
+                s -> tally(20, s < 10 ? 10_000 : 40_000, 0, 0),
+                s -> tally(60, s < 10 ? 10_000 : 40_000, 0, 0));
         assertEquals(Verdict.ON, r.verdict(), r.why());
     }
 
@@ -108,7 +119,10 @@
             gate.add("read in a", tally(1, 10_000, 0, 0), tally(2, 10_000, 0, 0));
             Gate.Ruling r = gate.rule(minute * 60 * S);
             assertEquals(Verdict.WAIT, r.verdict());
-            assertEquals((minute + 1) + " answers of new and " + 2 * (minute + 1) + " of control servers, 200 of each are wanted", r.why());
+            assertEquals(
+                    (minute + 1) + " answers of new and " + 2 * (minute + 1)
+                            + " of control servers, 200 of each are wanted",
+                    r.why());
         }
         Gate.Ruling r = gate.rule(600 * S);
         assertTrue(r.verdict() == Verdict.HALT && r.why().startsWith("it can't be told in time"), r.toString());
--- a/src/test/java/rushproxy/fleet/release/OrdersTest.java
+++ b/src/test/java/rushproxy/fleet/release/OrdersTest.java
@@ -23,7 +23,8 @@
 
     @BeforeEach
     void start() {
-        sim = new SharedSim(31, 6, 2, 0.1, 0.05, 30_000).tables(Table.VERDICTS, Table.LIMITS, Table.COUNTS, Table.ORDERS);
+        sim = new SharedSim(31, 6, 2, 0.1, 0.05, 30_000)
+                .tables(Table.VERDICTS, Table.LIMITS, Table.COUNTS, Table.ORDERS);
         sim.startAll();
         sim.until(2 * S);
         orders = new Orders[6];
@@ -57,7 +58,8 @@
         for (int at = 0; at < 6; at++) {
             assertEquals(0.1, weight(at, true));
         }
-        assertTrue(sim.node(5).notes.stream().anyMatch(n -> n.contains("release r1, epoch 1, step 0: on, weight 0.1 for kind=new")));
+        assertTrue(sim.node(5).notes.stream()
+                .anyMatch(n -> n.contains("release r1, epoch 1, step 0: on, weight 0.1 for kind=new")));
         assertNull(give(0, order(1, 1, Order.State.DONE, 1)));
         sim.until(14 * S);
         assertEquals(1, weight(3, true));
@@ -115,11 +117,17 @@
     @Test
     void ofTwoReleasesTheLowerWeightHolds() {
         assertNull(give(0, order(1, 0, Order.State.ON, 0.5)));
-        assertNull(give(0, new Order("r2", 1, 0, Order.State.ON, 0.2, 0, Order.Selector.of("zone=a,started-after=1000"))));
+        assertNull(
+                give(0, new Order("r2", 1, 0, Order.State.ON, 0.2, 0, Order.Selector.of("zone=a,started-after=1000"))));
         orders[0].look(sim.node(0).clock(), true);
         Upstream both = up("s1", "new", "a", 1, 2_000);
-        assertEquals(Map.of("s1", 0.2, "s2", 0.5, "s3", 0.2), orders[0].weights(List.of(both, up("s2", "new", "b", 1, 0),
-                up("s3", "old", "a", 1, 1_001), up("s4", "old", "a", 1, 1_000))));
+        assertEquals(
+                Map.of("s1", 0.2, "s2", 0.5, "s3", 0.2),
+                orders[0].weights(List.of(
+                        both,
+                        up("s2", "new", "b", 1, 0),
+                        up("s3", "old", "a", 1, 1_001),
+                        up("s4", "old", "a", 1, 1_000))));
         assertEquals(2, orders[0].of(both).size());
     }
 
@@ -129,15 +137,33 @@
             assertEquals(words, Order.Selector.of(words).words());
         }
         assertTrue(Order.Selector.of("ids=a+b").takes(up("b", "k", "z", 1, 0)));
-        for (String[] bad : new String[][] {{"", "'' is no NAME=VALUE"}, {"kind", "'kind' is no NAME=VALUE"}, {"pod=x", "'pod=x': no whole number"},
-                {"color=red", "'color' is not ids, kind, zone, pod or started-after"}, {"ids=a,kind=k", "ids go with nothing else"}}) {
-            String said = assertThrows(IllegalArgumentException.class, () -> Order.Selector.of(bad[0])).getMessage();
+        for (String[] bad : new String[][] {
+            {"", "'' is no NAME=VALUE"},
+            {"kind", "'kind' is no NAME=VALUE"},
+            {"pod=x", "'pod=x': no whole number"},
+            {"color=red", "'color' is not ids, kind, zone, pod or started-after"},
+            {"ids=a,kind=k", "ids go with nothing else"}
+        }) {
+            String said = assertThrows(IllegalArgumentException.class, () -> Order.Selector.of(bad[0]))
+                    .getMessage();
             assertTrue(said.contains(bad[1]), said);
         }
-        assertThrows(IllegalArgumentException.class, () -> new Order("r", 1, 0, Order.State.ON, 1, 0,
-                Order.Selector.of("ids=" + "server-of-a-long-name+".repeat(8) + "x")));
-        assertThrows(IllegalArgumentException.class, () -> new Order("r", 0, 0, Order.State.ON, 1, 0, Order.Selector.of("kind=k")));
-        assertThrows(IllegalArgumentException.class, () -> new Order("r", 1, 0, Order.State.ON, 1.1, 0, Order.Selector.of("kind=k")));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new Order(
+                        "r",
+                        1,
+                        0,
+                        Order.State.ON,
+                        1,
+                        0,
+                        Order.Selector.of("ids=" + "server-of-a-long-name+".repeat(8) + "x")));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new Order("r", 0, 0, Order.State.ON, 1, 0, Order.Selector.of("kind=k")));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new Order("r", 1, 0, Order.State.ON, 1.1, 0, Order.Selector.of("kind=k")));
     }
 
     @Test
--- a/src/test/java/rushproxy/fleet/shared/LimitsTest.java
+++ b/src/test/java/rushproxy/fleet/shared/LimitsTest.java
@@ -27,12 +27,17 @@
     }
 
     private static double sum(SharedSim sim) {
-        return sim.nodes().stream().filter(SharedSim.Node::up).mapToDouble(LimitsTest::share).sum();
+        return sim.nodes().stream()
+                .filter(SharedSim.Node::up)
+                .mapToDouble(LimitsTest::share)
+                .sum();
     }
 
     private static void demand(SharedSim sim, long everyUs, java.util.function.IntToDoubleFunction of) {
         sim.later(everyUs, () -> {
-            sim.nodes().stream().filter(SharedSim.Node::up).forEach(n -> n.limits().demand(n.clock(), "all", of.applyAsDouble(n.number)));
+            sim.nodes().stream()
+                    .filter(SharedSim.Node::up)
+                    .forEach(n -> n.limits().demand(n.clock(), "all", of.applyAsDouble(n.number)));
             demand(sim, everyUs, of);
         });
     }
@@ -47,7 +52,8 @@
             sim.startAll();
             demand(sim, 200_000, i -> wants[i]);
             long of = seed;
-            sim.each(us -> assertTrue(sum(sim) <= MOST * (1 + 1e-9), () -> "seed " + of + ", " + us + " us: " + sum(sim)));
+            sim.each(us ->
+                    assertTrue(sum(sim) <= MOST * (1 + 1e-9), () -> "seed " + of + ", " + us + " us: " + sum(sim)));
             for (int step = 0; step < 30; step++) {
                 sim.until(sim.us() + draw.nextInt(1_500_000));
                 wants[draw.nextInt(8)] = draw.nextInt(3) * 40;
@@ -57,7 +63,7 @@
                     case 1 -> sim.cut((a, b) -> false);
                     case 2 -> sim.kill(sim.node(draw.nextInt(8)));
                     case 3 -> sim.start(sim.node(draw.nextInt(8)));
-                    default -> { }
+                    default -> {}
                 }
             }
         }
@@ -74,7 +80,8 @@
         assertTrue(share(sim.node(5)) >= 5, "what is needed there stays: " + share(sim.node(5)));
         hot[0] = 7;
         sim.until(16 * S);
-        assertTrue(share(sim.node(7)) > 45 && share(sim.node(2)) >= 5, share(sim.node(7)) + " and " + share(sim.node(2)));
+        assertTrue(
+                share(sim.node(7)) > 45 && share(sim.node(2)) >= 5, share(sim.node(7)) + " and " + share(sim.node(2)));
     }
 
     @Test
@@ -114,14 +121,19 @@
         for (SharedSim.Node n : sim.nodes()) {
             assertEquals(10, share(n), 1e-6);
             Share orders = n.limits().shares(n.clock(), S).get(1);
-            assertTrue(orders.inFlight() && orders.scope() == Scope.CLASS && orders.of().equals("order") && orders.share() == 2);
+            assertTrue(orders.inFlight()
+                    && orders.scope() == Scope.CLASS
+                    && orders.of().equals("order")
+                    && orders.share() == 2);
         }
         assertTrue(sim.node(3).limits().unset(sim.node(3).clock(), "all"));
         assertFalse(sim.node(3).limits().unset(sim.node(3).clock(), "none"));
         sim.until(16 * S);
         sim.nodes().forEach(n -> assertEquals(25, share(n), 1e-6));
         String text = "x".repeat(41);
-        assertThrows(IllegalArgumentException.class, () -> Limits.checked(new Limits.Limit("n", Scope.TENANT, text, false, 1)));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> Limits.checked(new Limits.Limit("n", Scope.TENANT, text, false, 1)));
     }
 
     @Test
@@ -140,7 +152,8 @@
         Host host = new Host() {
             @Override
             public void send(int peer, byte[] datagram) {
-                java.nio.ByteBuffer b = java.nio.ByteBuffer.wrap(Envelope.read(datagram).sections().get(0).bytes());
+                java.nio.ByteBuffer b = java.nio.ByteBuffer.wrap(
+                        Envelope.read(datagram).sections().get(0).bytes());
                 Envelope.get48(b);
                 b.getShort();
                 if (b.getFloat() > 0) {
@@ -149,7 +162,7 @@
             }
 
             @Override
-            public void note(String event) { }
+            public void note(String event) {}
         };
         Group group = new Group() {
             @Override
@@ -179,7 +192,10 @@
             java.nio.ByteBuffer ask = java.nio.ByteBuffer.allocate(16);
             Envelope.put48(ask, Envelope.id("all"));
             ask.putShort((short) 1).putFloat((float) (MOST / fleet / fleet / 2)).putFloat((float) MOST);
-            lender.onLetter(now, i, Envelope.read(Envelope.from(1_000 + i, 1).add(30, ask).bytes(-1)));
+            lender.onLetter(
+                    now,
+                    i,
+                    Envelope.read(Envelope.from(1_000 + i, 1).add(30, ask).bytes(-1)));
         }
         assertEquals(fleet - 1, lentTo.size());
     }
--- a/src/test/java/rushproxy/fleet/shared/StoreTest.java
+++ b/src/test/java/rushproxy/fleet/shared/StoreTest.java
@@ -42,7 +42,9 @@
     void aWriteIsKnownToNearlyAllWithinTheBound(int members, double loss) {
         for (long seed = 1; seed <= 10; seed++) {
             SharedFigures.Spread s = SharedFigures.spread(members, loss, seed);
-            assertTrue(s.ms99() <= SharedFigures.SPREAD_MS, members + " members, loss " + loss + ", seed " + seed + ": " + s);
+            assertTrue(
+                    s.ms99() <= SharedFigures.SPREAD_MS,
+                    members + " members, loss " + loss + ", seed " + seed + ": " + s);
         }
     }
 
@@ -63,10 +65,16 @@
                     case 2 -> sim.cut((a, b) -> false);
                     case 3 -> sim.kill(n);
                     case 4 -> sim.start(n);
-                    case 5 -> sim.node(step % 9).store().drop(sim.node(step % 9).clock(), Table.LIMITS, draw.nextInt(4));
+                    case 5 ->
+                        sim.node(step % 9).store().drop(sim.node(step % 9).clock(), Table.LIMITS, draw.nextInt(4));
                     default -> {
                         if (n.up()) {
-                            n.store().put(n.clock(), draw.nextBoolean() ? Table.LIMITS : Table.COUNTS, draw.nextInt(4), value(step));
+                            n.store()
+                                    .put(
+                                            n.clock(),
+                                            draw.nextBoolean() ? Table.LIMITS : Table.COUNTS,
+                                            draw.nextInt(4),
+                                            value(step));
                         }
                     }
                 }
@@ -106,8 +114,10 @@
         sim.node(3).store().put(sim.node(3).clock(), Table.LIMITS, 7, value(2));
         sim.until(10 * S);
         sim.nodes().forEach(n -> assertEquals(2, limit(n, 7), "n" + n.number));
-        assertTrue(sim.node(0).notes.stream().anyMatch(x -> x.contains("clock is off by 36000")
-                || x.contains("clock is off by 35999")), sim.node(0).notes.toString());
+        assertTrue(
+                sim.node(0).notes.stream()
+                        .anyMatch(x -> x.contains("clock is off by 36000") || x.contains("clock is off by 35999")),
+                sim.node(0).notes.toString());
         sim.jump(sim.node(0), -3_600 * S);
         sim.until(20 * S);
         sim.node(0).store().put(sim.node(0).clock(), Table.LIMITS, 7, value(4));
@@ -145,7 +155,10 @@
         assertTrue(r.holds() && Math.abs(r.ageUs() - 4 * S) < S / 2, r.toString());
         sim.cut((a, b) -> true);
         sim.until(12 * S);
-        assertFalse(sim.node(2).store().read(sim.node(2).clock(), Table.VERDICTS, 7, id).holds());
+        assertFalse(sim.node(2)
+                .store()
+                .read(sim.node(2).clock(), Table.VERDICTS, 7, id)
+                .holds());
         sim.until(18 * S);
         assertNull(sim.node(2).store().read(sim.node(2).clock(), Table.VERDICTS, 7, id), "its lease has ended");
     }
@@ -165,7 +178,8 @@
         assertTrue(sim.agree());
         List<Read> kept = sim.node(0).store().all(sim.node(0).clock(), small);
         assertEquals(20, kept.size());
-        kept.forEach(r -> assertTrue(kept.stream().filter(o -> o.key() == r.key()).count() <= 2));
+        kept.forEach(r ->
+                assertTrue(kept.stream().filter(o -> o.key() == r.key()).count() <= 2));
         assertTrue(sim.node(0).notes.stream().anyMatch(n -> n.contains("the table of verdicts is full")));
     }
 
@@ -174,7 +188,10 @@
         Table later = new Table(9, "of tomorrow", true, false, 10, 5, 8, 60_000);
         SharedSim sim = new SharedSim(10, 4, 1, 0, 0, 30_000);
         for (int i = 0; i < 4; i++) {
-            sim.tables(i < 2 ? new Table[] {Table.LIMITS, Table.VERDICTS, later} : new Table[] {Table.LIMITS, Table.COUNTS, Table.VERDICTS});
+            sim.tables(
+                    i < 2
+                            ? new Table[] {Table.LIMITS, Table.VERDICTS, later}
+                            : new Table[] {Table.LIMITS, Table.COUNTS, Table.VERDICTS});
             sim.start(sim.node(i));
         }
         sim.until(S);
@@ -206,7 +223,12 @@
         }
         sim.until(12 * S);
         for (int at = 0; at < 4; at++) {
-            assertTrue(sim.node(at).store().all(sim.node(at).clock(), Table.VERDICTS).isEmpty(), "n" + at);
+            assertTrue(
+                    sim.node(at)
+                            .store()
+                            .all(sim.node(at).clock(), Table.VERDICTS)
+                            .isEmpty(),
+                    "n" + at);
         }
     }
 
@@ -220,7 +242,9 @@
         for (int i = 0; i < 20_000; i++) {
             byte[] bytes = new byte[draw.nextInt(200)];
             draw.nextBytes(bytes);
-            byte[] noise = Envelope.from(sim.node(0).id, 1).add(20 + draw.nextInt(6), ByteBuffer.allocate(200).put(bytes)).bytes(-1);
+            byte[] noise = Envelope.from(sim.node(0).id, 1)
+                    .add(20 + draw.nextInt(6), ByteBuffer.allocate(200).put(bytes))
+                    .bytes(-1);
             sim.deliver(sim.node(0), sim.node(1), noise);
         }
         assertEquals(1, limit(sim.node(1), 7));
--- a/src/test/java/rushproxy/fleet/shared/VerdictsTest.java
+++ b/src/test/java/rushproxy/fleet/shared/VerdictsTest.java
@@ -42,7 +42,10 @@
     }
 
     private Verdicts.Case of(int member, String server) {
-        return sim.node(member).cases().stream().filter(c -> c.server().equals(server)).findFirst().orElse(null);
+        return sim.node(member).cases().stream()
+                .filter(c -> c.server().equals(server))
+                .findFirst()
+                .orElse(null);
     }
 
     private boolean holds(int member, String server) {
@@ -69,7 +72,9 @@
         sees("s3", Evidence.SILENT, 1, 6 * S, 0, 1);
         sim.until(8 * S);
         assertEquals(8, whereHolds("s3").size());
-        assertTrue(noted(5, "s3 is silent by word of") && noted(5, "n0 ("), sim.node(5).notes.toString());
+        assertTrue(
+                noted(5, "s3 is silent by word of") && noted(5, "n0 ("),
+                sim.node(5).notes.toString());
         sim.until(6 * S + (Table.VERDICTS.leaseMs() + 1_000) * 1_000 + Verdicts.FRESH_US);
         assertTrue(whereHolds("s3").isEmpty());
         assertTrue(noted(5, "nothing is held against s3 any more"));
@@ -136,7 +141,9 @@
         }
         sim.until(8 * S);
         assertTrue(whereHolds("s0").isEmpty() && whereHolds("s3").isEmpty());
-        assertTrue(noted(6, "4 of 12 servers: too many to believe, none counts"), sim.node(6).notes.toString());
+        assertTrue(
+                noted(6, "4 of 12 servers: too many to believe, none counts"),
+                sim.node(6).notes.toString());
     }
 
     @Test
@@ -147,7 +154,8 @@
         sees("s2", Evidence.SILENT, 1, 30 * S, 4);
         sim.until(10 * S);
         assertTrue(whereHolds("s2").isEmpty(), "it is no second witness");
-        assertTrue(noted(1, "this sidecar accuses 8 of 12 servers: it is itself the suspect, and tells nobody"),
+        assertTrue(
+                noted(1, "this sidecar accuses 8 of 12 servers: it is itself the suspect, and tells nobody"),
                 sim.node(1).notes.toString());
     }
 
@@ -156,13 +164,20 @@
     void aLiarWhoAccusesAllIsLeftOut() {
         for (int s = 0; s < 12; s++) {
             byte[] word = {(byte) Evidence.FAILING.ordinal(), 0, 16, 9, 1};
-            sim.node(1).store().put(sim.node(1).clock(), Table.VERDICTS, rushproxy.fleet.Envelope.id("s" + s),
-                    java.util.Arrays.copyOf(word, 6));
+            sim.node(1)
+                    .store()
+                    .put(
+                            sim.node(1).clock(),
+                            Table.VERDICTS,
+                            rushproxy.fleet.Envelope.id("s" + s),
+                            java.util.Arrays.copyOf(word, 6));
         }
         sees("s2", Evidence.SILENT, 1, 30 * S, 4);
         sim.until(6 * S);
         assertTrue(whereHolds("s2").isEmpty());
-        assertTrue(noted(5, "n1 accuses") && noted(5, "of 12 servers: its word is left out"), sim.node(5).notes.toString());
+        assertTrue(
+                noted(5, "n1 accuses") && noted(5, "of 12 servers: its word is left out"),
+                sim.node(5).notes.toString());
     }
 
     @Test
--- a/src/test/java/rushproxy/fleet/shared/WarmStartTest.java
+++ b/src/test/java/rushproxy/fleet/shared/WarmStartTest.java
@@ -32,8 +32,7 @@
         }
 
         @Override
-        public void note(String event) {
-        }
+        public void note(String event) {}
 
         @Override
         public int size() {
@@ -66,7 +65,10 @@
     private List<byte[]> answers(long sinceUs, byte[] knows, int place) {
         Net out = new Net();
         WarmStart old = new WarmStart(100 + place, 2, -1, T - sinceUs, 6, out, out, () -> knows);
-        net.sent.stream().filter(s -> s.to == place).limit(1).forEach(s -> old.onLetter(T, 0, Envelope.read(s.bytes), 7));
+        net.sent.stream()
+                .filter(s -> s.to == place)
+                .limit(1)
+                .forEach(s -> old.onLetter(T, 0, Envelope.read(s.bytes), 7));
         return out.sent.stream().map(Sent::bytes).toList();
     }
 
@@ -132,7 +134,13 @@
         WarmStart w = fresh();
         w.onTick(T, 1);
         for (byte[] section : new byte[][] {{0, 0, 1}, {3, 2, 1}, {-1, 2, 1}, {0, 99, 1}, {0}}) {
-            w.onLetter(T, 1, Envelope.read(Envelope.from(9, 1).add(41, java.nio.ByteBuffer.allocate(8).put(section)).bytes(-1)), 1);
+            w.onLetter(
+                    T,
+                    1,
+                    Envelope.read(Envelope.from(9, 1)
+                            .add(41, java.nio.ByteBuffer.allocate(8).put(section))
+                            .bytes(-1)),
+                    1);
         }
         assertTrue(w.take().isEmpty());
     }
--- a/src/test/java/rushproxy/known/KnownRed.java
+++ b/src/test/java/rushproxy/known/KnownRed.java
@@ -27,8 +27,11 @@
         if (method.isEmpty()) {
             return ConditionEvaluationResult.enabled("a class");
         }
-        String test = context.getRequiredTestClass().getSimpleName() + "#" + method.get().getName();
-        return read(Path.of(FILE)).stream().filter(entry -> entry.test().equals(test)).findFirst()
+        String test = context.getRequiredTestClass().getSimpleName() + "#"
+                + method.get().getName();
+        return read(Path.of(FILE)).stream()
+                .filter(entry -> entry.test().equals(test))
+                .findFirst()
                 .map(entry -> ConditionEvaluationResult.disabled("known red: " + entry))
                 .orElse(ConditionEvaluationResult.enabled("not listed"));
     }
--- a/src/test/java/rushproxy/known/KnownRedEntry.java
+++ b/src/test/java/rushproxy/known/KnownRedEntry.java
@@ -14,14 +14,16 @@
  */
 record KnownRedEntry(String test, String command, String seed, String seen, int issue) {
     private static final String FIELD = "([^| ][^|]*)";
-    private static final Pattern LINE = Pattern.compile("(\\w+#\\w+) \\| command: " + FIELD + " \\| seed: " + FIELD + " \\| seen: " + FIELD
-            + " \\| issue: ([0-9]+)");
+    private static final Pattern LINE = Pattern.compile("(\\w+#\\w+) \\| command: " + FIELD + " \\| seed: " + FIELD
+            + " \\| seen: " + FIELD + " \\| issue: ([0-9]+)");
 
     static KnownRedEntry parse(String line) {
         Matcher match = LINE.matcher(line);
         if (!match.matches()) {
-            throw new IllegalArgumentException("not of the form 'Class#method | command: … | seed: … | seen: … | issue: N': " + line);
+            throw new IllegalArgumentException(
+                    "not of the form 'Class#method | command: … | seed: … | seen: … | issue: N': " + line);
         }
-        return new KnownRedEntry(match.group(1), match.group(2), match.group(3), match.group(4), Integer.parseInt(match.group(5)));
+        return new KnownRedEntry(
+                match.group(1), match.group(2), match.group(3), match.group(4), Integer.parseInt(match.group(5)));
     }
 }
--- a/src/test/java/rushproxy/known/KnownRedTest.java
+++ b/src/test/java/rushproxy/known/KnownRedTest.java
@@ -14,7 +14,8 @@
 
 /** A list of known failures is taken by CI and by the tests only where each entry has all of its parts. */
 class KnownRedTest {
-    private static final String WHOLE = "LabIT#some | command: mvn -B verify -Dit.test='LabIT#some' | seed: 7 | seen: one of 50 failed | issue: 34";
+    private static final String WHOLE =
+            "LabIT#some | command: mvn -B verify -Dit.test='LabIT#some' | seed: 7 | seen: one of 50 failed | issue: 34";
 
     @TempDir
     Path folder;
@@ -22,8 +23,10 @@
     private int checkedByCi(String... lines) throws Exception {
         Path list = folder.resolve("list");
         Files.write(list, java.util.List.of(lines));
-        Process check = new ProcessBuilder("bash", ".ci/known-red", list.toString()).redirectErrorStream(true)
-                .redirectOutput(new File("/dev/null")).start();
+        Process check = new ProcessBuilder("bash", ".ci/known-red", list.toString())
+                .redirectErrorStream(true)
+                .redirectOutput(new File("/dev/null"))
+                .start();
         check.waitFor(10, TimeUnit.SECONDS);
         return check.exitValue();
     }
@@ -31,20 +34,23 @@
     @Test
     void aWholeEntryIsTaken() throws Exception {
         assertEquals(0, checkedByCi(WHOLE));
-        assertEquals(new KnownRedEntry("LabIT#some", "mvn -B verify -Dit.test='LabIT#some'", "7", "one of 50 failed", 34),
+        assertEquals(
+                new KnownRedEntry("LabIT#some", "mvn -B verify -Dit.test='LabIT#some'", "7", "one of 50 failed", 34),
                 KnownRedEntry.parse(WHOLE));
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "LabIT#some: one of 50 failed, issue 34",
-        "LabIT#some | seed: 7 | seen: one of 50 failed | issue: 34",
-        "LabIT#some | command: x | seen: one of 50 failed | issue: 34",
-        "LabIT#some | command: x | seed: 7 | issue: 34",
-        "LabIT#some | command: x | seed: 7 | seen: one of 50 failed",
-        "LabIT#some | command:  | seed: 7 | seen: one of 50 failed | issue: 34",
-        "LabIT#some | command: x | seed: 7 | seen: one of 50 failed | issue: soon",
-        "LabIT | command: x | seed: 7 | seen: one of 50 failed | issue: 34"})
+    @ValueSource(
+            strings = {
+                "LabIT#some: one of 50 failed, issue 34",
+                "LabIT#some | seed: 7 | seen: one of 50 failed | issue: 34",
+                "LabIT#some | command: x | seen: one of 50 failed | issue: 34",
+                "LabIT#some | command: x | seed: 7 | issue: 34",
+                "LabIT#some | command: x | seed: 7 | seen: one of 50 failed",
+                "LabIT#some | command:  | seed: 7 | seen: one of 50 failed | issue: 34",
+                "LabIT#some | command: x | seed: 7 | seen: one of 50 failed | issue: soon",
+                "LabIT | command: x | seed: 7 | seen: one of 50 failed | issue: 34"
+            })
     void anEntryThatLacksAPartIsRefused(String line) throws Exception {
         assertEquals(1, checkedByCi(WHOLE, line));
         assertThrows(IllegalArgumentException.class, () -> KnownRedEntry.parse(line));
--- a/src/test/java/rushproxy/lab/CheckersIT.java
+++ b/src/test/java/rushproxy/lab/CheckersIT.java
@@ -22,19 +22,34 @@
     Path folder;
 
     private static Scenario scenario() throws Exception {
-        return LabRig.scenario(1, 6, LabRig.fault(1, "call", "nodes = \"n0\"; call = \"cordon s3\""),
+        return LabRig.scenario(
+                1,
+                6,
+                LabRig.fault(1, "call", "nodes = \"n0\"; call = \"cordon s3\""),
                 LabRig.fault(1, "drain", "servers = \"s2\"; for_s = 4"),
                 LabRig.fault(1, "crash", "servers = \"s1\"; for_s = 1"));
     }
 
     @ParameterizedTest
-    @CsvSource({"lost,lost", "silent,lost", "twice,twice", "refuses,twice", "drains,drains", "cordons,cordons", "made,made"})
+    @CsvSource({
+        "lost,lost",
+        "silent,lost",
+        "twice,twice",
+        "refuses,twice",
+        "drains,drains",
+        "cordons,cordons",
+        "made,made"
+    })
     void aWrongNodeIsFound(String fault, String rule) throws Exception {
         Summary s = LabRig.run(scenario(), LabRig.wrong(fault), folder);
         assertEquals("broken", s.verdict(), s.why().toString());
         // Who does one thing wrong may be late with another.
         assertTrue(LabRig.rules(s).contains(rule), s.violations().toString());
-        String id = s.violations().stream().filter(v -> v.id() != null).findFirst().orElseThrow().id();
+        String id = s.violations().stream()
+                .filter(v -> v.id() != null)
+                .findFirst()
+                .orElseThrow()
+                .id();
         Run run = Report.readRun(folder);
         assertTrue(run.history(id).contains("ASKED"), run.history(id));
     }
@@ -42,7 +57,8 @@
     /** All that four servers have to do, and more, at one of them that has just started. */
     @Test
     void oneThatPushesAColdServerOverIsFound() throws Exception {
-        Scenario s = rushproxy.lab.scenario.ScenarioReader.parse("test", """
+        Scenario s = rushproxy.lab.scenario.ScenarioReader.parse(
+                "test", """
                 name = "cold"
                 length_s = 5
                 [fleet]
--- a/src/test/java/rushproxy/lab/CommandIT.java
+++ b/src/test/java/rushproxy/lab/CommandIT.java
@@ -26,8 +26,8 @@
     Path folder;
 
     private static Process start(String... words) throws Exception {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
-                "target/rushproxy.jar"));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar", "target/rushproxy.jar"));
         command.addAll(Arrays.asList(words));
         return new ProcessBuilder(command).redirectErrorStream(true).start();
     }
@@ -66,14 +66,17 @@
     /** Nothing of its own runs then: the shell that it left behind ends the sidecars. */
     @Test
     void killedItLeavesNoProcessEither() throws Exception {
-        Process p = start("lab", "run", "calm", "--out", folder.toString(), "--set", "length_s=600", "--set", "lateness.most=1");
+        Process p = start(
+                "lab", "run", "calm", "--out", folder.toString(), "--set", "length_s=600", "--set", "lateness.most=1");
         BufferedReader said = new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8));
         String line;
         do {
             line = said.readLine();
             assertTrue(line != null, "it ended");
         } while (!line.contains("are ready"));
-        List<ProcessHandle> sidecars = p.descendants().filter(d -> d.info().command().orElse("").endsWith("java")).toList();
+        List<ProcessHandle> sidecars = p.descendants()
+                .filter(d -> d.info().command().orElse("").endsWith("java"))
+                .toList();
         assertTrue(sidecars.size() >= 2, sidecars.toString());
         p.destroyForcibly();
         for (ProcessHandle s : sidecars) {
@@ -84,7 +87,8 @@
     /** As Ctrl-C does, by SIGTERM: a shell's background process may ignore the other. */
     @Test
     void interruptedItLeavesAReportAndNoProcess() throws Exception {
-        Process p = start("lab", "run", "calm", "--out", folder.toString(), "--set", "length_s=600", "--set", "lateness.most=1");
+        Process p = start(
+                "lab", "run", "calm", "--out", folder.toString(), "--set", "length_s=600", "--set", "lateness.most=1");
         BufferedReader said = new BufferedReader(new InputStreamReader(p.getInputStream(), StandardCharsets.UTF_8));
         String line;
         do {
@@ -95,7 +99,11 @@
         assertTrue(p.waitFor(60, TimeUnit.SECONDS));
         assertEquals("stopped", Report.readSummary(folder).verdict());
         for (Observation o : Report.readRun(folder).of(Observation.What.NODE)) {
-            assertFalse(ProcessHandle.of((long) o.number()).map(ProcessHandle::isAlive).orElse(false), o.toString());
+            assertFalse(
+                    ProcessHandle.of((long) o.number())
+                            .map(ProcessHandle::isAlive)
+                            .orElse(false),
+                    o.toString());
         }
     }
 }
--- a/src/test/java/rushproxy/lab/LabIT.java
+++ b/src/test/java/rushproxy/lab/LabIT.java
@@ -28,7 +28,9 @@
 
     private void noProcessIsLeft() throws Exception {
         List<Long> pids = Report.readRun(folder).of(Observation.What.NODE).stream()
-                .filter(o -> o.text().equals("started")).map(o -> (long) o.number()).toList();
+                .filter(o -> o.text().equals("started"))
+                .map(o -> (long) o.number())
+                .toList();
         for (long pid : pids) {
             assertFalse(ProcessHandle.of(pid).map(ProcessHandle::isAlive).orElse(false), "process " + pid + " is left");
         }
@@ -36,16 +38,23 @@
 
     @Test
     void crashesDrainsCordonsAndCutsBreakNoRule() throws Exception {
-        Summary s = LabRig.run(LabRig.scenario(3, 10, LabRig.fault(1, "crash", "servers = \"s0\"; for_s = 2"),
-                LabRig.fault(2, "drain", "servers = \"s3\"; for_s = 3"),
-                LabRig.fault(1, "call", "nodes = \"all\"; call = \"cordon s2\""),
-                LabRig.fault(6, "call", "nodes = \"all\"; call = \"uncordon s2\""),
-                LabRig.fault(7, "cut", "from = \"nodes:a\"; to = \"servers:b\"; one_way = true; for_s = 2"),
-                LabRig.fault(3, "discovery-moves", "nodes = \"n1\"")), LabRig.sidecar(), folder);
+        Summary s = LabRig.run(
+                LabRig.scenario(
+                        3,
+                        10,
+                        LabRig.fault(1, "crash", "servers = \"s0\"; for_s = 2"),
+                        LabRig.fault(2, "drain", "servers = \"s3\"; for_s = 3"),
+                        LabRig.fault(1, "call", "nodes = \"all\"; call = \"cordon s2\""),
+                        LabRig.fault(6, "call", "nodes = \"all\"; call = \"uncordon s2\""),
+                        LabRig.fault(7, "cut", "from = \"nodes:a\"; to = \"servers:b\"; one_way = true; for_s = 2"),
+                        LabRig.fault(3, "discovery-moves", "nodes = \"n1\"")),
+                LabRig.sidecar(),
+                folder);
         assertEquals("held", s.verdict(), s.why() + " " + s.violations());
         assertTrue(s.figures().requests() > 300, s.figures().toString());
         assertTrue(s.nodes().get("n0").get("datagrams") > 0, "sidecars did not talk to each other: " + s.nodes());
-        assertTrue(Files.readString(folder.resolve("n1/log")).contains("discovery is at"), "it heard of no new address");
+        assertTrue(
+                Files.readString(folder.resolve("n1/log")).contains("discovery is at"), "it heard of no new address");
         noProcessIsLeft();
         String page = Files.readString(folder.resolve("report.html"));
         assertTrue(page.contains("uPlot") && !page.contains("src=\"http"), "the page needs more than itself");
@@ -54,8 +63,14 @@
     /** With requests out at an upstream that answers nothing, whose class allows more time than a stop. */
     @Test
     void restartsInARollUnderLoadLoseNothing() throws Exception {
-        Summary s = LabRig.run(LabRig.scenario(3, 16, LabRig.fault(1, "hang", "servers = \"s1\"; for_s = 14"),
-                LabRig.fault(2, "restart", "nodes = \"all\"; stagger_s = 4")), LabRig.sidecar(), folder);
+        Summary s = LabRig.run(
+                LabRig.scenario(
+                        3,
+                        16,
+                        LabRig.fault(1, "hang", "servers = \"s1\"; for_s = 14"),
+                        LabRig.fault(2, "restart", "nodes = \"all\"; stagger_s = 4")),
+                LabRig.sidecar(),
+                folder);
         assertEquals("held", s.verdict(), s.why() + " " + s.violations());
         for (String node : List.of("n0", "n1", "n2")) {
             assertEquals(2, s.nodes().get(node).get("starts"), s.nodes().toString());
@@ -65,16 +80,24 @@
 
     @Test
     void killsAndStallsBreakNoRuleOfThoseWhoLive() throws Exception {
-        Summary s = LabRig.run(LabRig.scenario(4, 9, LabRig.fault(2, "kill", "nodes = [\"n0\", \"n1\"]; for_s = 1"),
-                LabRig.fault(3, "stall", "nodes = \"n2\"; for_s = 1.5")), LabRig.sidecar(), folder);
+        Summary s = LabRig.run(
+                LabRig.scenario(
+                        4,
+                        9,
+                        LabRig.fault(2, "kill", "nodes = [\"n0\", \"n1\"]; for_s = 1"),
+                        LabRig.fault(3, "stall", "nodes = \"n2\"; for_s = 1.5")),
+                LabRig.sidecar(),
+                folder);
         assertEquals("held", s.verdict(), s.why() + " " + s.violations());
         noProcessIsLeft();
     }
 
     @Test
     void aReplacementTakesOverTheClientsSocketAndLosesNothing() throws Exception {
-        Summary s = LabRig.run(LabRig.scenario(2, 12, LabRig.fault(2, "replace", "nodes = \"all\"; stagger_s = 1")),
-                LabRig.sidecar(), folder);
+        Summary s = LabRig.run(
+                LabRig.scenario(2, 12, LabRig.fault(2, "replace", "nodes = \"all\"; stagger_s = 1")),
+                LabRig.sidecar(),
+                folder);
         assertEquals("held", s.verdict(), s.why() + " " + s.violations());
         assertEquals(2, s.nodes().get("n0").get("starts"), s.nodes().toString());
         List<Observation> calls = Report.readRun(folder).of(Observation.What.CALLED);
@@ -104,7 +127,9 @@
     void aNodeThatDiesAtOnceIsSaidWithItsLastWords() throws Exception {
         Summary s = LabRig.run(LabRig.scenario(2, 600), LabRig.wrong("dies"), folder);
         assertEquals("failed", s.verdict());
-        assertTrue(s.why().get(0).matches("n\\d ended before it was ready, with 7: .*no such thing as a good start.*"), s.why().toString());
+        assertTrue(
+                s.why().get(0).matches("n\\d ended before it was ready, with 7: .*no such thing as a good start.*"),
+                s.why().toString());
         noProcessIsLeft();
     }
 
@@ -117,8 +142,12 @@
         try (ServerSocket other = new ServerSocket(8081, 1, listen)) {
             Summary s = LabRig.run(LabRig.scenario(2, 600), LabRig.sidecar(), folder);
             assertEquals("failed", s.verdict());
-            assertTrue(s.why().get(0).startsWith("n1: the address for its clients, "), s.why().toString());
-            assertTrue(s.why().get(0).endsWith("is taken by somebody else"), s.why().toString());
+            assertTrue(
+                    s.why().get(0).startsWith("n1: the address for its clients, "),
+                    s.why().toString());
+            assertTrue(
+                    s.why().get(0).endsWith("is taken by somebody else"),
+                    s.why().toString());
         }
         noProcessIsLeft();
     }
--- a/src/test/java/rushproxy/lab/LabRig.java
+++ b/src/test/java/rushproxy/lab/LabRig.java
@@ -21,8 +21,10 @@
 
     static Build wrong(String fault) {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        return new Build(ROOT, "exec " + java + " -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path")
-                + "' rushproxy.lab.WrongNode " + fault);
+        return new Build(
+                ROOT,
+                "exec " + java + " -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path")
+                        + "' rushproxy.lab.WrongNode " + fault);
     }
 
     /** Little traffic that a busy machine carries too; lateness voids nothing here. */
@@ -83,7 +85,7 @@
     }
 
     static Summary run(Scenario s, Build build, Path folder) throws Exception {
-        return new Lab(s, build, folder, line -> { }).run();
+        return new Lab(s, build, folder, line -> {}).run();
     }
 
     static List<String> rules(Summary s) {
--- a/src/test/java/rushproxy/lab/LargeFleetTest.java
+++ b/src/test/java/rushproxy/lab/LargeFleetTest.java
@@ -29,7 +29,13 @@
             Set<InetSocketAddress> all = new HashSet<>();
             int nodes = 1_024;
             for (int i = 0; i < nodes; i++) {
-                all.addAll(Set.of(a.listen(i), a.admin(i, 0), a.admin(i, 1), a.peerListen(i), a.discovery(i, 0), a.discovery(i, 1)));
+                all.addAll(Set.of(
+                        a.listen(i),
+                        a.admin(i, 0),
+                        a.admin(i, 1),
+                        a.peerListen(i),
+                        a.discovery(i, 0),
+                        a.discovery(i, 1)));
                 for (int j = 0; j < nodes; j += 31) {
                     all.add(a.upstream(i, j));
                     all.add(a.peer(i, j));
@@ -42,7 +48,10 @@
     @Test
     void whatNeedsMoreDescriptorsThanThereAreIsSaidBeforeAnythingStarts() throws Exception {
         Lab.room(60, 200, 20_000);
-        String line = assertThrows(IOException.class, () -> Lab.room(1_024, 1_024, 20_000)).getMessage();
-        assertEquals("fleet.nodes, servers: 1024 sidecars and 1024 servers need 2101760 descriptors here, and 20000 may be open", line);
+        String line = assertThrows(IOException.class, () -> Lab.room(1_024, 1_024, 20_000))
+                .getMessage();
+        assertEquals(
+                "fleet.nodes, servers: 1024 sidecars and 1024 servers need 2101760 descriptors here, and 20000 may be open",
+                line);
     }
 }
--- a/src/test/java/rushproxy/lab/MembersIT.java
+++ b/src/test/java/rushproxy/lab/MembersIT.java
@@ -22,6 +22,7 @@
 @Timeout(120)
 class MembersIT {
     private static final String ON = "settings = ['fleet={\"members\":true}']";
+
     @TempDir
     Path folder;
 
@@ -47,12 +48,20 @@
     }
 
     private static void sees(JsonNode view, String standing, int here) {
-        assertEquals(standing + " " + here, view.get("standing").asText() + " " + view.get("here").asInt(), view.toString());
+        assertEquals(
+                standing + " " + here,
+                view.get("standing").asText() + " " + view.get("here").asInt(),
+                view.toString());
     }
 
     @Test
     void aSplitIsSeenByBothSidesAndHeals() throws Exception {
-        Run run = play(38, asked(2.5), LabRig.fault(3, "cut", "from = \"nodes:a\"; to = \"nodes:b\"; for_s = 8"), asked(10.5), asked(35));
+        Run run = play(
+                38,
+                asked(2.5),
+                LabRig.fault(3, "cut", "from = \"nodes:a\"; to = \"nodes:b\"; for_s = 8"),
+                asked(10.5),
+                asked(35));
         for (JsonNode v : views(run, 2.5).values()) {
             sees(v, "majority", 8);
         }
@@ -68,7 +77,10 @@
 
     @Test
     void killsAreFoundOutAndTheKilledAreBack() throws Exception {
-        Run run = play(30, LabRig.fault(3, "kill", "nodes = [\"n0\", \"n1\", \"n2\", \"n3\", \"n4\"]; for_s = 8"), asked(10),
+        Run run = play(
+                30,
+                LabRig.fault(3, "kill", "nodes = [\"n0\", \"n1\", \"n2\", \"n3\", \"n4\"]; for_s = 8"),
+                asked(10),
                 asked(28));
         Map<String, JsonNode> without = views(run, 10);
         for (String node : List.of("n5", "n6", "n7")) {
@@ -83,8 +95,12 @@
 
     @Test
     void aStoppedProcessIsDeadThenBackAndARestartIsNoDeath() throws Exception {
-        Run run = play(30, LabRig.fault(3, "stall", "nodes = \"n3\"; for_s = 10"), asked(11),
-                LabRig.fault(17, "restart", "nodes = \"n6\""), asked(28));
+        Run run = play(
+                30,
+                LabRig.fault(3, "stall", "nodes = \"n3\"; for_s = 10"),
+                asked(11),
+                LabRig.fault(17, "restart", "nodes = \"n6\""),
+                asked(28));
         Map<String, JsonNode> stopped = views(run, 11);
         for (String node : List.of("n0", "n1", "n2", "n4", "n5", "n6", "n7")) {
             sees(stopped.get(node), "majority", 7);
--- a/src/test/java/rushproxy/lab/SharedIT.java
+++ b/src/test/java/rushproxy/lab/SharedIT.java
@@ -24,7 +24,9 @@
     Path folder;
 
     private Run play(double lengthS, String fleet, Map<String, String> values, String... faults) throws Exception {
-        Summary s = LabRig.run(LabRig.scenario(8, lengthS, "settings = ['fleet=" + fleet + "']", values, faults), LabRig.sidecar(),
+        Summary s = LabRig.run(
+                LabRig.scenario(8, lengthS, "settings = ['fleet=" + fleet + "']", values, faults),
+                LabRig.sidecar(),
                 folder);
         assertEquals("held", s.verdict(), s.why() + " " + s.violations());
         return Report.readRun(folder);
@@ -47,43 +49,71 @@
 
     @Test
     void allLeaveAServerThatIsSilentAndHaveItBack() throws Exception {
-        Run run = play(32, "{\"members\":true,\"shared\":true}", Map.of("traffic.rate_per_s", "200", "classes.0.deadline_ms", "800",
-                "classes.1.deadline_ms", "800", "classes.2.deadline_ms", "800"), LabRig.fault(4, "hang", "servers = \"s0\"; for_s = 8"),
-                asked(10, "verdicts"), asked(30, "verdicts"));
+        Run run = play(
+                32,
+                "{\"members\":true,\"shared\":true}",
+                Map.of(
+                        "traffic.rate_per_s",
+                        "200",
+                        "classes.0.deadline_ms",
+                        "800",
+                        "classes.1.deadline_ms",
+                        "800",
+                        "classes.2.deadline_ms",
+                        "800"),
+                LabRig.fault(4, "hang", "servers = \"s0\"; for_s = 8"),
+                asked(10, "verdicts"),
+                asked(30, "verdicts"));
         List<JsonNode> during = views(run, "verdicts", 10, 30);
         assertEquals(8, during.size());
         for (JsonNode v : during) {
             boolean out = false;
             for (JsonNode c : v.path("verdicts")) {
-                out |= c.path("server").asText().equals("s0") && c.path("kind").asText().equals("silent")
-                        && c.path("holds").asBoolean() && c.path("words").size() >= 2;
+                out |= c.path("server").asText().equals("s0")
+                        && c.path("kind").asText().equals("silent")
+                        && c.path("holds").asBoolean()
+                        && c.path("words").size() >= 2;
             }
             assertTrue(out, v.toString());
         }
         List<JsonNode> after = views(run, "verdicts", 30, Double.MAX_VALUE);
         assertEquals(8, after.size());
         for (JsonNode v : after) {
-            v.path("verdicts").forEach(c -> assertTrue(!c.path("server").asText().equals("s0")
-                    || !c.path("kind").asText().equals("silent"), v.toString()));
+            v.path("verdicts")
+                    .forEach(c -> assertTrue(
+                            !c.path("server").asText().equals("s0")
+                                    || !c.path("kind").asText().equals("silent"),
+                            v.toString()));
         }
-        long back = run.of(Observation.What.GOT).stream().filter(o -> o.server().equals("s0") && o.us() > 28e6).count();
+        long back = run.of(Observation.What.GOT).stream()
+                .filter(o -> o.server().equals("s0") && o.us() > 28e6)
+                .count();
         assertTrue(back > 0, "it serves again");
     }
 
     /** 40 a second for a class of which more is asked: together no more, also while halves don't hear each other. */
     @Test
     void aLimitHoldsThroughASplit() throws Exception {
-        Run run = play(30, "{\"members\":true,\"shared\":true,\"limits\":[{\"name\":\"some\",\"per_second\":40}]}", Map.of(),
-                LabRig.fault(10, "cut", "from = \"nodes:a\"; to = \"nodes:b\"; for_s = 8"), asked(9, "limits"), asked(27, "limits"));
+        Run run = play(
+                30,
+                "{\"members\":true,\"shared\":true,\"limits\":[{\"name\":\"some\",\"per_second\":40}]}",
+                Map.of(),
+                LabRig.fault(10, "cut", "from = \"nodes:a\"; to = \"nodes:b\"; for_s = 8"),
+                asked(9, "limits"),
+                asked(27, "limits"));
         for (double at : new double[] {9, 27}) {
             List<JsonNode> views = views(run, "limits", at, at == 9 ? 27 : Double.MAX_VALUE);
             assertEquals(8, views.size());
-            double sum = views.stream().mapToDouble(v -> v.path("limits").path(0).path("share").asDouble()).sum();
+            double sum = views.stream()
+                    .mapToDouble(v -> v.path("limits").path(0).path("share").asDouble())
+                    .sum();
             assertTrue(sum <= 40.5, at + " s: " + sum);
         }
         for (int from = 4; from < 28; from += 4) {
             int start = from;
-            long served = run.of(Observation.What.GOT).stream().filter(o -> o.us() >= start * 1e6 && o.us() < (start + 4) * 1e6).count();
+            long served = run.of(Observation.What.GOT).stream()
+                    .filter(o -> o.us() >= start * 1e6 && o.us() < (start + 4) * 1e6)
+                    .count();
             // Each bucket may let one burst through.
             assertTrue(served <= 4 * 40 + 8 * 2, served + " from " + from + " s");
         }
--- a/src/test/java/rushproxy/lab/SoakIT.java
+++ b/src/test/java/rushproxy/lab/SoakIT.java
@@ -25,7 +25,7 @@
     Path folder;
 
     private Soak soak() throws Exception {
-        return new Soak(LabRig.sidecar(), folder, line -> { });
+        return new Soak(LabRig.sidecar(), folder, line -> {});
     }
 
     @Test
@@ -55,7 +55,8 @@
         "stays, 'do = \"clients\"\nhow = \"stop\"\npart = 0.5\nfor_s = 2\n'",
         "forwards-late, 'do = \"clients\"\nhow = \"leave\"\npart = 0.5\nfor_s = 4\n'",
         "half, 'do = \"spoil\"\nhow = \"half\"\nservers = \"all\"\npart = 0.5\nfor_s = 4\n'",
-        "confesses, 'do = \"stall\"\nnodes = \"n0\"\nfor_s = 0.1\n'"})
+        "confesses, 'do = \"stall\"\nnodes = \"n0\"\nfor_s = 0.1\n'"
+    })
     void aWrongNodeIsFoundByItsFault(String wrong, String fault) throws Exception {
         Summary s = LabRig.run(LabRig.scenario(1, 7, "[[faults]]\nat_s = 1\n" + fault), LabRig.wrong(wrong), folder);
         assertEquals("broken", s.verdict(), s.why().toString());
--- a/src/test/java/rushproxy/lab/SweepTest.java
+++ b/src/test/java/rushproxy/lab/SweepTest.java
@@ -22,7 +22,8 @@
 
     @Test
     void aSteadyDifferenceIsShownAndOnePairShowsNothing() {
-        assertTrue(Sweep.difference(List.of(0.9, 0.91, 0.93), List.of(0.8, 0.81, 0.82)).shown());
+        assertTrue(Sweep.difference(List.of(0.9, 0.91, 0.93), List.of(0.8, 0.81, 0.82))
+                .shown());
         assertFalse(Sweep.difference(List.of(0.9), List.of(0.1)).shown());
     }
 
--- a/src/test/java/rushproxy/lab/WrongNode.java
+++ b/src/test/java/rushproxy/lab/WrongNode.java
@@ -34,8 +34,10 @@
     private final String fault;
     private final Map<String, Upstream> upstreams = new ConcurrentSkipListMap<>();
     private final Map<String, Boolean> cordoned = new ConcurrentSkipListMap<>();
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .executor(Executors.newCachedThreadPool()).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .executor(Executors.newCachedThreadPool())
+            .build();
     private final AtomicInteger turn = new AtomicInteger();
 
     private WrongNode(String fault) {
@@ -79,28 +81,38 @@
 
     private static void thread(Work work) {
         new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                System.err.println("" + e);
-            }
-        }).start();
+                    try {
+                        work.run();
+                    } catch (Exception e) {
+                        System.err.println("" + e);
+                    }
+                })
+                .start();
     }
 
     private void take(JsonNode list) {
         for (JsonNode i : list.get("instances")) {
             // One that drains or is gone is used on by who does not listen.
             if (!fault.equals("drains") || i.get("lifecycle").asText().equals("Ready")) {
-                upstreams.put(i.get("instanceId").asText(), new Upstream(i.get("instanceId").asText(),
-                        i.get("hostPort").asText(), i.get("lifecycle").asText(), i.get("startedAtMs").asLong()));
+                upstreams.put(
+                        i.get("instanceId").asText(),
+                        new Upstream(
+                                i.get("instanceId").asText(),
+                                i.get("hostPort").asText(),
+                                i.get("lifecycle").asText(),
+                                i.get("startedAtMs").asLong()));
             }
         }
     }
 
     private void watch(String discovery) throws Exception {
         for (long index = 1; ; ) {
-            JsonNode list = JSON.readTree(client.send(HttpRequest.newBuilder(URI.create("http://" + discovery
-                    + "/registry/instances?wait=20000&index=" + index)).build(), HttpResponse.BodyHandlers.ofString()).body());
+            JsonNode list = JSON.readTree(client.send(
+                            HttpRequest.newBuilder(URI.create(
+                                            "http://" + discovery + "/registry/instances?wait=20000&index=" + index))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString())
+                    .body());
             index = list.get("generation").asLong();
             take(list);
         }
@@ -109,7 +121,8 @@
     private void calls(ServerSocket admin) throws IOException {
         while (true) {
             try (Socket s = admin.accept()) {
-                String[] words = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8)).readLine()
+                String[] words = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8))
+                        .readLine()
                         .split(" ");
                 if (words[0].equals("cordon") && !fault.equals("cordons")) {
                     cordoned.put(words[1], true);
@@ -120,12 +133,17 @@
     }
 
     private Upstream next(String not) {
-        Upstream cold = upstreams.values().stream().filter(u -> u.startedMs > 0).findFirst().orElse(null);
+        Upstream cold = upstreams.values().stream()
+                .filter(u -> u.startedMs > 0)
+                .findFirst()
+                .orElse(null);
         if (fault.equals("cold") && cold != null) {
             return cold;
         }
-        Upstream[] ready = upstreams.values().stream().filter(u -> u.state.equals("Ready") && u.startedMs == 0
-                && !cordoned.containsKey(u.id) && !u.id.equals(not)).toArray(Upstream[]::new);
+        Upstream[] ready = upstreams.values().stream()
+                .filter(u ->
+                        u.state.equals("Ready") && u.startedMs == 0 && !cordoned.containsKey(u.id) && !u.id.equals(not))
+                .toArray(Upstream[]::new);
         return ready[Math.floorMod(turn.getAndIncrement(), ready.length)];
     }
 
@@ -152,7 +170,10 @@
             if (fault.equals("twice") && wrong) {
                 send(next(first.id), x, id, body);
             }
-            answer(x, fault.equals("refuses") && wrong ? 503 : r == null ? 502 : r.statusCode(), r == null ? "" : r.body());
+            answer(
+                    x,
+                    fault.equals("refuses") && wrong ? 503 : r == null ? 502 : r.statusCode(),
+                    r == null ? "" : r.body());
         }
     }
 
@@ -167,8 +188,10 @@
 
     private HttpResponse<String> send(Upstream to, HttpExchange x, String id, byte[] body) {
         HttpRequest.Builder m = HttpRequest.newBuilder(URI.create("http://" + to.address + x.getRequestURI()))
-                .timeout(Duration.ofMillis(Math.max(1, Long.parseLong(x.getRequestHeaders().getFirst("X-Remaining-Ms")) - 50)))
-                .header("X-Txn", id).method(x.getRequestMethod(), HttpRequest.BodyPublishers.ofByteArray(body));
+                .timeout(Duration.ofMillis(
+                        Math.max(1, Long.parseLong(x.getRequestHeaders().getFirst("X-Remaining-Ms")) - 50)))
+                .header("X-Txn", id)
+                .method(x.getRequestMethod(), HttpRequest.BodyPublishers.ofByteArray(body));
         String key = x.getRequestHeaders().getFirst("Idempotency-Key");
         if (key != null) {
             m.header("Idempotency-Key", key);
--- a/src/test/java/rushproxy/lab/check/CordonsTest.java
+++ b/src/test/java/rushproxy/lab/check/CordonsTest.java
@@ -41,10 +41,16 @@
     @Test
     void aCallWithoutAnAnswerCountsAfterASecond() {
         for (String answer : new String[] {"no answer: Read timed out", "ACK"}) {
-            Seen seen = new Seen().called(1_000, 4_000, "cordon s0 -> " + answer).got(2_001 + Seen.graceMs(), 2_600, "a");
+            Seen seen =
+                    new Seen().called(1_000, 4_000, "cordon s0 -> " + answer).got(2_001 + Seen.graceMs(), 2_600, "a");
             assertEquals(1, seen.violations(new Cordons()), answer);
         }
-        assertEquals(0, new Seen().called(1_000, 1_010, "cordon s0 -> NAK no such upstream").got(3_000, 3_001, "a").violations(new Cordons()));
+        assertEquals(
+                0,
+                new Seen()
+                        .called(1_000, 1_010, "cordon s0 -> NAK no such upstream")
+                        .got(3_000, 3_001, "a")
+                        .violations(new Cordons()));
     }
 
     /** Two calls out need one call back. */
--- a/src/test/java/rushproxy/lab/check/DeparturesTest.java
+++ b/src/test/java/rushproxy/lab/check/DeparturesTest.java
@@ -20,12 +20,19 @@
 
     @Test
     void aClientThatGaveUpHasGoneToo() {
-        assertEquals(1, new Seen().asked(1_000, "a").gaveUp(1_870, "a").got(1_870 + TOO_LATE_MS, 2_100, "a").violations(new Departures()));
+        assertEquals(
+                1,
+                new Seen()
+                        .asked(1_000, "a")
+                        .gaveUp(1_870, "a")
+                        .got(1_870 + TOO_LATE_MS, 2_100, "a")
+                        .violations(new Departures()));
     }
 
     @Test
     void onlyLatenessInBetweenIsTheLaboratorys() {
-        assertEquals(1, left().late(500, 300).late(9_000, 300).got(1_400, 1_410, "a").violations(new Departures()));
+        assertEquals(
+                1, left().late(500, 300).late(9_000, 300).got(1_400, 1_410, "a").violations(new Departures()));
         assertEquals(0, left().late(2_000, 300).got(1_400, 1_410, "a").violations(new Departures()));
     }
 }
--- a/src/test/java/rushproxy/lab/check/OneAnswerTest.java
+++ b/src/test/java/rushproxy/lab/check/OneAnswerTest.java
@@ -15,7 +15,8 @@
     }
 
     private static List<Observation> request(long askedUs, long brokeUs) {
-        return List.of(new Observation(askedUs, What.ASKED, "n0", null, "a", "a", "read", 800, askedUs),
+        return List.of(
+                new Observation(askedUs, What.ASKED, "n0", null, "a", "a", "read", 800, askedUs),
                 new Observation(brokeUs, What.BROKE, "n0", null, "a", null, "reset", 1, askedUs));
     }
 
@@ -24,7 +25,9 @@
         all.add(node(3_000_000, "kill"));
         all.add(node(3_060_000, "exit 137"));
         all.add(node(9_000_000, "exit 0"));
-        return new OneAnswer().check(new Run(ScenarioReader.read("demo", java.util.Map.of()), all)).size();
+        return new OneAnswer()
+                .check(new Run(ScenarioReader.read("demo", java.util.Map.of()), all))
+                .size();
     }
 
     /** The signal is sent by a program of its own: on a busy machine it came 59 ms after the order. */
@@ -51,9 +54,17 @@
     /** Signals take their time to be sent: only a stop that was longer than a short one for certain excuses. */
     @Test
     void aStopIsExcusedByWhatIsSureOfItsLength() throws Exception {
-        Seen slowSignal = new Seen().node(1_000, "stop").node(1_300, "stop sent").node(1_450, "cont").node(1_460, "cont sent");
+        Seen slowSignal = new Seen()
+                .node(1_000, "stop")
+                .node(1_300, "stop sent")
+                .node(1_450, "cont")
+                .node(1_460, "cont sent");
         assertEquals(1, slowSignal.asked(1_350, "a").gaveUp(2_220, "a").violations(new OneAnswer()));
-        Seen longStop = new Seen().node(1_000, "stop").node(1_010, "stop sent").node(1_450, "cont").node(1_900, "cont sent");
+        Seen longStop = new Seen()
+                .node(1_000, "stop")
+                .node(1_010, "stop sent")
+                .node(1_450, "cont")
+                .node(1_900, "cont sent");
         assertEquals(0, longStop.asked(1_350, "a").gaveUp(2_220, "a").violations(new OneAnswer()));
     }
 }
--- a/src/test/java/rushproxy/lab/check/Seen.java
+++ b/src/test/java/rushproxy/lab/check/Seen.java
@@ -66,7 +66,9 @@
     }
 
     Run run() {
-        return new Run(scenario(), all.stream().sorted(Comparator.comparingLong(Observation::us)).toList());
+        return new Run(
+                scenario(),
+                all.stream().sorted(Comparator.comparingLong(Observation::us)).toList());
     }
 
     int violations(Checker checker) {
--- a/src/test/java/rushproxy/lab/check/StarvationTest.java
+++ b/src/test/java/rushproxy/lab/check/StarvationTest.java
@@ -23,7 +23,8 @@
     private static boolean explained(String rule, Observation... waits) {
         List<Observation> all = new ArrayList<>(List.of(waits));
         all.add(new Observation(ASKED_US, What.ASKED, "n0", null, "a", "a", "read", 800, ASKED_US));
-        return new Starvation(new Run(Seen.scenario(), all)).explains(new Violation(rule, LOST_US, "a", "got no answer in its time"));
+        return new Starvation(new Run(Seen.scenario(), all))
+                .explains(new Violation(rule, LOST_US, "a", "got no answer in its time"));
     }
 
     @Test
@@ -37,7 +38,8 @@
     @Test
     void otherTimesAndOtherSidecarsExplainNothing() {
         assertEquals(false, explained("lost", waited("n1", ASKED_US, LOST_US, 900)));
-        assertEquals(false, explained("lost", waited(null, 0, ASKED_US, 1_000), waited(null, LOST_US, 3_000_000, 1_000)));
+        assertEquals(
+                false, explained("lost", waited(null, 0, ASKED_US, 1_000), waited(null, LOST_US, 3_000_000, 1_000)));
         assertEquals(false, explained("lost", waited(null, 0, 1_400_000, 1_400)));
     }
 
--- a/src/test/java/rushproxy/lab/scale/ScaleTest.java
+++ b/src/test/java/rushproxy/lab/scale/ScaleTest.java
@@ -17,7 +17,8 @@
     private static final long ENOUGH_SOCKETS = 10_000;
 
     private static ScaleResult play(int members, ScaleEvent event) throws ScaleException {
-        return ScaleRun.simulated(new ScalePlan(members, 0, 1, 6, 2, event, 0.01, 7).check(ENOUGH_HEAP, ENOUGH_SOCKETS), line -> { });
+        return ScaleRun.simulated(
+                new ScalePlan(members, 0, 1, 6, 2, event, 0.01, 7).check(ENOUGH_HEAP, ENOUGH_SOCKETS), line -> {});
     }
 
     @Test
@@ -26,7 +27,9 @@
         for (int members : new int[] {30, 60, 120}) {
             results.add(play(members, ScaleEvent.QUIET));
         }
-        List<Slope.Point> bytes = results.stream().map(r -> new Slope.Point(r.members(), r.phase("quiet").bytes().mean())).toList();
+        List<Slope.Point> bytes = results.stream()
+                .map(r -> new Slope.Point(r.members(), r.phase("quiet").bytes().mean()))
+                .toList();
         Slope slope = Slope.through(bytes);
         assertTrue(Math.abs(slope.exponent()) < 0.2, slope + " through " + bytes);
         for (ScaleResult r : results) {
@@ -34,9 +37,11 @@
             // One value a member and second.
             assertEquals(r.members() * 20L, quiet.bytes().count());
             assertEquals(0, quiet.falseDeaths());
-            // Each member ticks ten times a second, and hears as many datagrams as are sent but for the lost and the doubled.
+            // Each member ticks ten times a second, and hears as many datagrams as are sent but for the lost and the
+            // doubled.
             assertEquals(r.members() * 200.0, quiet.tickNs().count(), r.members());
-            double heard = quiet.datagramNs().count() / (quiet.datagrams().mean() * quiet.datagrams().count());
+            double heard = quiet.datagramNs().count()
+                    / (quiet.datagrams().mean() * quiet.datagrams().count());
             assertEquals(1, heard, 0.05);
         }
         String tables = CapacityTables.of(results);
@@ -67,8 +72,8 @@
     @Test
     void noMemberSendsMoreInASecondThanItsBudget() throws Exception {
         for (ScaleEvent event : new ScaleEvent[] {ScaleEvent.ZONE_LOSS, ScaleEvent.REGION_CUT}) {
-            ScaleResult r = ScaleRun.simulated(new ScalePlan(120, 0, 1, 12, 4, event, 0.01, 1).check(ENOUGH_HEAP, ENOUGH_SOCKETS),
-                    line -> { });
+            ScaleResult r = ScaleRun.simulated(
+                    new ScalePlan(120, 0, 1, 12, 4, event, 0.01, 1).check(ENOUGH_HEAP, ENOUGH_SOCKETS), line -> {});
             for (ScalePhase p : r.phases()) {
                 assertTrue(p.bytes().most() <= 3_000, p.toString());
                 assertEquals(0, p.falseDeaths(), p.toString());
@@ -89,20 +94,37 @@
                 case "--regions" -> new ScalePlan(60, 0, 1, 6, value, ScaleEvent.QUIET, 0, 1);
                 default -> new ScalePlan(60, 0, value, 6, 2, ScaleEvent.QUIET, 0, 1);
             };
-            ScaleException e = assertThrows(ScaleException.class, () -> plan.check(ENOUGH_HEAP, ENOUGH_SOCKETS), String.join(" ", c));
-            assertTrue(e.getMessage().startsWith(c[0] + ": ") && e.getMessage().lines().count() == 1, e.getMessage());
+            ScaleException e = assertThrows(
+                    ScaleException.class, () -> plan.check(ENOUGH_HEAP, ENOUGH_SOCKETS), String.join(" ", c));
+            assertTrue(
+                    e.getMessage().startsWith(c[0] + ": ")
+                            && e.getMessage().lines().count() == 1,
+                    e.getMessage());
         }
-        assertThrows(ScaleException.class, () -> new ScalePlan(60, 0, 1, 6, 1, ScaleEvent.REGION_CUT, 0, 1).check(ENOUGH_HEAP, ENOUGH_SOCKETS));
-        assertThrows(ScaleException.class, () -> new ScalePlan(60, 2, 1, 6, 2, ScaleEvent.REGION_CUT, 0, 1).check(ENOUGH_HEAP, ENOUGH_SOCKETS));
-        assertThrows(ScaleException.class, () -> new ScalePlan(60, 17, 1, 6, 2, ScaleEvent.QUIET, 0, 1).check(ENOUGH_HEAP, ENOUGH_SOCKETS));
-        assertThrows(ScaleException.class, () -> new ScalePlan(60, 2, 1, 6, 2, ScaleEvent.QUIET, 0, 1).check(ENOUGH_HEAP, 100));
-        assertThrows(ScaleException.class, () -> new ScalePlan(2_000, 0, 1, 6, 2, ScaleEvent.QUIET, 0, 1).check(1 << 20, ENOUGH_SOCKETS));
-        assertTrue(assertThrows(ScaleException.class, () -> ScaleEvent.of("storm")).getMessage().startsWith("--event: 'storm'"));
+        assertThrows(
+                ScaleException.class,
+                () -> new ScalePlan(60, 0, 1, 6, 1, ScaleEvent.REGION_CUT, 0, 1).check(ENOUGH_HEAP, ENOUGH_SOCKETS));
+        assertThrows(
+                ScaleException.class,
+                () -> new ScalePlan(60, 2, 1, 6, 2, ScaleEvent.REGION_CUT, 0, 1).check(ENOUGH_HEAP, ENOUGH_SOCKETS));
+        assertThrows(
+                ScaleException.class,
+                () -> new ScalePlan(60, 17, 1, 6, 2, ScaleEvent.QUIET, 0, 1).check(ENOUGH_HEAP, ENOUGH_SOCKETS));
+        assertThrows(
+                ScaleException.class,
+                () -> new ScalePlan(60, 2, 1, 6, 2, ScaleEvent.QUIET, 0, 1).check(ENOUGH_HEAP, 100));
+        assertThrows(
+                ScaleException.class,
+                () -> new ScalePlan(2_000, 0, 1, 6, 2, ScaleEvent.QUIET, 0, 1).check(1 << 20, ENOUGH_SOCKETS));
+        assertTrue(assertThrows(ScaleException.class, () -> ScaleEvent.of("storm"))
+                .getMessage()
+                .startsWith("--event: 'storm'"));
     }
 
     @Test
     void aLawIsFoundThroughItsPointsAndTellsWhereABudgetEnds() {
-        Slope slope = Slope.through(List.of(new Slope.Point(100, 1_000), new Slope.Point(400, 2_000), new Slope.Point(1_600, 4_000)));
+        Slope slope = Slope.through(
+                List.of(new Slope.Point(100, 1_000), new Slope.Point(400, 2_000), new Slope.Point(1_600, 4_000)));
         assertNotNull(slope);
         assertEquals(0.5, slope.exponent(), 1e-9);
         assertEquals(8_000, slope.at(6_400), 1e-6);
--- a/src/test/java/rushproxy/sidecar/AdminServerTest.java
+++ b/src/test/java/rushproxy/sidecar/AdminServerTest.java
@@ -22,7 +22,8 @@
     @Test
     void whatIsNoCallIsRefused() throws Exception {
         try (Rig rig = new Rig().withAdmin().start()) {
-            for (String line : List.of("", "reboot", "HEALTH", "health now", "cordon", "cordon ", "cordon a b", "x".repeat(9_000))) {
+            for (String line : List.of(
+                    "", "reboot", "HEALTH", "health now", "cordon", "cordon ", "cordon a b", "x".repeat(9_000))) {
                 String answer = rig.call(line);
                 assertTrue(answer.startsWith("NAK"), line + ": " + answer);
             }
@@ -31,7 +32,8 @@
 
     @Test
     void oneLineToAConnection() throws Exception {
-        try (Rig rig = new Rig().withAdmin().start(); Peer.Client c = rig.operator()) {
+        try (Rig rig = new Rig().withAdmin().start();
+                Peer.Client c = rig.operator()) {
             assertEquals("ACK\n", c.send("health\nquiesce\n").rest());
             try (Peer.Client client = rig.client()) {
                 client.send("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -43,7 +45,9 @@
     @Test
     void halfACallGetsItsNoAndSoDoesSilence() throws Exception {
         try (Rig rig = new Rig().withAdmin().start()) {
-            try (Peer.Client ended = rig.operator(); Peer.Client half = rig.operator(); Peer.Client silent = rig.operator()) {
+            try (Peer.Client ended = rig.operator();
+                    Peer.Client half = rig.operator();
+                    Peer.Client silent = rig.operator()) {
                 ended.send("quies");
                 ended.socket.shutdownOutput();
                 assertTrue(ended.rest().startsWith("NAK"));
--- a/src/test/java/rushproxy/sidecar/AnswerDeadlinesTest.java
+++ b/src/test/java/rushproxy/sidecar/AnswerDeadlinesTest.java
@@ -14,10 +14,16 @@
 
     private static List<RequestClass> classes() {
         try {
-            return Rig.config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"known\":"
-                    + Rig.list(1, true) + ",\"settings\":" + Rig.SETTINGS.replace("\"profiles\":[", "\"profiles\":["
-                    + "{\"name\":\"tight\",\"semantics\":\"safe\",\"objective_us\":800000,\"give_up_us\":800000},") + "}")
-                    .settings().classes();
+            return Rig.config(
+                            "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"known\":"
+                                    + Rig.list(1, true) + ",\"settings\":"
+                                    + Rig.SETTINGS.replace(
+                                            "\"profiles\":[",
+                                            "\"profiles\":["
+                                                    + "{\"name\":\"tight\",\"semantics\":\"safe\",\"objective_us\":800000,\"give_up_us\":800000},")
+                                    + "}")
+                    .settings()
+                    .classes();
         } catch (Exception e) {
             throw new IllegalStateException(e);
         }
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -28,17 +28,24 @@
         cases.put("GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n", 404);
         cases.put("GET /apiary HTTP/1.1\r\nHost: a\r\n\r\n", 404);
         cases.put("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", 200);
-        cases.put("POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\nContent-Length: 33554433\r\n\r\n"
-                + "x".repeat(65_537), 413);
-        cases.put("POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\nContent-Length: 65536\r\n\r\n"
-                + "x".repeat(65_536), 200);
+        cases.put(
+                "POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\nContent-Length: 33554433\r\n\r\n"
+                        + "x".repeat(65_537),
+                413);
+        cases.put(
+                "POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\nContent-Length: 65536\r\n\r\n"
+                        + "x".repeat(65_536),
+                200);
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.start();
             for (Map.Entry<String, Integer> c : cases.entrySet()) {
                 try (Peer.Client client = rig.client()) {
                     client.send(c.getKey());
-                    assertEquals(c.getValue(), client.status(), c.getKey().lines().limit(9).toList().toString());
+                    assertEquals(
+                            c.getValue(),
+                            client.status(),
+                            c.getKey().lines().limit(9).toList().toString());
                 }
             }
         }
@@ -60,7 +67,7 @@
     @Test
     void readyOnlyOnceItHasWarmedUp() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             Thread warmUp = new Thread(() -> {
                 try {
@@ -80,7 +87,9 @@
                 } while (status != 200 || !refused);
             }
             warmUp.join();
-            assertTrue(rig.told.stream().noneMatch(t -> t.startsWith("request")), "a request of the warm-up reached the module");
+            assertTrue(
+                    rig.told.stream().noneMatch(t -> t.startsWith("request")),
+                    "a request of the warm-up reached the module");
         }
     }
 
@@ -90,8 +99,10 @@
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.start();
-            try (Peer.Client good = rig.client(); Peer.Client silent = rig.client(); Peer.Client half = rig.client();
-                 Peer.Client slow = rig.client()) {
+            try (Peer.Client good = rig.client();
+                    Peer.Client silent = rig.client();
+                    Peer.Client half = rig.client();
+                    Peer.Client slow = rig.client()) {
                 good.send(Rig.get("a1", 9_000));
                 assertEquals(200, good.status());
                 half.send("POST /api HTTP/1.1\r\nX-Txn: a2\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\n"
@@ -129,9 +140,11 @@
 
     @Test
     void aBrokenConfigurationIsOneLineThatNamesTheField() throws Exception {
-        String good = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"8c1f30d27a5be964\","
-                + "\"peers\":[\"127.0.0.1:7\"],\"known\":" + Rig.list(1, true, Rig.entry("u", "127.0.0.1:8", "Ready", 7))
-                + ",\"settings\":" + Rig.SETTINGS + ",\"new\":{\"x\":[1]}}";
+        String good =
+                "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"8c1f30d27a5be964\","
+                        + "\"peers\":[\"127.0.0.1:7\"],\"known\":"
+                        + Rig.list(1, true, Rig.entry("u", "127.0.0.1:8", "Ready", 7))
+                        + ",\"settings\":" + Rig.SETTINGS + ",\"new\":{\"x\":[1]}}";
         assertEquals(7000, Rig.config(good).known().entries().get(0).upstream().startedUs());
         assertEquals(0x8c1f30d27a5be964L, Rig.config(good).seed());
         broken("", "JSON");
