--- a/src/test/java/rushproxy/sidecar/BulkTest.java
+++ b/src/test/java/rushproxy/sidecar/BulkTest.java
@@ -20,7 +20,8 @@
     private static final int LONG = 8 << 20;
 
     private static String post(String id, String framing) {
-        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: c\r\nX-Remaining-Ms: 20000\r\n" + framing + "\r\n";
+        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: c\r\nX-Remaining-Ms: 20000\r\n" + framing
+                + "\r\n";
     }
 
     private static byte[] bytes(int n) {
@@ -35,8 +36,11 @@
         StringBuilder s = new StringBuilder();
         for (int at = 0; at < body.length; at += size) {
             int n = Math.min(size, body.length - at);
-            s.append(Integer.toHexString(n)).append(extension).append("\r\n")
-                    .append(new String(body, at, n, StandardCharsets.ISO_8859_1)).append("\r\n");
+            s.append(Integer.toHexString(n))
+                    .append(extension)
+                    .append("\r\n")
+                    .append(new String(body, at, n, StandardCharsets.ISO_8859_1))
+                    .append("\r\n");
         }
         return s + "0\r\n" + trailer + "\r\n";
     }
@@ -85,8 +89,8 @@
                 InputStream in = line.socket().getInputStream();
                 byte[] body = m.body().getBytes(StandardCharsets.ISO_8859_1);
                 if ("chunked".equalsIgnoreCase(m.header("Transfer-Encoding"))) {
-                    body = answer(new java.io.SequenceInputStream(new java.io.ByteArrayInputStream(
-                            "HTTP/1.1 200 OK\r\n\r\n".getBytes()), in));
+                    body = answer(new java.io.SequenceInputStream(
+                            new java.io.ByteArrayInputStream("HTTP/1.1 200 OK\r\n\r\n".getBytes()), in));
                 }
                 synchronized (got) {
                     got.add(body);
@@ -116,16 +120,22 @@
                         Thread sender = new Thread(() -> {
                             try {
                                 OutputStream out = c.socket.getOutputStream();
-                                c.send(post(name, chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + n + "\r\n"));
-                                out.write(chunked ? chunks(body, 7_001, ";a=\"b\"", "X-Sum: 1\r\n").getBytes(StandardCharsets.ISO_8859_1)
-                                        : body);
+                                c.send(post(
+                                        name,
+                                        chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + n + "\r\n"));
+                                out.write(
+                                        chunked
+                                                ? chunks(body, 7_001, ";a=\"b\"", "X-Sum: 1\r\n")
+                                                        .getBytes(StandardCharsets.ISO_8859_1)
+                                                : body);
                                 out.flush();
                             } catch (java.io.IOException e) {
                                 // the answer tells
                             }
                         });
                         sender.start();
-                        org.junit.jupiter.api.Assertions.assertArrayEquals(body, answer(c.socket.getInputStream()), name);
+                        org.junit.jupiter.api.Assertions.assertArrayEquals(
+                                body, answer(c.socket.getInputStream()), name);
                         sender.join();
                         // The connection goes on.
                         c.send(Rig.get(name + "x", 20_000));
@@ -142,7 +152,8 @@
         String text = new String(body, StandardCharsets.ISO_8859_1);
         List<Peer.Script> forms = List.of(
                 (m, line) -> line.answer("200 OK", "", text),
-                (m, line) -> line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(body, 9_999, ";x", "T: 1\r\n")),
+                (m, line) -> line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + chunks(body, 9_999, ";x", "T: 1\r\n")),
                 (m, line) -> {
                     line.raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + text);
                     line.socket().shutdownOutput();
@@ -168,8 +179,10 @@
     /** The client must not take a part for the whole. */
     @Test
     void anAnswerThatBreaksOffIsSeenToBeBroken() throws Exception {
-        for (String head : new String[] {"Content-Length: 900000\r\n\r\n" + "x".repeat(400_000),
-            "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + "x".repeat(200_000) + "\r\n30d40\r\nhalf"}) {
+        for (String head : new String[] {
+            "Content-Length: 900000\r\n\r\n" + "x".repeat(400_000),
+            "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + "x".repeat(200_000) + "\r\n30d40\r\nhalf"
+        }) {
             try (Rig rig = new Rig()) {
                 rig.upstream((m, line) -> {
                     line.raw("HTTP/1.1 200 OK\r\n" + head);
@@ -314,7 +327,8 @@
     @Test
     void aClientThatLeavesWithinItsAnswerEndsTheAttempt() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(100_000)));
+            rig.upstream(
+                    (m, line) -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(100_000)));
             rig.start();
             try (Peer.Client c = rig.client()) {
                 c.send(Rig.get("a1", 20_000));
@@ -336,7 +350,7 @@
                     out.send(id, "u0", 0);
                 }
             };
-            up.script = (m, line) -> { };
+            up.script = (m, line) -> {};
             rig.start();
             try (Peer.Client c = rig.client()) {
                 c.send(post("a1", "Transfer-Encoding: chunked\r\n") + "18000\r\n" + "x".repeat(0x18000) + "\r\n");
@@ -375,19 +389,33 @@
         try (Rig rig = new Rig()) {
             Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", ""));
             rig.start();
-            for (String framing : new String[] {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
-                "Content-Length: 3\r\nContent-Length: 4\r\n", "Content-Length: 3, 4\r\n", "Content-Length: +3\r\n",
-                "Content-Length: -3\r\n", "Content-Length: 3x\r\n", "Content-Length : 3\r\n",
-                "Transfer-Encoding : chunked\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
-                "Transfer-Encoding: identity\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
-                "Transfer-Encoding: xchunked\r\n"}) {
+            for (String framing : new String[] {
+                "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+                "Content-Length: 3\r\nContent-Length: 4\r\n",
+                "Content-Length: 3, 4\r\n",
+                "Content-Length: +3\r\n",
+                "Content-Length: -3\r\n",
+                "Content-Length: 3x\r\n",
+                "Content-Length : 3\r\n",
+                "Transfer-Encoding : chunked\r\n",
+                "Transfer-Encoding: gzip\r\n",
+                "Transfer-Encoding: gzip, chunked\r\n",
+                "Transfer-Encoding: identity\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                "Transfer-Encoding: xchunked\r\n"
+            }) {
                 try (Peer.Client c = rig.client()) {
                     c.send(post("f1", framing) + "3\r\nabc\r\n0\r\n\r\n");
                     assertEquals(400, c.status(), framing);
                 }
             }
-            for (String body : new String[] {"zz\r\nabc\r\n0\r\n\r\n", "-3\r\nabc\r\n0\r\n\r\n", "3\r\nabcdef\r\n0\r\n\r\n",
-                "\r\n\r\n", "fffffffffffffffff\r\nabc"}) {
+            for (String body : new String[] {
+                "zz\r\nabc\r\n0\r\n\r\n",
+                "-3\r\nabc\r\n0\r\n\r\n",
+                "3\r\nabcdef\r\n0\r\n\r\n",
+                "\r\n\r\n",
+                "fffffffffffffffff\r\nabc"
+            }) {
                 try (Peer.Client c = rig.client()) {
                     c.send(post("f2", "Transfer-Encoding: chunked\r\n") + body);
                     assertEquals(400, c.status(), body);
@@ -406,7 +434,7 @@
             rig.upstream((m, line) -> {
                 InputStream in = line.socket().getInputStream();
                 try {
-                    while (in.read() >= 0) { }
+                    while (in.read() >= 0) {}
                 } finally {
                     ends.add(-1);
                 }
@@ -433,7 +461,7 @@
                 BlockingQueue<Long> ends = new LinkedBlockingQueue<>();
                 up.script = (m, line) -> {
                     try {
-                        while (line.socket().getInputStream().read() >= 0) { }
+                        while (line.socket().getInputStream().read() >= 0) {}
                     } finally {
                         ends.add(System.nanoTime());
                     }
--- a/src/test/java/rushproxy/sidecar/CordonTest.java
+++ b/src/test/java/rushproxy/sidecar/CordonTest.java
@@ -87,7 +87,8 @@
         }
         Path kept = files().get(0);
         Files.writeString(kept, Files.readString(kept).substring(0, 10));
-        Files.writeString(kept.resolveSibling("cordon-other.json"), "{\"version\":99,\"id\":\"u0\",\"out\":true,\"atMs\":1}");
+        Files.writeString(
+                kept.resolveSibling("cordon-other.json"), "{\"version\":99,\"id\":\"u0\",\"out\":true,\"atMs\":1}");
         Files.write(kept.resolveSibling("cordon-foreign.json"), new byte[5_000]);
         try (Rig next = rig().start()) {
             assertEquals(200, serve(next, "a1"));
@@ -101,8 +102,10 @@
     void aCallBackIsForgottenByTheMonotonicClock() throws Exception {
         long hourMs = 3_600_000;
         for (long stepMs : new long[] {-hourMs, hourMs}) {
-            Files.writeString(folder.resolve("cordon-a.json"), "{\"version\":1,\"id\":\"u0\",\"out\":false,\"atMs\":"
-                    + (System.currentTimeMillis() + stepMs) + "}");
+            Files.writeString(
+                    folder.resolve("cordon-a.json"),
+                    "{\"version\":1,\"id\":\"u0\",\"out\":false,\"atMs\":" + (System.currentTimeMillis() + stepMs)
+                            + "}");
             java.util.concurrent.atomic.AtomicLong nanos = new java.util.concurrent.atomic.AtomicLong();
             java.util.concurrent.BlockingQueue<java.util.Map<String, CordonStore.Mark>> changes =
                     new java.util.concurrent.LinkedBlockingQueue<>();
@@ -134,15 +137,16 @@
         String[] address = new String[1];
         CountDownLatch calledOut = new CountDownLatch(1);
         try (Rig rig = new Rig((m, line) -> {
-            if (m.path().contains("index=41")) {
-                try {
-                    calledOut.await();
-                } catch (InterruptedException e) {
-                    throw new java.io.InterruptedIOException();
-                }
-                line.answer("200 OK", "", Rig.list(42, true, Rig.entry("u0", address[0], "Ready", 5_000)));
-            }
-        }).withAdmin()) {
+                    if (m.path().contains("index=41")) {
+                        try {
+                            calledOut.await();
+                        } catch (InterruptedException e) {
+                            throw new java.io.InterruptedIOException();
+                        }
+                        line.answer("200 OK", "", Rig.list(42, true, Rig.entry("u0", address[0], "Ready", 5_000)));
+                    }
+                })
+                .withAdmin()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             address[0] = rig.peers.get(0).address();
             rig.start();
--- a/src/test/java/rushproxy/sidecar/CrowdTest.java
+++ b/src/test/java/rushproxy/sidecar/CrowdTest.java
@@ -31,8 +31,13 @@
         try (Rig rig = rig().start()) {
             List<Peer.Client> half = new ArrayList<>();
             for (int i = 0; i < 20; i++) {
-                half.add(rig.client().send(i % 2 == 0 ? "GET /api HT" : "POST /api HTTP/1.1\r\nX-Txn: h" + i
-                        + "\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\nContent-Length: 9\r\n\r\nhalf"));
+                half.add(
+                        rig.client()
+                                .send(
+                                        i % 2 == 0
+                                                ? "GET /api HT"
+                                                : "POST /api HTTP/1.1\r\nX-Txn: h" + i
+                                                        + "\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\nContent-Length: 9\r\n\r\nhalf"));
                 // An answer here says that what was sent before it has been read.
                 assertEquals("ACK\n", rig.call("health"), "the operators wait for no client");
             }
@@ -51,7 +56,7 @@
     @Test
     void whoHasJustComeMakesNoRoom() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.sockets = 48 + 2 * 16;
             rig.start();
             List<Peer.Client> clients = new ArrayList<>();
@@ -89,7 +94,7 @@
             rig.sockets = 48 + 2 * 16;
             rig.start();
             // As under load: the loop looks at its sockets all the time.
-            rig.sidecar.loop().scheduleAtFixedRate(() -> { }, 1, 1, TimeUnit.MILLISECONDS);
+            rig.sidecar.loop().scheduleAtFixedRate(() -> {}, 1, 1, TimeUnit.MILLISECONDS);
             List<Peer.Client> clients = new ArrayList<>();
             try {
                 for (int i = 0; i < 12; i++) {
@@ -118,7 +123,12 @@
                 clients.get(12).close();
                 rig.await("request left9");
                 Thread.sleep(300);
-                assertEquals(List.of(), upstream.messages.stream().map(m -> m.header("X-Txn")).filter(id -> id.startsWith("left")).toList());
+                assertEquals(
+                        List.of(),
+                        upstream.messages.stream()
+                                .map(m -> m.header("X-Txn"))
+                                .filter(id -> id.startsWith("left"))
+                                .toList());
             } finally {
                 for (Peer.Client c : clients) {
                     c.close();
@@ -130,7 +140,8 @@
     /** Its time runs from the last byte: counted from the first it would be over before it has begun. */
     @Test
     void aHeadThatIsWrittenSlowlyHasItsWholeTime() throws Exception {
-        try (Rig rig = rig().start(); Peer.Client slow = rig.client()) {
+        try (Rig rig = rig().start();
+                Peer.Client slow = rig.client()) {
             String text = Rig.get("a1", 500);
             slow.send(text.substring(0, 40));
             Thread.sleep(800);
@@ -144,7 +155,7 @@
     @Test
     void whatFindsNoRoomIsRefusedWithinItsTime() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             List<Peer.Client> filling = new ArrayList<>();
             try {
@@ -196,7 +207,8 @@
     }
 
     /** Sends a whole body and tells, on a thread of its own, how it was answered. */
-    private static Peer.Client refused(Rig rig, String id, long remainingMs, BlockingQueue<String> answered) throws Exception {
+    private static Peer.Client refused(Rig rig, String id, long remainingMs, BlockingQueue<String> answered)
+            throws Exception {
         Peer.Client client = rig.client().send(upload(id, remainingMs, 60_000) + "x".repeat(60_000));
         Thread reader = new Thread(() -> {
             try {
--- a/src/test/java/rushproxy/sidecar/DepartureTest.java
+++ b/src/test/java/rushproxy/sidecar/DepartureTest.java
@@ -69,8 +69,8 @@
     @Test
     void aResetAndAHalfCloseAreDeparturesToo() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
-            rig.onRequest = (now, r, out) -> { };
+            rig.upstream((m, line) -> {});
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client resets = rig.client()) {
                 resets.send(Rig.get("a1", 3_000));
@@ -92,10 +92,11 @@
     /** The connection for its attempt comes up a second after the client has gone. */
     @Test
     void nothingIsSentWhenTheConnectionComesUpAfterTheClientHasGone() throws Exception {
-        try (SlowDoor door = new SlowDoor(); Rig rig = new Rig((m, line) -> { })) {
-            rig.discovery.script = (m, line) -> line.answer("200 OK", "",
-                    Rig.list(50, true, Rig.entry("u0", door.address(), "Ready", 0)));
-            rig.upstream((m, line) -> { });
+        try (SlowDoor door = new SlowDoor();
+                Rig rig = new Rig((m, line) -> {})) {
+            rig.discovery.script = (m, line) ->
+                    line.answer("200 OK", "", Rig.list(50, true, Rig.entry("u0", door.address(), "Ready", 0)));
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list FULL u0=READY");
             try (Peer.Client client = rig.client()) {
@@ -164,7 +165,8 @@
                     assertEquals(200, client.status());
                     rig.holdUp(200, () -> {
                         client.send(Rig.get("a1", 20_000));
-                        watch.answer("200 OK", "", Rig.list(42, false, Rig.entry("u0", up.address(), "Terminating", 0)));
+                        watch.answer(
+                                "200 OK", "", Rig.list(42, false, Rig.entry("u0", up.address(), "Terminating", 0)));
                     });
                     rig.await("outcome a0");
                     assertEquals("outcome a1 0 NOT_SENT false -", rig.await("outcome"));
@@ -177,10 +179,17 @@
     /** A class may allow a second copy: once one has served, the other is not begun. */
     @Test
     void aCopyWhoseConnectionStillComesUpIsNotSentOnceAnotherHasServed() throws Exception {
-        try (SlowDoor door = new SlowDoor(); Rig rig = new Rig((m, line) -> { })) {
+        try (SlowDoor door = new SlowDoor();
+                Rig rig = new Rig((m, line) -> {})) {
             Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
-            rig.discovery.script = (m, line) -> line.answer("200 OK", "", Rig.list(50, true,
-                    Rig.entry("u0", door.address(), "Ready", 0), Rig.entry("u1", up.address(), "Ready", 0)));
+            rig.discovery.script = (m, line) -> line.answer(
+                    "200 OK",
+                    "",
+                    Rig.list(
+                            50,
+                            true,
+                            Rig.entry("u0", door.address(), "Ready", 0),
+                            Rig.entry("u1", up.address(), "Ready", 0)));
             rig.onRequest = (now, r, out) -> {
                 out.send(r.id(), "u0", 0);
                 out.send(r.id(), "u1", 0);
@@ -199,8 +208,8 @@
     @Test
     void aClientThatSendsManyRequestsAndGoesIsSeenToHaveGone() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
-            rig.onRequest = (now, r, out) -> { };
+            rig.upstream((m, line) -> {});
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 StringBuilder all = new StringBuilder();
@@ -210,7 +219,8 @@
                 client.send(all.toString());
             }
             assertEquals("expired a0", rig.await("expired"));
-            assertEquals(0, rig.told.stream().filter(t -> t.startsWith("request")).count());
+            assertEquals(
+                    0, rig.told.stream().filter(t -> t.startsWith("request")).count());
         }
     }
 
@@ -218,8 +228,8 @@
     @Test
     void aClientThatGoesWithinALongBodyThatWaitsIsSeenToHaveGone() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
-            rig.onRequest = (now, r, out) -> { };
+            rig.upstream((m, line) -> {});
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(upload("a1", 1_000_000) + "x".repeat(100_000));
@@ -234,7 +244,7 @@
     void whatWaitsForAClientThatCannotBeWatchedIsRefusedAndNeverBegun() throws Exception {
         try (Rig rig = new Rig()) {
             Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
-            rig.onRequest = (now, r, out) -> { };
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(upload("a1", 1_000_000) + "x".repeat(400_000));
@@ -249,7 +259,7 @@
     void aClientThatSendsMoreAheadThanIsKeptGetsAnAnswerToAllThatWasRead() throws Exception {
         try (Rig rig = new Rig()) {
             Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
-            rig.onRequest = (now, r, out) -> { };
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 StringBuilder all = new StringBuilder();
@@ -298,7 +308,7 @@
     }
 
     private static String upload(String id, int length) {
-        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: c\r\nX-Remaining-Ms: 20000\r\nContent-Length: " + length
-                + "\r\n\r\n";
+        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id
+                + "\r\nX-Lane: c\r\nX-Remaining-Ms: 20000\r\nContent-Length: " + length + "\r\n\r\n";
     }
 }
--- a/src/test/java/rushproxy/sidecar/DescriptorsTest.java
+++ b/src/test/java/rushproxy/sidecar/DescriptorsTest.java
@@ -28,17 +28,34 @@
 
     @TempDir
     Path folder;
+
     private final List<Peer.Client> idle = new ArrayList<>();
 
     private Process start(int port, Peer discovery, Peer upstream, int told, int allowed) throws Exception {
         String known = Rig.list(41, true, Rig.entry("u0", upstream.address(), "Ready", 0));
         Path file = folder.resolve("config.json");
-        Files.writeString(file, CONFIG.formatted(port, discovery.address(), told, known,
-                Rig.SETTINGS.replace("on_request", "pushed").replace("\"probing\":true", "\"probing\":false")
-                        .replace("\"give_up_us\":800000", "\"give_up_us\":3000000")));
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + allowed + "; exec \"$0\" \"$@\"",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx72m",
-                "-cp", System.getProperty("java.class.path"), "rushproxy.Main", "serve");
+        Files.writeString(
+                file,
+                CONFIG.formatted(
+                        port,
+                        discovery.address(),
+                        told,
+                        known,
+                        Rig.SETTINGS
+                                .replace("on_request", "pushed")
+                                .replace("\"probing\":true", "\"probing\":false")
+                                .replace("\"give_up_us\":800000", "\"give_up_us\":3000000")));
+        ProcessBuilder builder = new ProcessBuilder(
+                "/bin/sh",
+                "-c",
+                "ulimit -n " + allowed + "; exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-Xmx72m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "rushproxy.Main",
+                "serve");
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
@@ -99,7 +116,11 @@
     private static String served(InetSocketAddress at, String id) throws IOException {
         try (Peer.Client c = new Peer.Client(at)) {
             Peer.Message m = c.send(Rig.get(id, 2_500)).answer();
-            return m == null ? "nothing" : m.head().startsWith("HTTP/1.1 200") ? m.body() : m.head().lines().findFirst().get();
+            return m == null
+                    ? "nothing"
+                    : m.head().startsWith("HTTP/1.1 200")
+                            ? m.body()
+                            : m.head().lines().findFirst().get();
         }
     }
 
@@ -120,9 +141,9 @@
     /** While discovery is silent clients come and rest, more than there are descriptors; all that is not theirs goes on. */
     @Test
     void restingClientsLeaveRoomForDiscoveryForUpstreamsAndForTheEnd() throws Exception {
-        try (Peer discovery = new Peer((m, line) -> { });
-             Peer before = new Peer((m, line) -> line.answer("200 OK", "", "before"));
-             Peer after = new Peer((m, line) -> line.answer("200 OK", "", "after"))) {
+        try (Peer discovery = new Peer((m, line) -> {});
+                Peer before = new Peer((m, line) -> line.answer("200 OK", "", "before"));
+                Peer after = new Peer((m, line) -> line.answer("200 OK", "", "after"))) {
             InetSocketAddress at = new InetSocketAddress("127.0.0.1", freePort());
             Process p = start(at.getPort(), discovery, before, 256, 256);
             try {
@@ -147,8 +168,8 @@
     @Test
     void withoutDescriptorsConnectionsFailAndAreTriedAgain() throws Exception {
         try (Peer discovery = new Peer((m, line) -> line.socket().close());
-             Peer before = new Peer((m, line) -> line.answer("200 OK", "Connection: close\r\n", "before"));
-             Peer after = new Peer((m, line) -> line.answer("200 OK", "", "after"))) {
+                Peer before = new Peer((m, line) -> line.answer("200 OK", "Connection: close\r\n", "before"));
+                Peer after = new Peer((m, line) -> line.answer("200 OK", "", "after"))) {
             InetSocketAddress at = new InetSocketAddress("127.0.0.1", freePort());
             Process p = start(at.getPort(), discovery, before, 2_048, 200);
             try (Peer.Client known = ready(p, at)) {
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -19,10 +19,10 @@
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                 case 2 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
                 case 3 -> line.answer("200 OK", "Connection: close\r\n", Rig.list(44, true, UP));
-                default -> { }
+                default -> {}
             }
         })) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             assertEquals("list CACHED u0=READY", rig.await("list"));
             // The first answer tells the module that it is subscribed, even without a change.
@@ -39,19 +39,29 @@
     /** A bad answer is a failed call; taken for an empty list it would end all service. */
     @Test
     void aBadAnswerIsAFailedCallAndThenTheWholeListIsAskedFor() throws Exception {
-        String[] bad = {"no json", "", "{}", "[]", "null", "{\"generation\":50,\"reset\":true,\"instances\":[]}",
-            "{\"generation\":50,\"reset\":true}", Rig.list(40, false, UP), Rig.list(50, false, UP.replace("Ready", "?")),
-            Rig.list(50, true, UP.replace("127.0.0.1:9", "nowhere")), "{\"generation\":50,\"reset\":true,\"instances\":[7]}"};
+        String[] bad = {
+            "no json",
+            "",
+            "{}",
+            "[]",
+            "null",
+            "{\"generation\":50,\"reset\":true,\"instances\":[]}",
+            "{\"generation\":50,\"reset\":true}",
+            Rig.list(40, false, UP),
+            Rig.list(50, false, UP.replace("Ready", "?")),
+            Rig.list(50, true, UP.replace("127.0.0.1:9", "nowhere")),
+            "{\"generation\":50,\"reset\":true,\"instances\":[7]}"
+        };
         for (String answer : bad) {
             AtomicInteger calls = new AtomicInteger();
             try (Rig rig = new Rig((m, line) -> {
                 switch (calls.incrementAndGet()) {
                     case 1 -> line.answer("200 OK", "", answer);
                     case 2 -> line.answer("200 OK", "", Rig.list(60, true, UP));
-                    default -> { }
+                    default -> {}
                 }
             })) {
-                rig.upstream((m, line) -> { });
+                rig.upstream((m, line) -> {});
                 rig.start();
                 rig.await("list CACHED");
                 assertEquals("list FAILED ", rig.await("list"), answer);
@@ -72,10 +82,10 @@
                 case 2 -> line.reset();
                 case 3 -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n");
                 case 4 -> line.answer("200 OK", "", Rig.list(43, false, UP));
-                default -> { }
+                default -> {}
             }
         })) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list CACHED");
             for (int i = 0; i < 3; i++) {
@@ -95,12 +105,12 @@
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                 case 2 -> line.answer("503 Down", "", "");
                 case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP));
-                default -> { }
+                default -> {}
             }
         })) {
             rig.settings = rig.settings.replace("on_request", "pushed");
             rig.asks = false;
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list CACHED");
             assertEquals("list DELTA u0=READY", rig.await("list"), "told of a call it has not made, or of no change");
@@ -115,7 +125,7 @@
         Rig rig = new Rig(discovery);
         rig.settings = rig.settings.replace("on_request", "pushed");
         rig.asks = false;
-        rig.upstream((m, line) -> { });
+        rig.upstream((m, line) -> {});
         rig.start();
         rig.await("list CACHED");
         return rig;
@@ -132,7 +142,7 @@
             switch (calls.incrementAndGet()) {
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                 case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
-                default -> { }
+                default -> {}
             }
         })) {
             assertEquals("list DELTA u0=DRAINING", rig.await("list"));
@@ -149,10 +159,11 @@
     void aWatchThatBreaksIsFollowedByACallThatDoesNotWait() throws Exception {
         java.util.Map<String, Peer.Script> breaks = java.util.Map.of(
                 "reset", (m, line) -> line.reset(),
-                "reset within a list", (m, line) -> {
-                    line.raw("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"generation\":43,\"reset\":tr");
-                    line.reset();
-                },
+                "reset within a list",
+                        (m, line) -> {
+                            line.raw("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"generation\":43,\"reset\":tr");
+                            line.reset();
+                        },
                 "closed", (m, line) -> line.socket().close(),
                 "refused", (m, line) -> line.answer("503 Down", "", ""));
         for (java.util.Map.Entry<String, Peer.Script> broken : breaks.entrySet()) {
@@ -162,7 +173,7 @@
                     case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                     case 2 -> broken.getValue().handle(m, line);
                     case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
-                    default -> { }
+                    default -> {}
                 }
             })) {
                 assertEquals("list DELTA u0=DRAINING", rig.await("list"), broken.getKey());
@@ -206,10 +217,10 @@
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                 case 2 -> line.reset();
                 case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
-                default -> { }
+                default -> {}
             }
         })) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.asksOnce = true;
             rig.start();
             rig.await("list CACHED");
@@ -220,13 +231,16 @@
     }
 
     private static String many(int from, int to, String state) {
-        return java.util.stream.IntStream.range(from, to).mapToObj(i -> Rig.entry("s" + i, "127.0.0.1:" + (1_000 + i), state, 0))
+        return java.util.stream.IntStream.range(from, to)
+                .mapToObj(i -> Rig.entry("s" + i, "127.0.0.1:" + (1_000 + i), state, 0))
                 .collect(java.util.stream.Collectors.joining(","));
     }
 
     /** As discovery may write it: each value on a line of its own. */
     private static String indented(String json) {
-        return json.replace("{", "{\n            ").replace(",\"", ",\n            \"").replace("}", "\n        }");
+        return json.replace("{", "{\n            ")
+                .replace(",\"", ",\n            \"")
+                .replace("}", "\n        }");
     }
 
     /** Whole, indented, in changes; then one that is too long and one that is spoilt, after which the list before holds. */
@@ -239,9 +253,13 @@
                 case 1 -> line.answer("200 OK", "", indented(Rig.list(42, true, many(0, servers, "Ready"))));
                 case 2 -> line.answer("200 OK", "", Rig.list(43, false, many(0, 1_024, "Terminating")));
                 case 3 -> line.answer("200 OK", "", Rig.list(44, true, many(0, 40_000, "Ready")));
-                case 4 -> line.answer("200 OK", "", "{\"generation\":45,\"reset\":true,\"instances\":[" + many(0, 1_024, "Ready"));
+                case 4 ->
+                    line.answer(
+                            "200 OK",
+                            "",
+                            "{\"generation\":45,\"reset\":true,\"instances\":[" + many(0, 1_024, "Ready"));
                 case 5 -> line.answer("200 OK", "", Rig.list(46, true, many(5, 6, "Ready")));
-                default -> { }
+                default -> {}
             }
         })) {
             assertEquals(servers, rig.await("list FULL").split("=READY", -1).length - 1);
--- a/src/test/java/rushproxy/sidecar/DrainTest.java
+++ b/src/test/java/rushproxy/sidecar/DrainTest.java
@@ -20,7 +20,7 @@
     @Test
     void readySaysNoAtOnceAndYesAgainAfterTheCallBack() throws Exception {
         try (Rig rig = new Rig().withAdmin()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             assertEquals(200, ready(rig));
             for (int i = 0; i < 2; i++) {
@@ -50,7 +50,9 @@
                 line.answer("200 OK", "", m.header("X-Txn"));
             });
             rig.start();
-            try (Peer.Client held = rig.client(); Peer.Client used = rig.client(); Peer.Client idle = rig.client()) {
+            try (Peer.Client held = rig.client();
+                    Peer.Client used = rig.client();
+                    Peer.Client idle = rig.client()) {
                 for (Peer.Client c : new Peer.Client[] {used, idle}) {
                     c.send(Rig.get("w" + c.socket.getLocalPort(), 30_000));
                     assertEquals(200, c.status());
--- a/src/test/java/rushproxy/sidecar/FaultInjectionIT.java
+++ b/src/test/java/rushproxy/sidecar/FaultInjectionIT.java
@@ -32,21 +32,24 @@
     private static final long SLACK_MS = 70;
     /** The hold-up that the pages name, and when a stop answers what it holds, before the kill. */
     private static final long HOLD_UP_MS = 150;
+
     private static final long LEAVE_DUE_MS = 250;
     /** What the machine may be late by itself. */
     private static final long LATE_MS = 30;
+
     private static final int MOST_TRIES = 5;
     private static final long HOUR_MS = 3_600_000;
 
     @TempDir
     Path folder;
+
     private final List<Peer> upstreams = new ArrayList<>();
     private Peer discovery;
     private SidecarProcess sidecar;
 
     @BeforeEach
     void silentDiscovery() throws Exception {
-        discovery = new Peer((message, line) -> { });
+        discovery = new Peer((message, line) -> {});
     }
 
     @AfterEach
@@ -108,7 +111,8 @@
 
     /** The connection has ended: an answer whose end would be the connection's is whole then. */
     private static String endAt(String text) {
-        boolean framed = text.contains("chunked") || text.toLowerCase(java.util.Locale.ROOT).contains("content-length");
+        boolean framed = text.contains("chunked")
+                || text.toLowerCase(java.util.Locale.ROOT).contains("content-length");
         return text.startsWith("HTTP/1.1 200") && !framed ? "whole" : "broken";
     }
 
@@ -140,7 +144,8 @@
                             String end = end(c, REMAINING_MS + SLACK_MS);
                             if (end.equals("open") || end.equals("whole")) {
                                 synchronized (wrong) {
-                                    wrong.add(version + " " + requestClass + " " + form.replace("\r\n", "|") + ": " + end);
+                                    wrong.add(version + " " + requestClass + " " + form.replace("\r\n", "|") + ": "
+                                            + end);
                                 }
                             }
                         } catch (Exception e) {
@@ -167,19 +172,28 @@
     void aSteppedWallClockChangesNoSlowStart() throws Exception {
         Optional<SystemFaults> faults = systemFaults();
         Assumptions.assumeTrue(faults.isPresent(), "no C compiler on this machine");
-        start(4, (m, line) -> line.answer("200 OK", "", m.header("X-Txn")), faults.get().environment());
+        start(
+                4,
+                (m, line) -> line.answer("200 OK", "", m.header("X-Txn")),
+                faults.get().environment());
         for (long stepMs : new long[] {HOUR_MS, -HOUR_MS}) {
             faults.get().stepWallClock(stepMs);
             Peer restarted = new Peer((m, line) -> line.answer("200 OK", "", m.header("X-Txn")));
             upstreams.add(restarted);
             long generation = 41 + upstreams.size();
-            tell(Rig.list(generation, false, Rig.entry("u0", restarted.address(), "Ready", System.currentTimeMillis() + stepMs)),
+            tell(
+                    Rig.list(
+                            generation,
+                            false,
+                            Rig.entry("u0", restarted.address(), "Ready", System.currentTimeMillis() + stepMs)),
                     generation);
             double first = share(restarted, 500);
             assertTrue(first < 0.15, "share of its first half second, clock stepped by " + stepMs + " ms: " + first);
             share(restarted, 4_000);
             double warm = share(restarted, 1_000);
-            assertTrue(warm > 0.1, "share when it is warm, clock stepped by " + stepMs + " ms: " + warm + "; " + sidecar.log);
+            assertTrue(
+                    warm > 0.1,
+                    "share when it is warm, clock stepped by " + stepMs + " ms: " + warm + "; " + sidecar.log);
         }
         assertEquals(0, sidecar.violations());
     }
@@ -241,7 +255,8 @@
     /** What went wrong, by the clients' records. */
     private List<String> holdUpBeforeTheEnd(Semaphore arrived, Lateness lateness) throws Exception {
         List<String> wrong = new ArrayList<>();
-        try (Peer.Client safe = sidecar.client(); Peer.Client unsafe = sidecar.client()) {
+        try (Peer.Client safe = sidecar.client();
+                Peer.Client unsafe = sidecar.client()) {
             safe.send(SidecarProcess.get("safe", "safe", 10_000));
             unsafe.send(SidecarProcess.get("unsafe", "unsafe", 10_000));
             // Both have reached an upstream, which hangs.
@@ -323,10 +338,13 @@
         Optional<SystemFaults> faults = systemFaults();
         Assumptions.assumeTrue(faults.isPresent(), "no C compiler on this machine");
         Map<String, Integer> runs = new ConcurrentHashMap<>();
-        start(4, (m, line) -> {
-            runs.merge(m.header("X-Txn"), 1, Integer::sum);
-            line.answer("200 OK", "", m.header("X-Txn"));
-        }, faults.get().environment());
+        start(
+                4,
+                (m, line) -> {
+                    runs.merge(m.header("X-Txn"), 1, Integer::sum);
+                    line.answer("200 OK", "", m.header("X-Txn"));
+                },
+                faults.get().environment());
         faults.get().set(Call.READ_INTERRUPTED, 0.03);
         faults.get().set(Call.WAIT_INTERRUPTED, 0.02);
         faults.get().set(Call.READ_SHORT, 0.2);
@@ -348,7 +366,11 @@
         }
         faults.get().clear();
         assertEquals(List.of(), List.copyOf(wrong));
-        assertEquals(List.of(), runs.entrySet().stream().filter(e -> e.getKey().startsWith("unsafe") && e.getValue() > 1).toList());
+        assertEquals(
+                List.of(),
+                runs.entrySet().stream()
+                        .filter(e -> e.getKey().startsWith("unsafe") && e.getValue() > 1)
+                        .toList());
         assertEquals(0, sidecar.violations());
     }
 
--- a/src/test/java/rushproxy/sidecar/FleetPlaneTest.java
+++ b/src/test/java/rushproxy/sidecar/FleetPlaneTest.java
@@ -62,13 +62,15 @@
 
     @Test
     void lettersAreItsOwnAndWordsTheModules() throws Exception {
-        try (DatagramSocket peer = socket(); Rig rig = rig(peer).start()) {
+        try (DatagramSocket peer = socket();
+                Rig rig = rig(peer).start()) {
             DatagramPacket got = new DatagramPacket(new byte[1_000], 1_000);
             Envelope.Letter first = next(peer, got);
             assertEquals(Envelope.id("n0"), first.sender());
             InetSocketAddress sidecar = (InetSocketAddress) got.getSocketAddress();
-            byte[] ping = Envelope.from(Envelope.id("n1"), System.currentTimeMillis()).add(1, ByteBuffer.allocate(2)
-                    .putShort((short) 77)).bytes(WORD);
+            byte[] ping = Envelope.from(Envelope.id("n1"), System.currentTimeMillis())
+                    .add(1, ByteBuffer.allocate(2).putShort((short) 77))
+                    .bytes(WORD);
             peer.send(new DatagramPacket(ping, ping.length, sidecar));
             Envelope.Letter answer;
             do {
@@ -79,13 +81,16 @@
             assertEquals("peer 1 " + WORD, rig.await("peer"), "the letter came to the module");
             assertEquals("fleet 2 MAJORITY", rig.await("fleet 2"));
             String members = rig.call("members");
-            assertTrue(members.startsWith("ACK {\"self\":\"n0\",\"here\":2,\"expected\":2,\"standing\":\"majority\""), members);
+            assertTrue(
+                    members.startsWith("ACK {\"self\":\"n0\",\"here\":2,\"expected\":2,\"standing\":\"majority\""),
+                    members);
             CountDownLatch stopped = new CountDownLatch(1);
             rig.sidecar.stop(stopped::countDown);
             Envelope.Letter last;
             do {
                 last = next(peer, got);
-            } while (last.sections().get(0).type() != 6 || last.sections().get(0).bytes()[12] != 3);
+            } while (last.sections().get(0).type() != 6
+                    || last.sections().get(0).bytes()[12] != 3);
             assertEquals(Envelope.id("n0"), last.sender());
             stopped.await();
         }
@@ -94,9 +99,10 @@
     /** Two peers speak against an upstream: the module is told, operators see it, and it goes when nobody says so any more. */
     @Test
     void whatTwoSayOfAServerComesToTheModuleAndToOperators() throws Exception {
-        try (DatagramSocket one = socket(); DatagramSocket two = socket();
-             Rig rig = rig("{\"members\":true,\"shared\":true}", one, two)) {
-            rig.upstream((m, line) -> { });
+        try (DatagramSocket one = socket();
+                DatagramSocket two = socket();
+                Rig rig = rig("{\"members\":true,\"shared\":true}", one, two)) {
+            rig.upstream((m, line) -> {});
             rig.start();
             DatagramPacket got = new DatagramPacket(new byte[1_000], 1_000);
             next(one, got);
@@ -107,25 +113,37 @@
             }
             assertEquals("verdict u0 SILENT true", rig.await("verdict u0 SILENT true"));
             String verdicts = rig.call("verdicts");
-            assertTrue(verdicts.startsWith("ACK {\"self\":\"n0\",\"servers\":1,\"verdicts\":[{\"server\":\"u0\",\"kind\":\"silent\"")
-                    && verdicts.contains("\"holds\":true"), verdicts);
+            assertTrue(
+                    verdicts.startsWith(
+                                    "ACK {\"self\":\"n0\",\"servers\":1,\"verdicts\":[{\"server\":\"u0\",\"kind\":\"silent\"")
+                            && verdicts.contains("\"holds\":true"),
+                    verdicts);
         }
     }
 
     @Test
     void limitsAreTheConfigurationsAndTheOperators() throws Exception {
-        try (DatagramSocket peer = socket(); Rig rig = rig("{\"members\":true,\"shared\":true,\"limits\":[{\"name\":\"some\","
-                + "\"class\":\"c\",\"per_second\":40}]}", peer).start()) {
-            assertEquals("share some 20.0", rig.await("share some 20.0"), "its part, once the time of the process before is over");
+        try (DatagramSocket peer = socket();
+                Rig rig = rig(
+                                "{\"members\":true,\"shared\":true,\"limits\":[{\"name\":\"some\","
+                                        + "\"class\":\"c\",\"per_second\":40}]}",
+                                peer)
+                        .start()) {
+            assertEquals(
+                    "share some 20.0",
+                    rig.await("share some 20.0"),
+                    "its part, once the time of the process before is over");
             assertEquals("ACK\n", rig.call("limit some class:c 10 in_flight"));
             assertEquals("share some 5.0", rig.await("share some 5.0"));
-            assertTrue(rig.call("limits").contains("\"name\":\"some\",\"of\":\"class:c\",\"per\":\"in_flight\",\"most\":10.0"));
+            assertTrue(rig.call("limits")
+                    .contains("\"name\":\"some\",\"of\":\"class:c\",\"per\":\"in_flight\",\"most\":10.0"));
             assertEquals("ACK\n", rig.call("unlimit some"));
             assertEquals("share some 20.0", rig.await("share some 20.0"));
             assertEquals("NAK no limit of this name was set by a call\n", rig.call("unlimit other"));
             assertEquals("NAK no class 'x'\n", rig.call("limit some class:x 10 in_flight"));
             assertEquals("NAK 'ten' is no number\n", rig.call("limit some all ten in_flight"));
-            assertEquals("NAK 'most' is not all, class:NAME or tenant:NAME\n", rig.call("limit some most 10 in_flight"));
+            assertEquals(
+                    "NAK 'most' is not all, class:NAME or tenant:NAME\n", rig.call("limit some most 10 in_flight"));
             assertEquals("NAK 'a_day' is not per_second or in_flight\n", rig.call("limit some all 10 a_day"));
             assertEquals("NAK -1.0 is no limit\n", rig.call("limit some all -1 in_flight"));
             assertEquals("NAK no such call\n", rig.call("limit some all 10"));
@@ -134,15 +152,19 @@
 
     @Test
     void whatAReleaseOrdersComesToTheModuleAndAnOlderControllerIsRefused() throws Exception {
-        try (DatagramSocket peer = socket(); Rig rig = rig("{\"members\":true,\"shared\":true}", peer)) {
-            rig.upstream((m, line) -> { });
-            rig.upstream((m, line) -> { });
+        try (DatagramSocket peer = socket();
+                Rig rig = rig("{\"members\":true,\"shared\":true}", peer)) {
+            rig.upstream((m, line) -> {});
+            rig.upstream((m, line) -> {});
             rig.start();
             assertEquals("ACK\n", rig.call("order r1 2 0 on 0.25 0.05 ids=u1"));
             assertEquals("weights {u1=0.25}", rig.await("weights"));
             assertEquals("NAK epoch 2, step 0 is known\n", rig.call("order r1 1 9 on 1 0.05 ids=u1"));
-            assertTrue(rig.call("orders").startsWith("ACK {\"self\":\"n0\",\"orders\":[{\"release\":\"r1\",\"epoch\":2,\"step\":0,"
-                    + "\"state\":\"on\",\"weight\":0.25,\"safe\":0.05,\"whom\":\"ids=u1\",\"servers\":1}],\"weights\":{\"u1\":0.25}}"));
+            assertTrue(
+                    rig.call("orders")
+                            .startsWith(
+                                    "ACK {\"self\":\"n0\",\"orders\":[{\"release\":\"r1\",\"epoch\":2,\"step\":0,"
+                                            + "\"state\":\"on\",\"weight\":0.25,\"safe\":0.05,\"whom\":\"ids=u1\",\"servers\":1}],\"weights\":{\"u1\":0.25}}"));
             assertEquals("ACK\n", rig.call("order r1 2 1 done 1 0.05 ids=u1"));
             String last;
             do {
@@ -159,7 +181,8 @@
     void aProcessThatTakesAnothersPlaceBeginsWithWhatThatKnew(@TempDir Path kept) throws Exception {
         Path own = Files.createDirectories(kept.resolve("rushproxy-n0"));
         Files.write(own.resolve("known.bin"), Snapshot.bytes(new byte[] {4, 5}, System.currentTimeMillis() - 1_000));
-        try (DatagramSocket peer = socket(); Rig rig = rig("{\"members\":true,\"shared\":true}", peer)) {
+        try (DatagramSocket peer = socket();
+                Rig rig = rig("{\"members\":true,\"shared\":true}", peer)) {
             rig.kept = kept;
             rig.start();
             assertEquals("know [4, 5]", rig.await("know"));
@@ -184,26 +207,41 @@
 
     @Test
     void aMistakeInItsTableNamesThePlace() {
-        String rest = "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":{\"generation\":1,\"reset\":true,"
-                + "\"instances\":[]},\"settings\":" + Rig.SETTINGS + "}";
-        assertTrue(assertThrows(Config.Broken.class, () -> Rig.config("{\"fleet\":{\"memberz\":true}," + rest)).getMessage()
+        String rest =
+                "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":{\"generation\":1,\"reset\":true,"
+                        + "\"instances\":[]},\"settings\":" + Rig.SETTINGS + "}";
+        assertTrue(assertThrows(Config.Broken.class, () -> Rig.config("{\"fleet\":{\"memberz\":true}," + rest))
+                .getMessage()
                 .contains("'fleet.memberz' is unknown"));
-        assertTrue(assertThrows(Config.Broken.class, () -> Rig.config("{\"fleet\":{\"members\":true}," + rest)).getMessage()
+        assertTrue(assertThrows(Config.Broken.class, () -> Rig.config("{\"fleet\":{\"members\":true}," + rest))
+                .getMessage()
                 .contains("'fleet.members' needs 'peer_listen'"));
-        for (String[] bad : new String[][] {{"\"shared\":true", "'fleet.shared' needs 'fleet.members'"},
-                {"\"limits\":[]", "'fleet.limits' needs 'fleet.shared'"}}) {
-            assertTrue(assertThrows(Config.Broken.class, () -> Rig.config("{\"fleet\":{" + bad[0] + "}," + rest)).getMessage()
-                    .contains(bad[1]), bad[1]);
+        for (String[] bad : new String[][] {
+            {"\"shared\":true", "'fleet.shared' needs 'fleet.members'"},
+            {"\"limits\":[]", "'fleet.limits' needs 'fleet.shared'"}
+        }) {
+            assertTrue(
+                    assertThrows(Config.Broken.class, () -> Rig.config("{\"fleet\":{" + bad[0] + "}," + rest))
+                            .getMessage()
+                            .contains(bad[1]),
+                    bad[1]);
         }
-        String on = "{\"peer_listen\":\"127.0.0.1:9\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:10\"],\"fleet\":{\"members\":true,"
-                + "\"shared\":true,\"limits\":[%s]}," + rest;
-        for (String[] bad : new String[][] {{"{\"per_second\":1}", "'name' is missing"},
-                {"{\"name\":\"a\",\"per_second\":1,\"x\":1}", "'fleet.limits.x' is unknown"},
-                {"{\"name\":\"a\"}", "'fleet.limits', 'a' wants 'per_second' or 'in_flight'"},
-                {"{\"name\":\"a\",\"per_second\":1,\"class\":\"none\"}", "'fleet.limits', 'a': no class 'none'"},
-                {"{\"name\":\"a\",\"per_second\":1},{\"name\":\"a\",\"per_second\":2}", "names 'a' twice"},
-                {"{\"name\":\"a b\",\"per_second\":1}", "'a b' is no name"}}) {
-            assertTrue(assertThrows(Config.Broken.class, () -> Rig.config(on.formatted(bad[0]))).getMessage().contains(bad[1]), bad[1]);
+        String on =
+                "{\"peer_listen\":\"127.0.0.1:9\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:10\"],\"fleet\":{\"members\":true,"
+                        + "\"shared\":true,\"limits\":[%s]}," + rest;
+        for (String[] bad : new String[][] {
+            {"{\"per_second\":1}", "'name' is missing"},
+            {"{\"name\":\"a\",\"per_second\":1,\"x\":1}", "'fleet.limits.x' is unknown"},
+            {"{\"name\":\"a\"}", "'fleet.limits', 'a' wants 'per_second' or 'in_flight'"},
+            {"{\"name\":\"a\",\"per_second\":1,\"class\":\"none\"}", "'fleet.limits', 'a': no class 'none'"},
+            {"{\"name\":\"a\",\"per_second\":1},{\"name\":\"a\",\"per_second\":2}", "names 'a' twice"},
+            {"{\"name\":\"a b\",\"per_second\":1}", "'a b' is no name"}
+        }) {
+            assertTrue(
+                    assertThrows(Config.Broken.class, () -> Rig.config(on.formatted(bad[0])))
+                            .getMessage()
+                            .contains(bad[1]),
+                    bad[1]);
         }
     }
 }
--- a/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
@@ -34,15 +34,18 @@
 
     @Test
     void aRequestInHandIsAnsweredBeforeItsConnectionCloses() throws Exception {
-        for (CloseReason reason : new CloseReason[] {CloseReason.ROOM_NEEDED, CloseReason.STOPPING, CloseReason.DRAINING}) {
+        for (CloseReason reason :
+                new CloseReason[] {CloseReason.ROOM_NEEDED, CloseReason.STOPPING, CloseReason.DRAINING}) {
             try (Rig rig = new Rig()) {
-                rig.upstream((m, line) -> { });
+                rig.upstream((m, line) -> {});
                 rig.start();
                 try (Peer.Client client = rig.client().send(Rig.get("a1", 20_000))) {
                     rig.await("request a1");
                     onLoop(rig, connection -> connection.close(reason));
                     assertEquals(502, client.status(), reason.words());
-                    assertEquals(Map.of(Breach.CLOSED_WITH_A_REQUEST, 1), rig.sidecar.invariants().counts());
+                    assertEquals(
+                            Map.of(Breach.CLOSED_WITH_A_REQUEST, 1),
+                            rig.sidecar.invariants().counts());
                 }
             }
         }
@@ -78,7 +81,9 @@
                 onLoop(rig, connection -> {
                     if (connection.isYoung()) {
                         connection.close(CloseReason.ROOM_NEEDED);
-                        assertEquals(Map.of(Breach.CLOSED_YOUNG, 1), rig.sidecar.invariants().counts());
+                        assertEquals(
+                                Map.of(Breach.CLOSED_YOUNG, 1),
+                                rig.sidecar.invariants().counts());
                     }
                 });
                 client.send(Rig.get("a1", 20_000));
@@ -90,7 +95,8 @@
     /** Until the end of a drain is due; from then on none may be idle. */
     @Test
     void aNewConnectionIsSparedUntilADrainIsDue() throws Exception {
-        try (Rig rig = new Rig(); Peer.Client client = rig.start().client()) {
+        try (Rig rig = new Rig();
+                Peer.Client client = rig.start().client()) {
             awaitOpen(rig);
             onLoop(rig, connection -> {
                 if (connection.isYoung()) {
@@ -105,24 +111,38 @@
     @Test
     void aHandlerThatThrowsLosesNoRequest() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             try (Peer.Client whole = rig.client().send(Rig.get("a1", 20_000))) {
                 rig.await("request a1");
-                onLoop(rig, connection -> connection.channel().pipeline().fireExceptionCaught(new IllegalStateException("as the test wants")));
+                onLoop(
+                        rig,
+                        connection -> connection
+                                .channel()
+                                .pipeline()
+                                .fireExceptionCaught(new IllegalStateException("as the test wants")));
                 assertEquals(502, whole.status(), "a request in hand");
             }
         }
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
-            try (Peer.Client half = rig.client().send("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: a2\r\nX-Lane: c\r\nX-Remaining-Ms: 20000\r\n"
-                    + "Content-Length: 9\r\n\r\nhalf")) {
-                while (rig.sidecar.loop().submit(() -> rig.sidecar.clients().connections().stream().noneMatch(c -> !c.quiet()))
+            try (Peer.Client half = rig.client()
+                    .send("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: a2\r\nX-Lane: c\r\nX-Remaining-Ms: 20000\r\n"
+                            + "Content-Length: 9\r\n\r\nhalf")) {
+                while (rig.sidecar
+                        .loop()
+                        .submit(() ->
+                                rig.sidecar.clients().connections().stream().noneMatch(c -> !c.quiet()))
                         .get(20, TimeUnit.SECONDS)) {
                     Thread.onSpinWait();
                 }
-                onLoop(rig, connection -> connection.channel().pipeline().fireExceptionCaught(new OutOfMemoryError("as the test wants")));
+                onLoop(
+                        rig,
+                        connection -> connection
+                                .channel()
+                                .pipeline()
+                                .fireExceptionCaught(new OutOfMemoryError("as the test wants")));
                 assertEquals(500, half.status(), "half a request");
             }
         }
@@ -132,11 +152,16 @@
     @Test
     void whatCanNotBeReadForLongIsRefusedIfNothingWasSent() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.onRequest = (now, r, out) -> { };
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client().send(Rig.get("a1", 20_000))) {
                 rig.await("request a1");
-                onLoop(rig, connection -> connection.channel().pipeline().fireUserEventTriggered(TcpConnection.ReadsFail.FOR_LONG));
+                onLoop(
+                        rig,
+                        connection -> connection
+                                .channel()
+                                .pipeline()
+                                .fireUserEventTriggered(TcpConnection.ReadsFail.FOR_LONG));
                 assertEquals(503, client.status());
             }
         }
--- a/src/test/java/rushproxy/sidecar/HandOverTest.java
+++ b/src/test/java/rushproxy/sidecar/HandOverTest.java
@@ -32,7 +32,9 @@
 
     @Test
     void theOldLeavesTheListenerOpenAndClosesWhatIsQuiet() throws Exception {
-        try (ServerSocketChannel socket = socket(); Rig old = rig(socket); Rig fresh = rig(socket)) {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket);
+                Rig fresh = rig(socket)) {
             InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
             old.start();
             old.sidecar.warmUp();
@@ -59,7 +61,8 @@
     /** The other process would answer them, or its clients would find them in their way. */
     @Test
     void aWarmUpKeepsOffTheSharedSocket() throws Exception {
-        try (ServerSocketChannel socket = socket(); Rig rig = rig(socket)) {
+        try (ServerSocketChannel socket = socket();
+                Rig rig = rig(socket)) {
             socket.configureBlocking(false);
             AtomicInteger came = new AtomicInteger();
             AtomicBoolean over = new AtomicBoolean();
@@ -87,7 +90,8 @@
 
     @Test
     void healthSaysNoUntilTheSharedSocketIsTaken() throws Exception {
-        try (ServerSocketChannel socket = socket(); Rig rig = rig(socket)) {
+        try (ServerSocketChannel socket = socket();
+                Rig rig = rig(socket)) {
             rig.start();
             Thread warmUp = new Thread(() -> {
                 try {
@@ -126,7 +130,9 @@
 
     @Test
     void anotherDescriptorIsABrokenConfiguration() {
-        assertThrows(Config.Broken.class, () -> Config.read(java.util.Map.of("BALANCER_CONFIG", "deploy/rehearsal.json",
-                "BALANCER_ACCEPT_FD", "7")));
+        assertThrows(
+                Config.Broken.class,
+                () -> Config.read(
+                        java.util.Map.of("BALANCER_CONFIG", "deploy/rehearsal.json", "BALANCER_ACCEPT_FD", "7")));
     }
 }
--- a/src/test/java/rushproxy/sidecar/HoldUpIT.java
+++ b/src/test/java/rushproxy/sidecar/HoldUpIT.java
@@ -32,6 +32,7 @@
 
     @TempDir
     Path folder;
+
     private final List<Peer> servers = new ArrayList<>();
     private final List<String> failed = new ArrayList<>();
     private final AtomicBoolean over = new AtomicBoolean();
@@ -40,7 +41,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        discovery = new Peer((message, line) -> { });
+        discovery = new Peer((message, line) -> {});
         for (int i = 0; i < SERVERS; i++) {
             servers.add(new Peer((m, line) -> {
                 line.answer("200 OK", "Connection: close\r\n", m.header("X-Txn"));
@@ -88,7 +89,8 @@
         connection.send(SidecarProcess.get(id, "unsafe", REMAINING_MS));
         int status = connection.status();
         if (status != 200) {
-            failed.add(id + ": " + status + " after " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos) + " ms");
+            failed.add(id + ": " + status + " after " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos)
+                    + " ms");
         }
     }
 
--- a/src/test/java/rushproxy/sidecar/LingeringCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/LingeringCloseTest.java
@@ -49,7 +49,8 @@
 
     @Test
     void afterItsLastAnswerAClientThatSendsOnStillReadsAll() throws Exception {
-        try (Rig rig = rig().start(); Peer.Client client = slow(rig, lastRequest("a1"))) {
+        try (Rig rig = rig().start();
+                Peer.Client client = slow(rig, lastRequest("a1"))) {
             client.send(Rig.get("a2", 20_000));
             Thread.sleep(200);
             assertWhole(client);
@@ -61,7 +62,8 @@
     /** The bytes may come after the socket's end as well, while the answer is still on its way. */
     @Test
     void bytesThatComeAfterTheEndDoNotCutTheAnswerOff() throws Exception {
-        try (Rig rig = rig().start(); Peer.Client client = slow(rig, lastRequest("a1"))) {
+        try (Rig rig = rig().start();
+                Peer.Client client = slow(rig, lastRequest("a1"))) {
             for (int i = 0; i < 5; i++) {
                 Thread.sleep(40);
                 client.send("more");
@@ -73,7 +75,8 @@
 
     @Test
     void afterBadInputTheAnswerBeforeIsStillRead() throws Exception {
-        try (Rig rig = rig().start(); Peer.Client client = slow(rig, Rig.get("a1", 20_000))) {
+        try (Rig rig = rig().start();
+                Peer.Client client = slow(rig, Rig.get("a1", 20_000))) {
             client.send("RUBBISH\r\n\r\n");
             Thread.sleep(100);
             client.send("RUBBISH\r\n\r\n");
@@ -107,7 +110,8 @@
 
     @Test
     void atTheStopWhatCrossesTheCloseDoesNotCutTheAnswerOff() throws Exception {
-        try (Rig rig = rig().start(); Peer.Client client = slow(rig, Rig.get("a1", 20_000))) {
+        try (Rig rig = rig().start();
+                Peer.Client client = slow(rig, Rig.get("a1", 20_000))) {
             CountDownLatch stopped = new CountDownLatch(1);
             rig.sidecar.stop(stopped::countDown);
             // Quiet connections are closed from 0.8 s on, 0.7 s before the end that is not asked for.
@@ -123,7 +127,8 @@
 
     @Test
     void inADrainToo() throws Exception {
-        try (Rig rig = rig().withAdmin().start(); Peer.Client client = slow(rig, Rig.get("a1", 20_000))) {
+        try (Rig rig = rig().withAdmin().start();
+                Peer.Client client = slow(rig, Rig.get("a1", 20_000))) {
             assertEquals("ACK", rig.call("quiesce").substring(0, 3));
             // What has been quiet for half a second is closed from 0.6 s on.
             Thread.sleep(800);
@@ -138,7 +143,8 @@
     /** Its end is not waited for without a bound. */
     @Test
     void aClientThatNeverEndsItsSideIsClosed() throws Exception {
-        try (Rig rig = rig().start(); Peer.Client client = rig.client()) {
+        try (Rig rig = rig().start();
+                Peer.Client client = rig.client()) {
             client.send(lastRequest("a1"));
             assertWhole(client);
             assertNull(client.answer());
--- a/src/test/java/rushproxy/sidecar/LogTest.java
+++ b/src/test/java/rushproxy/sidecar/LogTest.java
@@ -22,7 +22,8 @@
 
     @Test
     void theTextFormHasTimeLevelNodeAndFields() throws Exception {
-        assertEquals("2023-11-14T22:13:20.123Z WARN n\"3 it is late late_ms=5 why=\"a \\\"pause\\\"\"\n",
+        assertEquals(
+                "2023-11-14T22:13:20.123Z WARN n\"3 it is late late_ms=5 why=\"a \\\"pause\\\"\"\n",
                 written(Form.TEXT, "it is\nlate", "late_ms", 5, "why", "a \"pause\""));
     }
 
@@ -43,24 +44,37 @@
     /** An operator looks at one process's requests without another configuration. */
     @Test
     void theEnvironmentsLevelGoesFirst() throws Exception {
-        String json = "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":{\"generation\":1,"
-                + "\"reset\":true,\"instances\":[]},\"log\":{\"level\":\"warn\"},\"settings\":" + Rig.SETTINGS + "}";
-        assertEquals(Level.DEBUG, Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "debug")).log().least());
-        assertEquals(Level.WARN, Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "")).log().least());
-        assertTrue(assertThrows(Config.Broken.class, () -> Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "loud"))).getMessage()
+        String json =
+                "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":{\"generation\":1,"
+                        + "\"reset\":true,\"instances\":[]},\"log\":{\"level\":\"warn\"},\"settings\":" + Rig.SETTINGS
+                        + "}";
+        assertEquals(
+                Level.DEBUG,
+                Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "debug")).log().least());
+        assertEquals(
+                Level.WARN,
+                Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "")).log().least());
+        assertTrue(assertThrows(Config.Broken.class, () -> Rig.config(json, Map.of("BALANCER_LOG_LEVEL", "loud")))
+                .getMessage()
                 .contains("BALANCER_LOG_LEVEL"));
     }
 
     @Test
     void itsTableIsReadStrictly() throws Exception {
-        String rest = "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":{\"generation\":1,\"reset\":true,"
-                + "\"instances\":[]},\"settings\":" + Rig.SETTINGS + "}";
-        assertEquals(new Log.Style(Form.JSON, Level.WARN, "n7"),
-                Rig.config("{\"name\":\"n7\",\"log\":{\"form\":\"json\",\"level\":\"warn\"}," + rest).log());
+        String rest =
+                "\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":{\"generation\":1,\"reset\":true,"
+                        + "\"instances\":[]},\"settings\":" + Rig.SETTINGS + "}";
+        assertEquals(
+                new Log.Style(Form.JSON, Level.WARN, "n7"),
+                Rig.config("{\"name\":\"n7\",\"log\":{\"form\":\"json\",\"level\":\"warn\"}," + rest)
+                        .log());
         assertEquals(Form.PLAIN, Rig.config("{" + rest).log().form());
         for (String bad : new String[] {"{\"form\":\"xml\"}", "{\"level\":\"loud\"}", "{\"file\":\"x\"}"}) {
-            assertTrue(assertThrows(Config.Broken.class, () -> Rig.config("{\"log\":" + bad + "," + rest)).getMessage()
-                    .contains("'log."), bad);
+            assertTrue(
+                    assertThrows(Config.Broken.class, () -> Rig.config("{\"log\":" + bad + "," + rest))
+                            .getMessage()
+                            .contains("'log."),
+                    bad);
         }
     }
 }
--- a/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
+++ b/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
@@ -33,19 +33,23 @@
 class MomentaryFailuresIT {
     /** Six calls in a hundred, as in incident-2. */
     private static final double CHANCE = 0.06;
+
     private static final int SERVERS = 4;
     private static final int CLIENTS = 8;
     private static final int REQUESTS_EACH = 50;
     /** For calls of which each request makes few. */
     private static final double OFTEN = 0.3;
+
     private static final int STARTS = 4;
     private static final long REMAINING_MS = 800;
     /** What a client waits beyond its time before it counts an answer as missing. */
     private static final int SLACK_MS = 70;
+
     private static final long SEED = 11;
 
     @TempDir
     Path folder;
+
     private final List<Peer> servers = new ArrayList<>();
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<String> wrong = new ConcurrentLinkedQueue<>();
@@ -55,7 +59,7 @@
 
     @BeforeEach
     void prepare() throws Exception {
-        discovery = new Peer((message, line) -> { });
+        discovery = new Peer((message, line) -> {});
         Optional<Path> library = SystemFaults.compile(folder.resolve("library"));
         Assumptions.assumeTrue(library.isPresent(), "no C compiler on this machine");
         faults = SystemFaults.with(library.get(), folder.resolve("control"), SEED);
@@ -84,8 +88,17 @@
 
     /** Each request comes on a connection of its own. */
     @ParameterizedTest
-    @EnumSource(names = {"ACCEPT_FAILS", "OPTION_FAILS", "NAME_FAILS", "REGISTER_FAILS", "READ_FAILS", "SEND_FAILS", "READ_SHORT",
-        "WRITE_SHORT"})
+    @EnumSource(
+            names = {
+                "ACCEPT_FAILS",
+                "OPTION_FAILS",
+                "NAME_FAILS",
+                "REGISTER_FAILS",
+                "READ_FAILS",
+                "SEND_FAILS",
+                "READ_SHORT",
+                "WRITE_SHORT"
+            })
     void newConnectionsAreAnswered(Call call) throws Exception {
         start();
         faults.set(call, CHANCE);
@@ -150,7 +163,8 @@
                 connection.send(SidecarProcess.get(id(0, i), "unsafe", REMAINING_MS));
                 int status = connection.status();
                 if (status != 200) {
-                    failed.add(id(0, i) + ": " + status + " after " + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos) + " ms");
+                    failed.add(id(0, i) + ": " + status + " after "
+                            + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos) + " ms");
                 }
             }
         }
@@ -308,7 +322,8 @@
             Peer.Message answer = connection.answer();
             if (answer == null) {
                 wrong.add(id + " was closed with no answer");
-            } else if (answer.head().startsWith("HTTP/1.1 200") && !answer.body().equals(id)) {
+            } else if (answer.head().startsWith("HTTP/1.1 200")
+                    && !answer.body().equals(id)) {
                 wrong.add(id + " got the answer of another: " + answer.body());
             }
         } catch (IOException e) {
@@ -342,7 +357,11 @@
     private void check(Call call) {
         faults.clear();
         assertEquals(List.of(), List.copyOf(wrong), () -> call + ": " + wrong.size() + " wrong");
-        assertEquals(List.of(), runs.entrySet().stream().filter(e -> e.getKey().startsWith("unsafe") && e.getValue() > 1).toList());
+        assertEquals(
+                List.of(),
+                runs.entrySet().stream()
+                        .filter(e -> e.getKey().startsWith("unsafe") && e.getValue() > 1)
+                        .toList());
         assertEquals(0, sidecar.violations());
     }
 }
--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -25,13 +25,16 @@
 
     @Test
     void aServedAnswerCarriesItsLoadReport() throws Exception {
-        outcome("OK true 7.0", 200, (m, line) ->
-                line.answer("200 OK", "X-Pressure: TEXT inflight=7, queue=2, util=0.61\r\n", "slot"));
+        outcome(
+                "OK true 7.0",
+                200,
+                (m, line) -> line.answer("200 OK", "X-Pressure: TEXT inflight=7, queue=2, util=0.61\r\n", "slot"));
     }
 
     @Test
     void malformedLoadReportsAreNoReports() throws Exception {
-        for (String report : new String[] {"TEXT inflight=", "TEXT inflight=NaN", "TEXT inflight=-1", "JSON {}", "TEXT"}) {
+        for (String report :
+                new String[] {"TEXT inflight=", "TEXT inflight=NaN", "TEXT inflight=-1", "JSON {}", "TEXT"}) {
             outcome("OK true -", 200, (m, line) -> line.answer("200 OK", "X-Pressure: " + report + "\r\n", "slot"));
         }
     }
@@ -54,8 +57,10 @@
             line.socket().close();
         });
         outcome("RESET false -", 502, (m, line) -> line.raw("this is no HTTP at all\r\n\r\n"));
-        outcome("RESET false -", 502, (m, line) ->
-                line.raw("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"));
+        outcome(
+                "RESET false -",
+                502,
+                (m, line) -> line.raw("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"));
     }
 
     /** An interim answer is not the answer. */
@@ -70,7 +75,7 @@
     @Test
     void aRefusedConnectionCouldNotConnect() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { }).close();
+            rig.upstream((m, line) -> {}).close();
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -83,7 +88,7 @@
     @Test
     void aTimeOutClosesTheConnectionAndTheNextCallOpensAnother() throws Exception {
         try (Rig rig = new Rig()) {
-            Peer up = rig.upstream((m, line) -> { });
+            Peer up = rig.upstream((m, line) -> {});
             rig.onRequest = (now, r, out) -> out.send(r.id(), "u0", now + 100_000);
             rig.start();
             try (Peer.Client client = rig.client()) {
@@ -103,7 +108,7 @@
     @Test
     void aCancelledAttemptClosesItsConnection() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.onRequest = (now, r, out) -> {
                 out.send(r.id(), "u0", 0);
                 out.cancel(r.id(), 0);
@@ -160,8 +165,9 @@
             Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "b\u00f6dy\u0000" + "y".repeat(60_000)));
             rig.start();
             try (Peer.Client client = rig.client()) {
-                client.send("POST /api/x?y=%20z HTTP/1.1\r\nHost: a\r\nX-Txn: q7\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\n"
-                        + "Idempotency-Key: k9\r\nContent-Length: 5\r\n\r\nh\u00e9llo");
+                client.send(
+                        "POST /api/x?y=%20z HTTP/1.1\r\nHost: a\r\nX-Txn: q7\r\nX-Lane: c\r\nX-Remaining-Ms: 9000\r\n"
+                                + "Idempotency-Key: k9\r\nContent-Length: 5\r\n\r\nh\u00e9llo");
                 Peer.Message answer = client.answer();
                 assertEquals("b\u00f6dy\u0000" + "y".repeat(60_000), answer.body());
                 Peer.Message sent = up.next();
@@ -187,11 +193,15 @@
             "HTTP/1.1 +200 OK\r\nContent-Length: 3",
             "HTTP/1.1 2x0 OK\r\nContent-Length: 3",
             "HTTP/1.1 OK 200\r\nContent-Length: 3",
-            "HTTP/9.1 200 OK\r\nContent-Length: 3"}) {
+            "HTTP/9.1 200 OK\r\nContent-Length: 3"
+        }) {
             outcome("RESET false -", 502, (m, line) -> line.raw(head + "\r\n\r\nabc"));
         }
-        outcome("RESET false -", 502, (m, line) ->
-                line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\nabc\r\n0\r\n\r\n"));
+        outcome(
+                "RESET false -",
+                502,
+                (m, line) -> line.raw(
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\nabc\r\n0\r\n\r\n"));
     }
 
     /** Without a length only an orderly end tells that an answer is whole. */
@@ -263,7 +273,8 @@
                 }
             };
             rig.start();
-            try (Peer.Client one = rig.client(); Peer.Client two = rig.client()) {
+            try (Peer.Client one = rig.client();
+                    Peer.Client two = rig.client()) {
                 one.send(Rig.get("a1", 20_000));
                 rig.await("request a1");
                 two.send(Rig.get("a2", 20_000));
--- a/src/test/java/rushproxy/sidecar/Peer.java
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -28,8 +28,12 @@
 
         /** Null where there is no such header. */
         String header(String name) {
-            return head.lines().skip(1).filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
-                    .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
+            return head.lines()
+                    .skip(1)
+                    .filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
+                    .map(l -> l.substring(name.length() + 1).trim())
+                    .findFirst()
+                    .orElse(null);
         }
     }
 
--- a/src/test/java/rushproxy/sidecar/PeersTest.java
+++ b/src/test/java/rushproxy/sidecar/PeersTest.java
@@ -24,10 +24,12 @@
 
     @Test
     void onlyPeersAreHeardAndOnlyWhatFits() throws Exception {
-        try (DatagramSocket peer = socket(); DatagramSocket stranger = socket(); DatagramSocket everyone = socket();
-             Rig rig = new Rig()) {
-            rig.peerFields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:" + peer.getLocalPort()
-                    + "\"],\"peers_all\":\"127.0.0.1:" + everyone.getLocalPort() + "\",";
+        try (DatagramSocket peer = socket();
+                DatagramSocket stranger = socket();
+                DatagramSocket everyone = socket();
+                Rig rig = new Rig()) {
+            rig.peerFields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:"
+                    + peer.getLocalPort() + "\"],\"peers_all\":\"127.0.0.1:" + everyone.getLocalPort() + "\",";
             rig.onRequest = (now, r, out) -> {
                 out.tell(1, new byte[5]);
                 out.tell(7, new byte[5]);
@@ -65,10 +67,12 @@
     @Test
     void aSocketThatWasClosedIsReplaced() throws Exception {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        try (DatagramSocket peer = socket(); DatagramSocket free = socket()) {
+        try (DatagramSocket peer = socket();
+                DatagramSocket free = socket()) {
             InetSocketAddress address = (InetSocketAddress) free.getLocalSocketAddress();
             free.close();
-            Peers peers = new Peers(new Clock(), new Decisions(), List.of((InetSocketAddress) peer.getLocalSocketAddress()), null);
+            Peers peers = new Peers(
+                    new Clock(), new Decisions(), List.of((InetSocketAddress) peer.getLocalSocketAddress()), null);
             peers.listen(group.next(), address);
             Channel first = bound(peers, null);
             first.close().sync();
--- a/src/test/java/rushproxy/sidecar/RecurringTest.java
+++ b/src/test/java/rushproxy/sidecar/RecurringTest.java
@@ -26,7 +26,7 @@
                 switch (times.incrementAndGet()) {
                     case 1 -> throw new NoClassDefFoundError("as the test wants");
                     case 2 -> throw new IllegalStateException("as the test wants");
-                    default -> { }
+                    default -> {}
                 }
             });
             assertTrue(third.await(20, TimeUnit.SECONDS), "it came " + times + " times");
--- a/src/test/java/rushproxy/sidecar/RegistrationRetryTest.java
+++ b/src/test/java/rushproxy/sidecar/RegistrationRetryTest.java
@@ -71,22 +71,24 @@
         loop.execute(() -> channel.interested(READ));
         assertTrue(channel.restored.await(30, TimeUnit.SECONDS));
         // The retries of a retry would come within the first time again.
-        loop.schedule(() -> { }, 60, TimeUnit.MILLISECONDS).sync();
+        loop.schedule(() -> {}, 60, TimeUnit.MILLISECONDS).sync();
         loop.submit(() -> {
-            assertEquals(6, channel.withdrawn);
-            assertEquals(6, channel.restores);
-            assertEquals(READ, channel.ops);
-        }).sync();
+                    assertEquals(6, channel.withdrawn);
+                    assertEquals(6, channel.restores);
+                    assertEquals(READ, channel.ops);
+                })
+                .sync();
     }
 
     @Test
     void readinessThatWasToldEndsIt() throws Exception {
         Channel channel = new Channel(1);
         loop.submit(() -> {
-            channel.interested(READ);
-            channel.retry.proven();
-        }).sync();
-        loop.schedule(() -> { }, 60, TimeUnit.MILLISECONDS).sync();
+                    channel.interested(READ);
+                    channel.retry.proven();
+                })
+                .sync();
+        loop.schedule(() -> {}, 60, TimeUnit.MILLISECONDS).sync();
         loop.submit(() -> assertEquals(0, channel.withdrawn)).sync();
     }
 
@@ -94,10 +96,11 @@
     void whatIsInterestedInNothingIsLeftAlone() throws Exception {
         Channel channel = new Channel(1);
         loop.submit(() -> {
-            channel.interested(READ);
-            channel.interested(0);
-        }).sync();
-        loop.schedule(() -> { }, 60, TimeUnit.MILLISECONDS).sync();
+                    channel.interested(READ);
+                    channel.interested(0);
+                })
+                .sync();
+        loop.schedule(() -> {}, 60, TimeUnit.MILLISECONDS).sync();
         loop.submit(() -> assertEquals(0, channel.withdrawn)).sync();
     }
 }
--- a/src/test/java/rushproxy/sidecar/RequestGuardTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestGuardTest.java
@@ -24,8 +24,13 @@
 
     private final Clock clock = new Clock();
     private final Invariants invariants = new Invariants();
-    private final RequestGuard guard = new RequestGuard(clock, List.of(requestClass("safe", Semantics.SAFE),
-            requestClass("unsafe", Semantics.UNSAFE), requestClass("keyed", Semantics.KEYED)), invariants);
+    private final RequestGuard guard = new RequestGuard(
+            clock,
+            List.of(
+                    requestClass("safe", Semantics.SAFE),
+                    requestClass("unsafe", Semantics.UNSAFE),
+                    requestClass("keyed", Semantics.KEYED)),
+            invariants);
     private boolean clientIsThere = true;
 
     private static RequestClass requestClass(String name, Semantics semantics) {
@@ -34,15 +39,24 @@
 
     private Exchange exchange(String requestClass) {
         Request request = new Request("id", -1, false, false, 0, SECOND_US, null, requestClass, false);
-        Body body = new Body(() -> { }, 0);
+        Body body = new Body(() -> {}, 0);
         body.end();
-        return new Exchange(request, HttpMethod.GET, "/api", null, body, clock.now(), 2 * SECOND_US, clock.now() + SECOND_US,
-                new NoAnswer(), new RequestTimes(0, 0, 0, 0, 0));
+        return new Exchange(
+                request,
+                HttpMethod.GET,
+                "/api",
+                null,
+                body,
+                clock.now(),
+                2 * SECOND_US,
+                clock.now() + SECOND_US,
+                new NoAnswer(),
+                new RequestTimes(0, 0, 0, 0, 0));
     }
 
     private Upstreams.Call attempt(Exchange x) {
-        Upstreams.Call call = new Upstreams.Call("u", clock.now() + SECOND_US, false, left -> null, null,
-                (c, outcome, report, body) -> { });
+        Upstreams.Call call = new Upstreams.Call(
+                "u", clock.now() + SECOND_US, false, left -> null, null, (c, outcome, report, body) -> {});
         call.sentAt(new RunningTime.Mark(clock.now(), 0));
         x.attempts.add(call);
         return call;
@@ -79,7 +93,8 @@
     void everyOtherStateHasItsNextOnes() {
         for (RequestState from : RequestState.values()) {
             assertFalse(from.mayBecome(RequestState.TAKEN), from + " is never taken again");
-            boolean last = from == RequestState.ANSWERED || from == RequestState.BROKEN_OFF || from == RequestState.LEFT;
+            boolean last =
+                    from == RequestState.ANSWERED || from == RequestState.BROKEN_OFF || from == RequestState.LEFT;
             assertEquals(!last, from.mayBecome(RequestState.LEFT), from + " and a client that leaves");
         }
     }
@@ -104,7 +119,7 @@
         x.unwatched = true;
         assertEquals("the client can't be watched", guard.whyNotSend(x, call));
         x.unwatched = false;
-        Upstreams.Call late = new Upstreams.Call("u", clock.now() - 1, false, left -> null, null, (c, o, r, b) -> { });
+        Upstreams.Call late = new Upstreams.Call("u", clock.now() - 1, false, left -> null, null, (c, o, r, b) -> {});
         assertEquals("no time left", guard.whyNotSend(x, late));
         assertEquals(0, invariants.total(), "these are ordinary");
     }
@@ -169,20 +184,16 @@
 
     private final class NoAnswer implements Exchange.Answer {
         @Override
-        public void served(ByteBuf body) {
-        }
+        public void served(ByteBuf body) {}
 
         @Override
-        public void refused(long retryAfterUs) {
-        }
+        public void refused(long retryAfterUs) {}
 
         @Override
-        public void failed() {
-        }
+        public void failed() {}
 
         @Override
-        public void begins(long length, Runnable more) {
-        }
+        public void begins(long length, Runnable more) {}
 
         @Override
         public boolean piece(ByteBuf piece) {
@@ -190,12 +201,10 @@
         }
 
         @Override
-        public void ends() {
-        }
+        public void ends() {}
 
         @Override
-        public void breaks() {
-        }
+        public void breaks() {}
 
         @Override
         public boolean clientIsThere() {
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -35,7 +35,7 @@
     @Test
     void aRequestThatTheModuleHoldsIsAnsweredBeforeItsTimeIsUp() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.onRequest = (now, r, out) -> { };
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 300));
@@ -48,7 +48,7 @@
     @Test
     void attemptsAreGivenUpAtTheDeadlineAndTheModuleAnswers() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.onRequest = (now, r, out) -> out.send(r.id(), "u0", now + 60_000_000);
             rig.start();
             try (Peer.Client client = rig.client()) {
@@ -115,7 +115,7 @@
                 client.send(Rig.get("a0", 2_000));
                 assertEquals(503, client.status());
                 long before = remaining(rig, "a0");
-                rig.holdUp(500, () -> { });
+                rig.holdUp(500, () -> {});
                 // By now a beat has come: what is read does not count as old itself.
                 Thread.sleep(100);
                 client.send(Rig.get("a1", 2_000));
@@ -130,7 +130,7 @@
                     given = remaining(rig, "b" + i);
                 }
                 // No more than a quarter of a short time is taken away.
-                rig.holdUp(500, () -> { });
+                rig.holdUp(500, () -> {});
                 Thread.sleep(100);
                 client.send(Rig.get("c1", 100));
                 assertEquals(503, client.status());
@@ -143,13 +143,13 @@
     @Test
     void afterAHoldUpWhatIsHeldIsDueEarlierToo() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             try (Peer.Client client = rig.client()) {
                 long sent = System.nanoTime();
                 client.send(Rig.get("a1", 4_000));
                 rig.peers.get(0).next();
-                rig.holdUp(900, () -> { });
+                rig.holdUp(900, () -> {});
                 assertEquals(502, client.status());
                 long tookMs = (System.nanoTime() - sent) / 1_000_000;
                 assertTrue(tookMs < 3_600, "answered after " + tookMs + " ms");
@@ -189,7 +189,7 @@
     @Test
     void aClientThatLeavesEndsItsRequestAndNoOther() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -216,7 +216,7 @@
             });
             rig.upstream((m, line) -> line.answer("200 OK", "", "second"));
             rig.onRequest = (now, r, out) -> out.send(r.id(), "u0", 0);
-            rig.onOutcome = (id, outcome, done, out) -> { };
+            rig.onOutcome = (id, outcome, done, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
--- a/src/test/java/rushproxy/sidecar/RequestLogTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLogTest.java
@@ -25,12 +25,10 @@
         }
 
         @Override
-        public void flush() {
-        }
+        public void flush() {}
 
         @Override
-        public void close() {
-        }
+        public void close() {}
     };
 
     @BeforeEach
@@ -76,10 +74,16 @@
     void theDebugLevelTellsEachStepOfARequestAndTheReasonOfEachClose() throws Exception {
         Log.style(new Log.Style(Log.Form.PLAIN, Log.Level.DEBUG, "n0"));
         play();
-        for (String step : List.of("request followed taken, class c, .*", "request followed attempt 0 to u0, .*",
-                "request followed attempt 0 to u0 ended RESET after .*", "request followed attempt 1 to u1, .*",
-                "request followed attempt 1 to u1 ended OK after .*", "request followed answered 200 .*", "request refused refused",
-                "connection .* is answered 400", "connection .* closed: last answer")) {
+        for (String step : List.of(
+                "request followed taken, class c, .*",
+                "request followed attempt 0 to u0, .*",
+                "request followed attempt 0 to u0 ended RESET after .*",
+                "request followed attempt 1 to u1, .*",
+                "request followed attempt 1 to u1 ended OK after .*",
+                "request followed answered 200 .*",
+                "request refused refused",
+                "connection .* is answered 400",
+                "connection .* closed: last answer")) {
             assertTrue(any(step), step + " is not among " + lines);
         }
     }
@@ -98,7 +102,9 @@
                 assertEquals(503, c.status());
             }
             Peer.await(() -> any(".*not served.*"));
-            assertTrue(any(".*not served \\{failed, attempts \\[RESET\\], under \\d+ ms=1, refused, attempts \\[\\], under \\d+ ms=1\\}.*"),
+            assertTrue(
+                    any(
+                            ".*not served \\{failed, attempts \\[RESET\\], under \\d+ ms=1, refused, attempts \\[\\], under \\d+ ms=1\\}.*"),
                     lines.toString());
         }
     }
@@ -107,6 +113,8 @@
     void otherLevelsTellNothingOfSingleRequests() throws Exception {
         Log.style(Log.Style.DEFAULT);
         play();
-        assertTrue(lines.stream().noneMatch(l -> l.contains("request followed") || l.contains("connection ")), lines.toString());
+        assertTrue(
+                lines.stream().noneMatch(l -> l.contains("request followed") || l.contains("connection ")),
+                lines.toString());
     }
 }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -46,6 +46,7 @@
     };
     /** What the module says when a connection is up at last. */
     volatile boolean mayBegin = true;
+
     Sidecar sidecar;
     String peerFields = "";
     String adminFields = "";
@@ -54,11 +55,13 @@
     boolean asks = true;
     /** Not again after a failure. */
     boolean asksOnce;
+
     int sockets = 1024;
     /** The folder for what outlives the process. */
     Path kept;
     /** Listens for clients already; null where the sidecar is to. */
     java.nio.channels.ServerSocketChannel inherited;
+
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
@@ -67,7 +70,7 @@
 
     /** Discovery that keeps every watch waiting. */
     Rig() throws IOException {
-        this((m, line) -> { });
+        this((m, line) -> {});
     }
 
     Peer upstream(Peer.Script script) throws IOException {
@@ -82,8 +85,8 @@
     }
 
     static String list(long generation, boolean whole, String... entries) {
-        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":["
-                + String.join(",", entries) + "]}";
+        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":[" + String.join(",", entries)
+                + "]}";
     }
 
     String known() {
@@ -115,9 +118,11 @@
     }
 
     Rig start() throws Exception {
-        Config config = config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\"," + adminFields + peerFields + "\"known\":" + known()
-                + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}", kept);
+        Config config = config(
+                "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
+                        + "\",\"seed\":\"8c1f30d27a5be964\"," + adminFields + peerFields + "\"known\":" + known()
+                        + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}",
+                kept);
         sidecar = new Sidecar(config, inherited, (c, now, out) -> {
             actions = out;
             return new Recorder();
@@ -207,7 +212,10 @@
     private final class Recorder implements Balancer {
         @Override
         public void onList(long now, ListKind kind, List<Upstream> entries) {
-            told.add("list " + kind + " " + String.join(",", entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
+            told.add("list " + kind + " "
+                    + String.join(
+                            ",",
+                            entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
             if (asks && (kind == ListKind.CACHED || kind == ListKind.FAILED && !asksOnce)) {
                 actions.subscribe();
             }
@@ -225,8 +233,15 @@
         }
 
         @Override
-        public void onOutcome(long now, String request, int attempt, String upstream, Outcome outcome, long latencyUs,
-                              boolean done, LoadReport report) {
+        public void onOutcome(
+                long now,
+                String request,
+                int attempt,
+                String upstream,
+                Outcome outcome,
+                long latencyUs,
+                boolean done,
+                LoadReport report) {
             told.add("outcome " + request + " " + attempt + " " + outcome + " " + done + " "
                     + (report == null ? "-" : report.inFlight()));
             onOutcome.take(request, outcome, done, actions);
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -34,7 +34,9 @@
             });
             rig.start();
             CountDownLatch stopped = new CountDownLatch(1);
-            try (Peer.Client held = rig.client(); Peer.Client half = rig.client(); Peer.Client idle = rig.client()) {
+            try (Peer.Client held = rig.client();
+                    Peer.Client half = rig.client();
+                    Peer.Client idle = rig.client()) {
                 held.send(Rig.get("held", 30_000));
                 rig.await("request held");
                 idle.send(Rig.get("before", 30_000));
@@ -70,7 +72,7 @@
     @Test
     void whatIsTakenAfterTheStopIsAnsweredBeforeTheEnd() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             CountDownLatch stopped = new CountDownLatch(1);
             rig.sidecar.stop(stopped::countDown);
@@ -88,7 +90,7 @@
     @Test
     void whatWasHeldBeforeTheStopIsAnsweredBeforeTheEnd() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             CountDownLatch stopped = new CountDownLatch(1);
             try (Peer.Client held = rig.client()) {
@@ -150,7 +152,8 @@
                     rig.sidecar.stop(stopped::countDown);
                     assertTrue(!reads.rest().endsWith("0\r\n\r\n"));
                     long tookMs = (System.nanoTime() - sinceNanos) / 1_000_000;
-                    assertTrue(tookMs < 1_500, bytes + " bytes that stand still were broken off after " + tookMs + " ms");
+                    assertTrue(
+                            tookMs < 1_500, bytes + " bytes that stand still were broken off after " + tookMs + " ms");
                 }
                 assertTrue(stopped.await(20, TimeUnit.SECONDS));
             }
@@ -187,8 +190,11 @@
             rig.upstream((m, line) -> line.answer("200 OK", "", m.body()));
             rig.start();
             CountDownLatch stopped = new CountDownLatch(1);
-            try (Peer.Client half = rig.client(); Peer.Client other = rig.client()) {
-                half.send(Rig.get("half", 30_000).replace("GET", "POST").replace("\r\n\r\n", "\r\nContent-Length: 6\r\n\r\nabc"));
+            try (Peer.Client half = rig.client();
+                    Peer.Client other = rig.client()) {
+                half.send(Rig.get("half", 30_000)
+                        .replace("GET", "POST")
+                        .replace("\r\n\r\n", "\r\nContent-Length: 6\r\n\r\nabc"));
                 // Answered on the same loop: what was sent before has been read.
                 other.send(Rig.get("other", 30_000));
                 assertEquals("", other.answer().body());
@@ -211,7 +217,8 @@
             rig.start();
             CountDownLatch over = new CountDownLatch(1);
             CountDownLatch looked = new CountDownLatch(1);
-            try (Peer.Client answered = rig.client(); Peer.Client half = rig.client()) {
+            try (Peer.Client answered = rig.client();
+                    Peer.Client half = rig.client()) {
                 answered.send(Rig.get("a1", 9_000));
                 assertEquals(200, answered.status());
                 rig.sidecar.stop(() -> {
--- a/src/test/java/rushproxy/sidecar/SidecarProcess.java
+++ b/src/test/java/rushproxy/sidecar/SidecarProcess.java
@@ -58,11 +58,15 @@
             entries.add(Rig.entry("u" + i, upstreams.get(i).address(), "Ready", 0));
         }
         Path config = folder.resolve("config.json");
-        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"known\":" + Rig.list(41, true, entries.toArray(String[]::new))
-                + ",\"limits\":{\"sockets\":512},\"settings\":" + SETTINGS + "}");
+        Files.writeString(
+                config,
+                "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
+                        + "\",\"seed\":\"8c1f30d27a5be964\",\"known\":"
+                        + Rig.list(41, true, entries.toArray(String[]::new))
+                        + ",\"limits\":{\"sockets\":512},\"settings\":" + SETTINGS + "}");
         Build build = Build.of(Path.of("").toAbsolutePath());
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", build.command()).directory(build.root().toFile());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", build.command())
+                .directory(build.root().toFile());
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
@@ -71,12 +75,14 @@
     }
 
     private void read(CompletableFuture<InetSocketAddress> serves) {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line; (line = in.readLine()) != null; ) {
                 log.add(line);
                 Matcher m = SERVES.matcher(line);
                 if (m.find()) {
-                    serves.complete(new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2))));
+                    serves.complete(
+                            new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2))));
                 }
             }
         } catch (IOException e) {
@@ -99,7 +105,9 @@
     }
 
     void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
     }
 
     /** The sum of all that the process has told of broken invariants. */
--- a/src/test/java/rushproxy/sidecar/SnapshotTest.java
+++ b/src/test/java/rushproxy/sidecar/SnapshotTest.java
@@ -13,6 +13,7 @@
 @Timeout(30)
 class SnapshotTest {
     private static final long NOW = 1_700_000_000_000L;
+
     @TempDir
     Path folder;
 
--- a/src/test/java/rushproxy/sidecar/SocketErrorsTest.java
+++ b/src/test/java/rushproxy/sidecar/SocketErrorsTest.java
@@ -42,8 +42,16 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"Cannot allocate memory", "No buffer space available", "No space left on device", "Interrupted system call",
-        "Too many open files", "Input/output error", "an error of another system"})
+    @ValueSource(
+            strings = {
+                "Cannot allocate memory",
+                "No buffer space available",
+                "No space left on device",
+                "Interrupted system call",
+                "Too many open files",
+                "Input/output error",
+                "an error of another system"
+            })
     void whateverElseIsForAMoment(String words) {
         assertFalse(SocketErrors.endsConnection(new IOException(words)));
         assertTrue(new FailureSpell(() -> 0).mayTryAgain(new IOException(words)));
--- a/src/test/java/rushproxy/sidecar/StartTimesTest.java
+++ b/src/test/java/rushproxy/sidecar/StartTimesTest.java
@@ -27,7 +27,9 @@
 
     private void assertAge(long expectedMs, UpstreamList list) {
         long ageUs = clock.now() - started(list);
-        assertTrue(Math.abs(ageUs - expectedMs * 1_000) < SLACK_US, "age " + ageUs / 1_000 + " ms instead of " + expectedMs);
+        assertTrue(
+                Math.abs(ageUs - expectedMs * 1_000) < SLACK_US,
+                "age " + ageUs / 1_000 + " ms instead of " + expectedMs);
     }
 
     @Test
--- a/src/test/java/rushproxy/sidecar/ThreadFiguresTest.java
+++ b/src/test/java/rushproxy/sidecar/ThreadFiguresTest.java
@@ -10,7 +10,9 @@
     @Test
     void aLineIsReadAndCompared() {
         ThreadFigures before = ThreadFigures.parse("1000000 2000000 5\n");
-        assertEquals(new ThreadFigures(3, 40), ThreadFigures.parse("4000000 42000000 9\n").since(before));
+        assertEquals(
+                new ThreadFigures(3, 40),
+                ThreadFigures.parse("4000000 42000000 9\n").since(before));
     }
 
     @Test
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -40,8 +40,15 @@
     }
 
     private Upstreams upstreams(long idleUs, long restUs, long dialTimeoutUs, int most) throws Exception {
-        return loop.submit(() -> new Upstreams(loop, new RunningTime(clock, loopDelay), idleUs, restUs, dialTimeoutUs, () -> most,
-                new Budget(1 << 20))).get();
+        return loop.submit(() -> new Upstreams(
+                        loop,
+                        new RunningTime(clock, loopDelay),
+                        idleUs,
+                        restUs,
+                        dialTimeoutUs,
+                        () -> most,
+                        new Budget(1 << 20)))
+                .get();
     }
 
     private static UpstreamList list(boolean whole, String... entries) {
@@ -53,8 +60,12 @@
     }
 
     private Upstreams.Call call(String upstream, long withinUs) {
-        return new Upstreams.Call(upstream, clock.now() + withinUs, false,
-                left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), null,
+        return new Upstreams.Call(
+                upstream,
+                clock.now() + withinUs,
+                false,
+                left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
+                null,
                 (c, outcome, report, body) -> outcomes.add(upstream + " " + outcome));
     }
 
@@ -69,7 +80,7 @@
     @Test
     void nothingIsSentToAnUpstreamThatChangedWhileItsConnectionCameUp() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"));
-             Peer moved = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+                Peer moved = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = upstreams(15_000_000, 100);
             UpstreamList ready = list(true, Rig.entry("u", up.address(), "Ready", 0));
             for (UpstreamList change : new UpstreamList[] {
@@ -77,7 +88,8 @@
                 list(false, Rig.entry("u", up.address(), "Gone", 0)),
                 list(false, Rig.entry("u", up.address(), "Ready", 5_000_000)),
                 list(false, Rig.entry("u", moved.address(), "Ready", 0)),
-                list(true, Rig.entry("other", moved.address(), "Ready", 0))}) {
+                list(true, Rig.entry("other", moved.address(), "Ready", 0))
+            }) {
                 loop.execute(() -> {
                     upstreams.update(ready);
                     upstreams.start(call("u"));
@@ -123,7 +135,8 @@
     /** Also a body that would flow on to it: the attempt has failed, and nothing of the body is gone. */
     @Test
     void aConnectionThatEndsAsSoonAsItIsUpHasCarriedNothing() throws Exception {
-        try (java.net.ServerSocket door = new java.net.ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"))) {
+        try (java.net.ServerSocket door =
+                new java.net.ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"))) {
             Thread closes = new Thread(() -> {
                 try {
                     while (true) {
@@ -138,13 +151,18 @@
             closes.setDaemon(true);
             closes.start();
             Upstreams upstreams = upstreams(15_000_000, 100);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", "127.0.0.1:" + door.getLocalPort(), "Ready", 0))));
+            loop.execute(() ->
+                    upstreams.update(list(true, Rig.entry("u", "127.0.0.1:" + door.getLocalPort(), "Ready", 0))));
             for (int i = 0; i < 50; i++) {
-                Body body = new Body(() -> { }, -1);
+                Body body = new Body(() -> {}, -1);
                 loop.execute(() -> {
                     body.add(io.netty.buffer.Unpooled.wrappedBuffer(new byte[100]));
-                    upstreams.start(new Upstreams.Call("u", clock.now() + 20_000_000, false,
-                            left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api"), body,
+                    upstreams.start(new Upstreams.Call(
+                            "u",
+                            clock.now() + 20_000_000,
+                            false,
+                            left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api"),
+                            body,
                             (c, outcome, report, answer) -> outcomes.add("u " + outcome)));
                 });
                 assertEquals("u CONNECT_FAILED", outcome());
@@ -185,7 +203,8 @@
             loop.submit(() -> upstreams.start(call("u"))).get();
             first[0].answer("503 Busy", "X-Turned-Away: 1\r\n", "");
             assertEquals("u OK", outcome());
-            assertEquals(-1, up.accepted.take().getInputStream().read(), "what brought an answer too many is used again");
+            assertEquals(
+                    -1, up.accepted.take().getInputStream().read(), "what brought an answer too many is used again");
         }
     }
 
@@ -218,10 +237,10 @@
     @Test
     void connectionsStayWithinTheirCap() throws Exception {
         try (Peer a = new Peer((m, line) -> line.answer("200 OK", "", ""));
-             Peer silent = new Peer((m, line) -> { })) {
+                Peer silent = new Peer((m, line) -> {})) {
             Upstreams upstreams = upstreams(15_000_000, 1);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("a", a.address(), "Ready", 0),
-                    Rig.entry("silent", silent.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.update(list(
+                    true, Rig.entry("a", a.address(), "Ready", 0), Rig.entry("silent", silent.address(), "Ready", 0))));
             loop.execute(() -> upstreams.start(call("a")));
             assertEquals("a OK", outcome());
             loop.execute(() -> upstreams.start(call("silent")));
@@ -236,11 +255,11 @@
     @Test
     void connectionsThatFailFreeTheirPlace() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "Connection: close\r\n", ""));
-             Peer gone = new Peer((m, line) -> { })) {
+                Peer gone = new Peer((m, line) -> {})) {
             gone.close();
             Upstreams upstreams = upstreams(15_000_000, 1);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0),
-                    Rig.entry("gone", gone.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.update(list(
+                    true, Rig.entry("u", up.address(), "Ready", 0), Rig.entry("gone", gone.address(), "Ready", 0))));
             for (int i = 0; i < 3; i++) {
                 loop.execute(() -> upstreams.start(call("gone")));
                 assertEquals("gone CONNECT_FAILED", outcome());
@@ -266,7 +285,8 @@
     /** With an upstream that has answered once before, so that no code runs for the first time. */
     private Upstreams used(Peer up) throws Exception {
         Upstreams upstreams = upstreams(15_000_000, 0, DIAL_US, 100);
-        loop.submit(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0)))).get();
+        loop.submit(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))))
+                .get();
         loop.execute(() -> upstreams.start(call("u")));
         assertEquals("u OK", outcome());
         return upstreams;
@@ -277,8 +297,13 @@
      * which sockets are ready.
      */
     private void startAndHoldUp(Upstreams upstreams, Upstreams.Call call) {
-        loop.execute(() -> upstreams.start(new Upstreams.Call("u", clock.now() + 20_000_000, false,
-                left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), null, (c, outcome, report, body) -> {
+        loop.execute(() -> upstreams.start(new Upstreams.Call(
+                "u",
+                clock.now() + 20_000_000,
+                false,
+                left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
+                null,
+                (c, outcome, report, body) -> {
                     upstreams.start(call);
                     holdUp();
                 })));
@@ -310,7 +335,9 @@
     void aConnectionThatHadButAMomentIsNoFailureOfItsUpstream() throws Exception {
         try (java.net.ServerSocket full = full()) {
             Upstreams upstreams = upstreams(15_000_000, 0, DIAL_US, 100);
-            loop.submit(() -> upstreams.update(list(true, Rig.entry("u", "127.0.0.1:" + full.getLocalPort(), "Ready", 0)))).get();
+            loop.submit(() -> upstreams.update(
+                            list(true, Rig.entry("u", "127.0.0.1:" + full.getLocalPort(), "Ready", 0))))
+                    .get();
             loop.execute(() -> upstreams.start(call("u", 2_000)));
             assertEquals("u NOT_SENT", outcome());
         }
@@ -330,7 +357,7 @@
     void aCallThatWasHeldUpForMostOfItsTimeIsNoSilenceOfItsUpstream() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = used(up);
-            up.script = (m, line) -> { };
+            up.script = (m, line) -> {};
             Upstreams.Call call = call("u", DIAL_US);
             loop.execute(() -> {
                 loopDelay.beat(clock.now());
@@ -347,10 +374,13 @@
     /** Without a hold-up both are what they were. */
     @Test
     void silenceAndConnectionsThatNeverComeUpAreTheUpstreams() throws Exception {
-        try (Peer silent = new Peer((m, line) -> line.answer("200 OK", "", "sent")); java.net.ServerSocket full = full()) {
+        try (Peer silent = new Peer((m, line) -> line.answer("200 OK", "", "sent"));
+                java.net.ServerSocket full = full()) {
             Upstreams upstreams = used(silent);
-            silent.script = (m, line) -> { };
-            loop.submit(() -> upstreams.update(list(false, Rig.entry("full", "127.0.0.1:" + full.getLocalPort(), "Ready", 0)))).get();
+            silent.script = (m, line) -> {};
+            loop.submit(() -> upstreams.update(
+                            list(false, Rig.entry("full", "127.0.0.1:" + full.getLocalPort(), "Ready", 0))))
+                    .get();
             loop.execute(() -> upstreams.start(call("u", DIAL_US)));
             assertEquals("u TIMEOUT", outcome());
             long sinceUs = clock.now();
--- a/src/test/java/rushproxy/sidecar/WarmUpTest.java
+++ b/src/test/java/rushproxy/sidecar/WarmUpTest.java
@@ -20,9 +20,14 @@
         try (Rig rig = new Rig()) {
             Peer upstream = rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
             rig.start();
-            WarmUp warmUp = new WarmUp(rig.sidecar.loop(), new Clock(), Rig.config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
-                    + rig.discovery.address() + "\",\"seed\":\"1\",\"known\":" + rig.known() + ",\"limits\":{\"sockets\":512},\"settings\":"
-                    + Rig.SETTINGS + "}").settings());
+            WarmUp warmUp = new WarmUp(
+                    rig.sidecar.loop(),
+                    new Clock(),
+                    Rig.config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
+                                    + rig.discovery.address() + "\",\"seed\":\"1\",\"known\":" + rig.known()
+                                    + ",\"limits\":{\"sockets\":512},\"settings\":"
+                                    + Rig.SETTINGS + "}")
+                            .settings());
             CountDownLatch done = new CountDownLatch(1);
             rig.sidecar.loop().execute(() -> {
                 rig.sidecar.clients().warmsUp(warmUp);
--- a/src/test/java/rushproxy/wire/SimHostTest.java
+++ b/src/test/java/rushproxy/wire/SimHostTest.java
@@ -24,8 +24,9 @@
     private void run(String input) throws Exception {
         ByteArrayOutputStream o = new ByteArrayOutputStream();
         ByteArrayOutputStream e = new ByteArrayOutputStream();
-        code = new SimHost(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), o,
-                new PrintStream(e, true)).run();
+        code = new SimHost(
+                        new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), o, new PrintStream(e, true))
+                .run();
         out = o.toString(StandardCharsets.UTF_8);
         err = e.toString(StandardCharsets.UTF_8);
     }
@@ -48,8 +49,8 @@
     @Test
     void closingOnADrainAndAWordToOnePeerAreWritten() throws Exception {
         for (boolean set : new boolean[] {true, false}) {
-            String start = set ? START.replace("new.key=1",
-                    "rules.close_on_drain_within_us=500000 limits.peers=true") : START;
+            String start =
+                    set ? START.replace("new.key=1", "rules.close_on_drain_within_us=500000 limits.peers=true") : START;
             run(start + "MARK 2000\nINSTANCE sidecar-0\nACCEPT 0f - 0 0 - 800000 - c\nEND\n"
                     + "MARK 9000\nINSTANCE sidecar-0\nREPORT_BACK 0f 0 up_a GOOD 7000 1 0,1\nEND\n"
                     + "MARK 10000\nPAGE 4 1\nROW z up_a k 0 - 1 2\nINSTANCE sidecar-0\nANNOUNCE 2 2 4\n"
