--- a/src/main/java/rushproxy/fleet/member/Membership.java
+++ b/src/main/java/rushproxy/fleet/member/Membership.java
@@ -44,7 +44,7 @@
     static final long ANSWER_US = 300_000;
     /** Suspects are asked so often, so that one who goes on is heard at once. */
     static final long AGAIN_US = 200_000;
-    /** With evidence of two: with {@link #ANSWER_US} more than the longest stall that was measured, 1.5 s, and time to answer. */
+    /** With evidence of two: a process that stalls for 1.5 s is not dead, and needs {@link #ANSWER_US} to say so. */
     static final long QUICK_US = 1_800_000;
     /** With evidence of one alone, whose own link may be at fault. */
     static final long SLOW_US = 4_000_000;
--- a/src/main/java/rushproxy/lab/scale/ScalePlan.java
+++ b/src/main/java/rushproxy/lab/scale/ScalePlan.java
@@ -22,7 +22,7 @@
     private static final int MOST_REAL = 16;
     /** Files, selectors and sockets that are no member's. */
     private static final int OWN_DESCRIPTORS = 200;
-    /** Heap of what one member keeps of another: 410 to 450 measured at 120 to 1,000 members. */
+    /** Heap of what one member keeps of another. */
     private static final long BYTES_OF_ONE_IN_VIEW = 480;
 
     /**
