--- a/src/main/java/rushproxy/lab/check/Cordons.java
+++ b/src/main/java/rushproxy/lab/check/Cordons.java
@@ -1,9 +1,6 @@
 package rushproxy.lab.check;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import rushproxy.lab.world.Observation;
 import rushproxy.lab.world.Observation.What;
 
@@ -22,45 +19,17 @@
 
     @Override
     public List<Violation> check(Run run) {
-        long graceUs =
-                run.scenario().rules().drainGraceUs() + run.scenario().rules().slackUs();
-        Map<String, Periods> out = out(run);
-        List<Violation> found = new ArrayList<>();
-        for (Observation got : run.of(What.GOT)) {
-            Periods bans = out.get(pair(got.node(), got.server()));
-            Long since = bans == null ? null : bans.beginOf(got.sinceUs());
-            if (since != null && got.sinceUs() > since + graceUs) {
-                found.add(new Violation(
-                        rule(),
-                        got.us(),
-                        got.id(),
-                        "sent by " + got.node() + " to " + got.server() + " " + (got.sinceUs() - since) / 1_000
-                                + " ms after it was called out"));
-            }
-        }
-        return found;
-    }
-
-    /** When each server was out at each node. */
-    private static Map<String, Periods> out(Run run) {
-        Map<String, Periods> out = new HashMap<>();
+        Bans bans = new Bans();
         for (Observation call : run.of(What.CALLED)) {
             String[] words = call.text().split(" ");
-            boolean yes = call.text().contains(" -> ACK");
-            boolean answered = yes || call.text().contains(" -> NAK");
-            if (words[0].equals("cordon") && (yes || !answered)) {
-                long since = Math.min(call.us(), call.sinceUs() + ANSWER_DUE_US);
-                out.computeIfAbsent(pair(call.node(), words[1]), p -> new Periods())
-                        .begin(since);
-            } else if (words[0].equals("uncordon") && (yes || !answered)) {
-                out.computeIfAbsent(pair(call.node(), words[1]), p -> new Periods())
-                        .end(call.sinceUs());
+            // One that got no answer may have been obeyed.
+            boolean refused = call.text().contains(" -> NAK");
+            if (words[0].equals("cordon") && !refused) {
+                bans.of(call.node(), words[1]).begin(Math.min(call.us(), call.sinceUs() + ANSWER_DUE_US));
+            } else if (words[0].equals("uncordon") && !refused) {
+                bans.of(call.node(), words[1]).end(call.sinceUs());
             }
         }
-        return out;
-    }
-
-    private static String pair(String node, String server) {
-        return node + " " + server;
+        return bans.broken(run, rule(), "it was called out");
     }
 }
--- a/src/main/java/rushproxy/lab/check/Drains.java
+++ b/src/main/java/rushproxy/lab/check/Drains.java
@@ -1,9 +1,6 @@
 package rushproxy.lab.check;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import rushproxy.lab.world.Observation;
 import rushproxy.lab.world.Observation.What;
 
@@ -16,49 +13,17 @@
 
     @Override
     public List<Violation> check(Run run) {
-        long graceUs =
-                run.scenario().rules().drainGraceUs() + run.scenario().rules().slackUs();
-        Map<String, Periods> leaving = leaving(run);
-        List<Violation> found = new ArrayList<>();
-        for (Observation got : run.of(What.GOT)) {
-            Periods periods = leaving.get(pair(got.node(), got.server()));
-            Long since = periods == null ? null : periods.beginOf(got.sinceUs());
-            if (since != null && got.sinceUs() > since + graceUs) {
-                found.add(new Violation(
-                        rule(),
-                        got.us(),
-                        got.id(),
-                        "sent by " + got.node() + " to " + got.server() + " " + (got.sinceUs() - since) / 1_000
-                                + " ms after it was told that this leaves"));
-            }
-        }
-        return found;
-    }
-
-    /** When each node knew of each server that it leaves. */
-    private static Map<String, Periods> leaving(Run run) {
-        Map<String, Periods> leaving = new HashMap<>();
+        Bans bans = new Bans();
         for (Observation o : run.all()) {
-            if (o.what() == What.TOLD) {
-                Periods periods = leaving.computeIfAbsent(pair(o.node(), o.server()), p -> new Periods());
-                if (o.text().equals("Ready")) {
-                    periods.end(o.us());
-                } else {
-                    periods.begin(o.us());
-                }
+            if (o.what() == What.TOLD && o.text().equals("Ready")) {
+                bans.of(o.node(), o.server()).end(o.us());
+            } else if (o.what() == What.TOLD) {
+                bans.of(o.node(), o.server()).begin(o.us());
             } else if (o.what() == What.NODE && o.text().equals("started")) {
                 // A new process knows only what its configuration says.
-                leaving.forEach((pair, periods) -> {
-                    if (pair.startsWith(o.node() + " ")) {
-                        periods.end(o.us());
-                    }
-                });
+                bans.endAll(o.node(), o.us());
             }
         }
-        return leaving;
-    }
-
-    private static String pair(String node, String server) {
-        return node + " " + server;
+        return bans.broken(run, rule(), "it was told that this leaves");
     }
 }
--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -77,11 +77,15 @@
         assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + p.pid()).start().waitFor());
     }
 
-    /** A replaced configuration moves the watch to discovery's new address; a broken one changes nothing. */
-    @Test
-    void askedToReloadItWatchesTheNewAddressAndLivesOn() throws Exception {
+    /** What a process does whose configuration was broken, which it has been told of, and now names another address of discovery. */
+    private interface AfterTheMove {
+        void check(Process process, Socket oldWatch, ServerSocket moved) throws Exception;
+    }
+
+    private void moveDiscovery(AfterTheMove then) throws Exception {
         try (ServerSocket before = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
                 ServerSocket after = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            after.setSoTimeout(20_000);
             String config = CONFIG.replace("on_request", "pushed");
             Process p = start(config.replace("127.0.0.1:9", "127.0.0.1:" + before.getLocalPort()));
             try (Socket old = before.accept()) {
@@ -92,13 +96,7 @@
                 Files.writeString(
                         folder.resolve("config.json"),
                         config.replace("127.0.0.1:9", "127.0.0.1:" + after.getLocalPort()));
-                hangUp(p);
-                try (Socket fresh = after.accept()) {
-                    byte[] start = fresh.getInputStream().readNBytes(32);
-                    assertEquals("GET /registry/instances?index=1&", new String(start, StandardCharsets.US_ASCII));
-                    old.getInputStream().readAllBytes();
-                    assertTrue(p.isAlive(), log().toString());
-                }
+                then.check(p, old, after);
             } finally {
                 p.destroy();
                 p.waitFor();
@@ -106,30 +104,28 @@
         }
     }
 
+    /** A replaced configuration moves the watch to discovery's new address; a broken one changes nothing. */
+    @Test
+    void askedToReloadItWatchesTheNewAddressAndLivesOn() throws Exception {
+        moveDiscovery((process, oldWatch, moved) -> {
+            hangUp(process);
+            try (Socket fresh = moved.accept()) {
+                byte[] start = fresh.getInputStream().readNBytes(32);
+                assertEquals("GET /registry/instances?index=1&", new String(start, StandardCharsets.US_ASCII));
+                oldWatch.getInputStream().readAllBytes();
+                assertTrue(process.isAlive(), log().toString());
+            }
+        });
+    }
+
     /** It can't be read whole for a moment, as while it is being written: what it says counts from the signal on all the same. */
     @Test
     void aConfigurationThatCanNotBeReadForAMomentIsReadAgain() throws Exception {
-        try (ServerSocket before = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-                ServerSocket after = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            after.setSoTimeout(20_000);
-            String config = CONFIG.replace("on_request", "pushed");
-            Process p = start(config.replace("127.0.0.1:9", "127.0.0.1:" + before.getLocalPort()));
-            try (Socket old = before.accept()) {
-                awaitLog(p, " serves on ");
-                Files.writeString(folder.resolve("config.json"), "{");
-                hangUp(p);
-                awaitLog(p, "nothing reloaded");
-                Files.writeString(
-                        folder.resolve("config.json"),
-                        config.replace("127.0.0.1:9", "127.0.0.1:" + after.getLocalPort()));
-                try (Socket fresh = after.accept()) {
-                    assertTrue(p.isAlive(), log().toString());
-                }
-            } finally {
-                p.destroy();
-                p.waitFor();
+        moveDiscovery((process, oldWatch, moved) -> {
+            try (Socket fresh = moved.accept()) {
+                assertTrue(process.isAlive(), log().toString());
             }
-        }
+        });
     }
 
     /** An address that another has for a moment, as while the process before ends, is no reason not to start. */
--- a/src/test/java/rushproxy/sidecar/FaultInjectionIT.java
+++ b/src/test/java/rushproxy/sidecar/FaultInjectionIT.java
@@ -43,31 +43,22 @@
     @TempDir
     Path folder;
 
-    private final List<Peer> upstreams = new ArrayList<>();
-    private Peer discovery;
+    private StandIns standIns;
     private SidecarProcess sidecar;
 
     @BeforeEach
     void silentDiscovery() throws Exception {
-        discovery = new Peer((message, line) -> {});
+        standIns = new StandIns();
     }
 
     @AfterEach
     void end() throws Exception {
-        if (sidecar != null) {
-            sidecar.close();
-        }
-        for (Peer p : upstreams) {
-            p.close();
-        }
-        discovery.close();
+        standIns.close();
     }
 
     private void start(int count, Peer.Script script, Map<String, String> environment) throws Exception {
-        for (int i = 0; i < count; i++) {
-            upstreams.add(new Peer(script));
-        }
-        sidecar = SidecarProcess.start(folder, discovery, upstreams, environment);
+        standIns.servers(count, script);
+        sidecar = standIns.start(folder, environment);
     }
 
     private Optional<SystemFaults> systemFaults() throws Exception {
@@ -179,8 +170,8 @@
         for (long stepMs : new long[] {HOUR_MS, -HOUR_MS}) {
             faults.get().stepWallClock(stepMs);
             Peer restarted = new Peer((m, line) -> line.answer("200 OK", "", m.header("X-Txn")));
-            upstreams.add(restarted);
-            long generation = 41 + upstreams.size();
+            standIns.servers.add(restarted);
+            long generation = 41 + standIns.servers.size();
             tell(
                     Rig.list(
                             generation,
@@ -201,14 +192,14 @@
     /** Answers each call to discovery with the news, until one shows that the sidecar has them. */
     private void tell(String news, long generation) throws Exception {
         CountDownLatch has = new CountDownLatch(1);
-        discovery.script = (m, line) -> {
+        standIns.discovery.script = (m, line) -> {
             if (m.path().contains("index=" + generation)) {
                 has.countDown();
             } else {
                 line.answer("200 OK", "Content-Type: application/json\r\n", news);
             }
         };
-        for (java.net.Socket open; (open = discovery.accepted.poll()) != null; ) {
+        for (java.net.Socket open; (open = standIns.discovery.accepted.poll()) != null; ) {
             open.close();
         }
         assertTrue(has.await(20, TimeUnit.SECONDS), "the sidecar has not taken the news");
--- a/src/test/java/rushproxy/sidecar/HoldUpIT.java
+++ b/src/test/java/rushproxy/sidecar/HoldUpIT.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
@@ -33,32 +34,25 @@
     @TempDir
     Path folder;
 
-    private final List<Peer> servers = new ArrayList<>();
     private final List<String> failed = new ArrayList<>();
     private final AtomicBoolean over = new AtomicBoolean();
-    private Peer discovery;
+    private StandIns standIns;
     private SidecarProcess sidecar;
 
     @BeforeEach
     void start() throws Exception {
-        discovery = new Peer((message, line) -> {});
-        for (int i = 0; i < SERVERS; i++) {
-            servers.add(new Peer((m, line) -> {
-                line.answer("200 OK", "Connection: close\r\n", m.header("X-Txn"));
-                line.socket().close();
-            }));
-        }
-        sidecar = SidecarProcess.start(folder, discovery, servers, java.util.Map.of());
+        standIns = new StandIns();
+        standIns.servers(SERVERS, (m, line) -> {
+            line.answer("200 OK", "Connection: close\r\n", m.header("X-Txn"));
+            line.socket().close();
+        });
+        sidecar = standIns.start(folder, Map.of());
     }
 
     @AfterEach
     void end() throws Exception {
         over.set(true);
-        sidecar.close();
-        for (Peer server : servers) {
-            server.close();
-        }
-        discovery.close();
+        standIns.close();
     }
 
     /** Asks all the time, whatever becomes of it: these requests are in hand when the process is stopped. */
--- a/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
+++ b/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
@@ -50,40 +50,31 @@
     @TempDir
     Path folder;
 
-    private final List<Peer> servers = new ArrayList<>();
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<String> wrong = new ConcurrentLinkedQueue<>();
-    private Peer discovery;
+    private StandIns standIns;
     private SidecarProcess sidecar;
     private SystemFaults faults;
 
     @BeforeEach
     void prepare() throws Exception {
-        discovery = new Peer((message, line) -> {});
+        standIns = new StandIns();
         Optional<Path> library = SystemFaults.compile(folder.resolve("library"));
         Assumptions.assumeTrue(library.isPresent(), "no C compiler on this machine");
         faults = SystemFaults.with(library.get(), folder.resolve("control"), SEED);
-        for (int i = 0; i < SERVERS; i++) {
-            servers.add(new Peer((m, line) -> {
-                runs.merge(m.header("X-Txn"), 1, Integer::sum);
-                line.answer("200 OK", "", m.header("X-Txn"));
-            }));
-        }
+        standIns.servers(SERVERS, (m, line) -> {
+            runs.merge(m.header("X-Txn"), 1, Integer::sum);
+            line.answer("200 OK", "", m.header("X-Txn"));
+        });
     }
 
     private void start() throws Exception {
-        sidecar = SidecarProcess.start(folder, discovery, servers, faults.environment());
+        sidecar = standIns.start(folder, faults.environment());
     }
 
     @AfterEach
     void end() throws Exception {
-        if (sidecar != null) {
-            sidecar.close();
-        }
-        for (Peer server : servers) {
-            server.close();
-        }
-        discovery.close();
+        standIns.close();
     }
 
     /** Each request comes on a connection of its own. */
@@ -149,7 +140,7 @@
     @EnumSource(names = {"CONNECT_FAILS", "SOCKET_FAILS", "NAME_FAILS"})
     void whatCanNotBeDialledForAMomentIsDialledAgain(Call call) throws Exception {
         start();
-        for (Peer server : servers) {
+        for (Peer server : standIns.servers) {
             server.script = (m, line) -> {
                 line.answer("200 OK", "Connection: close\r\n", m.header("X-Txn"));
                 line.socket().close();
@@ -203,7 +194,7 @@
     @Test
     void theEndOfAnAnswerIsToldInTime() throws Exception {
         start();
-        for (Peer server : servers) {
+        for (Peer server : standIns.servers) {
             server.script = (m, line) -> {
                 line.raw("HTTP/1.1 200 OK\r\n\r\nwhole");
                 line.socket().close();
@@ -230,7 +221,7 @@
     @Test
     void aBrokenAnswerIsRecognised() throws Exception {
         start();
-        for (Peer server : servers) {
+        for (Peer server : standIns.servers) {
             server.script = (m, line) -> {
                 line.raw("HTTP/1.1 200 OK\r\n\r\nhalf");
                 pause();
