Module: a window of slow start of one microsecond has no half to divide by

Not the load's: with fall_us of 1 each request of such a sidecar failed so; nobody had asked one before the warm-up served requests at every start. Change: a slot is a microsecond at least. SlowStartTest.theShortestWindowIsOne fails without it; SlowStartTest, MainTest, ColdRampTest and PolicyTest pass.

--- a/src/main/java/rushproxy/SlowStart.java
+++ b/src/main/java/rushproxy/SlowStart.java
@@ -38,7 +38,7 @@
     boolean hasRoom(long now, Server s, double work, double meanWork) {
         if (warmth(s, now) >= 1) return true;
         long slot = slot(s, now);
-        long slotStart = s.startedAt + slot * (cfg.rules().fallWindowUs() / 2);
+        long slotStart = s.startedAt + slot * slotUs();
         double capacity = warmth(s, slotStart) * Math.max(1, s.kind.cores) / s.kind.slow;
         double budget =
                 USED_PART * cfg.rules().fallMultiple() * capacity * cfg.rules().fallWindowUs();
@@ -71,6 +71,11 @@
     }
 
     private long slot(Server s, long now) {
-        return Math.max(0, now - s.startedAt) / (cfg.rules().fallWindowUs() / 2);
+        return Math.max(0, now - s.startedAt) / slotUs();
+    }
+
+    /** Half of the window in which too much work brings a cold server down, however short that is. */
+    private long slotUs() {
+        return Math.max(1, cfg.rules().fallWindowUs() / 2);
     }
 }
--- a/src/test/java/rushproxy/SlowStartTest.java
+++ b/src/test/java/rushproxy/SlowStartTest.java
@@ -28,6 +28,10 @@
     private final Server server = server();
 
     private static Settings settings(int me) {
+        return settings(me, WINDOW_US);
+    }
+
+    private static Settings settings(int me, long windowUs) {
         return new Settings(
                 me,
                 SIDECARS,
@@ -37,7 +41,7 @@
                 List.of(),
                 List.of(),
                 new Limits(3, true, true, false, false, true, 0, 5_000_000, 0),
-                new Rules(0, 0.2, RAMP_US, 3, WINDOW_US, 0, 0, 0),
+                new Rules(0, 0.2, RAMP_US, 3, windowUs, 0, 0, 0),
                 Reports.NONE,
                 false,
                 true,
@@ -105,4 +109,12 @@
         assertTrue(slowStart.mayBegin(STARTED + RAMP_US, server, STARTED, WORK, WORK));
         assertTrue(slowStart.hasRoom(STARTED + RAMP_US, server, 100 * WORK, WORK));
     }
+
+    /** A window of a microsecond has no half: each request of such a sidecar failed, by a division by zero. */
+    @Test
+    void theShortestWindowIsOne() {
+        SlowStart shortest = new SlowStart(settings(0, 1), false);
+        shortest.sent(STARTED + RAMP_US, server, WORK);
+        assertTrue(shortest.hasRoom(STARTED + RAMP_US, server, WORK, WORK));
+    }
 }
