Laboratory: an order to start that the run's end comes before is no trouble

It is an interruption, as it was already for a process that waits to be ready. Not made to come again.

--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -168,7 +168,7 @@
                 ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         synchronized (this) {
             if (ended) {
-                throw new IOException("the run is over");
+                throw new InterruptedException("the run is over");
             }
             Process p;
             if (shared == null) {
