--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -34,7 +34,8 @@
     /** Idle connections are dropped this much before an upstream may drop them: a request then can't cross it. */
     private static final long IDLE_MARGIN_US = 2_000_000;
     /**
-     * A second answer may come some milliseconds after the first. To whatever call is out by then it would be the answer; on a connection that rests it is one that
+     * A second answer may come some milliseconds after the first. To whatever call is out by then it would
+     * be the answer; on a connection that rests it is one that
      * nobody asked for, and ends it.
      */
     static final long REST_US = 6_000;
