Laboratory: faults are placed by the clock by which they are seen

Its run's folder: n1 gave the right view, noted at 10.499853 s, 147 us before the 10.5 s at which it was ordered, so the test took the next one, of 35 s. Cause: the order's time ran from the laboratory's thread, the clock of what is seen began on the world's loop a moment later: a late loop made orders early. Change: the clock has begun before orders are timed, and by it. CheckersIT asks that no fault is noted before its time.

--- a/src/main/java/rushproxy/lab/Lab.java
+++ b/src/main/java/rushproxy/lab/Lab.java
@@ -170,7 +170,10 @@
                 CompletableFuture<Void> settled = world.ask();
                 long zero = System.nanoTime();
                 for (Scenario.Fault f : scenario.faults()) {
-                    times.schedule(() -> begin(f, world, times, hands), f.atUs(), TimeUnit.MICROSECONDS);
+                    // By the clock of what is seen: a fault that is noted before its time is judged as one of another
+                    // moment.
+                    long inUs = Math.max(0, f.atUs() - seen.us());
+                    times.schedule(() -> begin(f, world, times, hands), inUs, TimeUnit.MICROSECONDS);
                 }
                 ProcessorWaits waits = new ProcessorWaits(seen, world.processorFigures());
                 times.scheduleWithFixedDelay(
--- a/src/main/java/rushproxy/lab/world/World.java
+++ b/src/main/java/rushproxy/lab/world/World.java
@@ -240,10 +240,10 @@
         return processorFigures;
     }
 
-    /** The first tries begin; the result is done when all are settled. */
-    public CompletableFuture<Void> ask() {
+    /** Time has begun and the first tries begin; the result is done when all are settled. */
+    public CompletableFuture<Void> ask() throws InterruptedException {
         CompletableFuture<Void> settled = new CompletableFuture<>();
-        loop.execute(() -> {
+        on(() -> {
             seen.begin(System.nanoTime());
             clients.start(() -> settled.complete(null));
         });
--- a/src/test/java/rushproxy/lab/CheckersIT.java
+++ b/src/test/java/rushproxy/lab/CheckersIT.java
@@ -88,5 +88,10 @@
         Summary s = LabRig.run(scenario(), LabRig.wrong("honest"), folder);
         assertEquals("held", s.verdict(), s.why() + " " + s.violations());
         assertTrue(s.figures().requests() > 100, s.figures().toString());
+        // No fault is noted before its time, by which tests look for what it did.
+        assertTrue(
+                Report.readRun(folder).of(rushproxy.lab.world.Observation.What.FAULT).stream()
+                        .allMatch(fault -> fault.us() >= 1_000_000),
+                "a fault began early");
     }
 }
