Clients: a process that leaves a held socket takes clients for as long as it serves

Cause: ClientServer.stop withdrew from a held socket at once, and ended as soon as its connections were gone, whether a successor was there or not. Evidence: the lost were asked 0.26 to 0.63 s after SIGTERM and 0.1 to 1.0 s before the old process's end; none of their connections broke, no server got them. Why the fix works: the process takes whoever comes until its end, and looks at the socket once more before it; no word of a successor is needed. Measured: nine new tests in HandOverTest pass; with ClientServer as it was seven of them fail (read timed out), the two with a ready next process pass.

--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -288,7 +288,7 @@
     }
 
     private boolean hasRoom() {
-        return connections.size() < maxConnections.getAsInt() && !(shared && stopAtUs > 0);
+        return connections.size() < maxConnections.getAsInt() && !endedInputs;
     }
 
     private void closeUnfinished() {
@@ -394,16 +394,13 @@
     }
 
     /**
-     * Serves on for as long as it may: clients that have no other sidecar use the connections they hold. Where another
-     * process takes them from the same socket they are sent there as soon as they have been answered.
+     * Serves on for as long as it may: clients that have no other sidecar use the connections they hold, and open new ones. Where the
+     * socket is another's too, a process that takes over may be ready or not be there yet: whoever comes is taken, and sent to the socket
+     * again as soon as it has been answered.
      */
     void stop(long askedUs, Runnable stopped) {
         stopAtUs = askedUs;
         killedAtUs = stopAtUs + Math.min(longestUs, KILLED_MOST_US) + KILLED_AFTER_US;
-        if (shared) {
-            // What waits in the backlog is the next process's. Closing an inherited socket would end the log with it.
-            listener.config().setAutoRead(false);
-        }
         // What was taken before the stop may have been given longer than there is.
         requests.dueBy(dueUs());
         look(stopped);
@@ -414,18 +411,26 @@
      * request that came until the process's end would be lost with it.
      */
     private void endInputs() {
-        closeOwnListener();
+        stopTaking();
         for (ClientConnection c : Set.copyOf(connections)) {
             c.endUnlessItBrings(CloseReason.STOPPING);
         }
     }
 
-    private void closeOwnListener() {
-        if (!shared) {
+    /** What waits in a shared socket is the next process's. Closing an inherited descriptor 0 would end the log with it. */
+    private void stopTaking() {
+        if (shared) {
+            listener.config().setAutoRead(false);
+        } else {
             listener.close();
         }
     }
 
+    /** Since when nobody has come; who comes to a shared socket finds the next process there, and is not waited for. */
+    private long nobodyCameSinceUs() {
+        return shared ? stopAtUs : Math.max(stopAtUs, acceptedUs);
+    }
+
     /** Clients that have not ended their side yet are waited for up to the last moment: the process's end may reset them. */
     private boolean mayGo(long leftUs) {
         return connections.stream().noneMatch(ClientConnection::owes) && (lingering.isEmpty() || leftUs < LAST_LOOK_US);
@@ -434,9 +439,10 @@
     private void look(Runnable stopped) {
         long now = clock.now();
         long left = killedAtUs - now;
-        boolean nobody = connections.isEmpty()
-                && now - Math.max(stopAtUs, acceptedUs) >= SERVE_ON_US
-                && now - closedUs >= CROSSED_US;
+        if (connections.isEmpty() && now - nobodyCameSinceUs() >= SERVE_ON_US && now - closedUs >= CROSSED_US) {
+            SocketLook.before(loop, () -> leaveUnlessSomebodyCame(stopped));
+            return;
+        }
         if (shared ? now - stopAtUs >= SERVE_ON_US : left < GOODBYE_US) {
             for (ClientConnection c : Set.copyOf(connections)) {
                 boolean lastCall = left < LAST_CALL_US;
@@ -450,10 +456,8 @@
             }
         }
         // What ends by itself with an answer owed loses it; what is killed with one does not.
-        boolean over = endedInputs && mayGo(left) || left < -STAY_US;
-        if (nobody || over || shared && connections.isEmpty()) {
-            closeOwnListener();
-            stopped.run();
+        if (endedInputs && mayGo(left) || left < -STAY_US) {
+            leave(stopped);
             return;
         }
         if (left < GONE_US && !endedInputs) {
@@ -462,4 +466,18 @@
         }
         loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
     }
+
+    private void leaveUnlessSomebodyCame(Runnable stopped) {
+        if (connections.isEmpty()) {
+            leave(stopped);
+        } else {
+            look(stopped);
+        }
+    }
+
+    private void leave(Runnable stopped) {
+        endedInputs = true;
+        stopTaking();
+        stopped.run();
+    }
 }
--- a/src/test/java/rushproxy/sidecar/HandOverTest.java
+++ b/src/test/java/rushproxy/sidecar/HandOverTest.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,6 +10,8 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -58,6 +61,197 @@
         }
     }
 
+    private static String served(InetSocketAddress address, String id) throws Exception {
+        try (Peer.Client c = new Peer.Client(address)) {
+            Peer.Message answer = c.send(Rig.get(id, 20_000)).answer();
+            return answer == null ? "no answer" : answer.body();
+        }
+    }
+
+    /** Plays a stop of the old process, which is ready and alone unless {@code meanwhile} starts another, under clients that come for 0.4 s. */
+    private static void everybodyIsServedWhoComes(Rig old, ServerSocketChannel socket, Rig.Meanwhile meanwhile)
+            throws Exception {
+        InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
+        old.start();
+        old.sidecar.warmUp();
+        meanwhile.happens();
+        CountDownLatch stopped = new CountDownLatch(1);
+        old.sidecar.stop(stopped::countDown);
+        for (int i = 0; i < 8; i++) {
+            assertEquals("after" + i, served(address, "after" + i));
+            Thread.sleep(50);
+        }
+        assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        assertTrue(socket.isOpen());
+    }
+
+    /** Guards against a process that leaves and takes nobody although no other is there: its clients waited for the next one's start. */
+    @Test
+    void whoComesAfterTheStopIsServedWhereThereIsNoSuccessor() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket)) {
+            everybodyIsServedWhoComes(old, socket, () -> {});
+        }
+    }
+
+    /** Guards against leaving clients to a successor that has not taken the socket yet. */
+    @Test
+    void whoComesAfterTheStopIsServedWhileTheSuccessorStarts() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket);
+                Rig fresh = rig(socket)) {
+            everybodyIsServedWhoComes(old, socket, fresh::start);
+        }
+    }
+
+    /** Guards against counting on a successor that is killed before it is ready. */
+    @Test
+    void whoComesAfterTheStopIsServedWhereTheSuccessorWasKilledWhileItStarted() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket);
+                Rig fresh = rig(socket)) {
+            everybodyIsServedWhoComes(old, socket, () -> {
+                fresh.start();
+                fresh.sidecar.end();
+            });
+        }
+    }
+
+    /** Guards against losing a client that the leaving process takes beside its successor. */
+    @Test
+    void whoComesAfterTheStopIsServedByOneOfTheTwo() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket);
+                Rig fresh = rig(socket)) {
+            everybodyIsServedWhoComes(old, socket, () -> {
+                fresh.start();
+                fresh.sidecar.warmUp();
+            });
+        }
+    }
+
+    /** Guards against a second signal that shortens the time in which clients are taken. */
+    @Test
+    void askedTwiceToLeaveItTakesClientsAllTheSame() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket)) {
+            InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
+            old.start();
+            old.sidecar.warmUp();
+            CountDownLatch stopped = new CountDownLatch(1);
+            old.sidecar.stop(stopped::countDown);
+            assertEquals("a1", served(address, "a1"));
+            old.sidecar.stop(() -> {
+                throw new IllegalStateException("it ended twice");
+            });
+            assertEquals("a2", served(address, "a2"));
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** Guards against a stop that keeps clients waiting in the queue although places become free. */
+    @Test
+    void whoFoundNoPlaceIsTakenAfterTheStopOnceThereIsOne() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = new Rig().withAdmin()) {
+            CountDownLatch answer = new CountDownLatch(1);
+            old.inherited = socket;
+            old.sockets = 48 + 2 * 16;
+            old.settings = Rig.SETTINGS.replace("\"give_up_us\":800000", "\"give_up_us\":3000000");
+            old.upstream((m, line) -> {
+                try {
+                    answer.await();
+                } catch (InterruptedException e) {
+                    throw new java.io.InterruptedIOException();
+                }
+                line.answer("200 OK", "", m.header("X-Txn"));
+            });
+            InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
+            old.start();
+            old.sidecar.warmUp();
+            List<Peer.Client> clients = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                clients.add(new Peer.Client(address).send(Rig.get("c" + i, 20_000)));
+            }
+            old.await("request c0");
+            CountDownLatch stopped = new CountDownLatch(1);
+            old.sidecar.stop(stopped::countDown);
+            answer.countDown();
+            for (int i = 0; i < clients.size(); i++) {
+                assertNotNull(clients.get(i).answer(), "c" + i);
+                clients.get(i).close();
+            }
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** Guards against a crowd of idle connections that keeps a leaving process from taking requests, or from its end. */
+    @Test
+    void aCrowdKeepsNobodyFromBeingServedAfterTheStop() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket)) {
+            InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
+            old.start();
+            old.sidecar.warmUp();
+            CountDownLatch stopped = new CountDownLatch(1);
+            List<Peer.Client> crowd = new ArrayList<>();
+            for (int i = 0; i < 100; i++) {
+                crowd.add(new Peer.Client(address));
+            }
+            old.sidecar.stop(stopped::countDown);
+            for (int i = 0; i < 100; i++) {
+                crowd.add(new Peer.Client(address));
+                if (i % 20 == 0) {
+                    assertEquals("a" + i, served(address, "a" + i));
+                }
+            }
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+            for (Peer.Client c : crowd) {
+                c.close();
+            }
+        }
+    }
+
+    /** Guards against an end that is decided by a timer while a client lies in the queue. */
+    @Test
+    void whoComesInTheLastMomentBeforeTheEndIsServed() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket)) {
+            InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
+            old.start();
+            old.sidecar.warmUp();
+            CountDownLatch stopped = new CountDownLatch(1);
+            old.sidecar.stop(stopped::countDown);
+            List<Peer.Client> last = new ArrayList<>();
+            // The hold-up ends after the time at which the process would leave.
+            old.holdUp(700, () -> last.add(new Peer.Client(address).send(Rig.get("last", 20_000))));
+            assertEquals("last", last.get(0).answer().body());
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+            last.get(0).close();
+        }
+    }
+
+    /** Guards against a process that closes, or drops, what it finds in the queue at its start. */
+    @Test
+    void whoComesAfterTheEndIsServedByTheNextProcess() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket);
+                Rig next = rig(socket)) {
+            InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
+            old.start();
+            old.sidecar.warmUp();
+            CountDownLatch stopped = new CountDownLatch(1);
+            old.sidecar.stop(stopped::countDown);
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+            try (Peer.Client waits = new Peer.Client(address)) {
+                waits.send(Rig.get("waits", 20_000));
+                next.start();
+                next.sidecar.warmUp();
+                assertEquals("waits", waits.answer().body());
+            }
+        }
+    }
+
     /** The other process would answer them, or its clients would find them in their way. */
     @Test
     void aWarmUpKeepsOffTheSharedSocket() throws Exception {
