Checkers: a broken connection or a second answer is never for want of a processor

What callers saw: nothing; a check was too wide. Cause: Starvation explained every violation of the rule on lost requests by its sidecar's waits, also closes with no answer and second answers, which carry the same rule. Evidence: StarvationTest.whatSomebodyDidIsNeverTheMachines fails on the checker before (true for false), passes now. Why the fix works: only what nobody did, an answer that did not come, can be for want of a processor.

--- a/src/main/java/rushproxy/lab/check/Starvation.java
+++ b/src/main/java/rushproxy/lab/check/Starvation.java
@@ -27,12 +27,16 @@
                         waits.computeIfAbsent(o.node(), n -> new ArrayList<>()).add(o));
     }
 
-    /** Whether there was no processor for the request that was lost. */
+    /** Whether there was no processor for the request that was lost. A broken connection and a second answer are somebody's doing. */
     public boolean explains(Violation lost) {
         if (!lost.rule().equals(RULE) || lost.id() == null) {
             return false;
         }
-        Observation asked = run.byId().getOrDefault(lost.id(), List.of()).stream()
+        List<Observation> ofRequest = run.byId().getOrDefault(lost.id(), List.of());
+        if (ofRequest.stream().anyMatch(o -> o.what() == What.BROKE || o.what() == What.ANSWERED)) {
+            return false;
+        }
+        Observation asked = ofRequest.stream()
                 .filter(o -> o.what() == What.ASKED)
                 .findFirst()
                 .orElse(null);
--- a/src/test/java/rushproxy/lab/check/StarvationTest.java
+++ b/src/test/java/rushproxy/lab/check/StarvationTest.java
@@ -48,6 +48,20 @@
         assertEquals(false, explained("twice", waited(null, ASKED_US, LOST_US, 900)));
     }
 
+    /** Guards against a sidecar that closes connections, or answers twice, and has no processor meanwhile: both are its own doing. */
+    @Test
+    void whatSomebodyDidIsNeverTheMachines() {
+        for (What done : List.of(What.BROKE, What.ANSWERED)) {
+            Run run = new Run(
+                    Seen.scenario(),
+                    List.of(
+                            new Observation(ASKED_US, What.ASKED, "n0", null, "a", "a", "read", 800, ASKED_US),
+                            waited("n0", ASKED_US, LOST_US, 900),
+                            new Observation(LOST_US, done, "n0", null, "a", "a", "closed", 0, ASKED_US)));
+            assertEquals(false, new Starvation(run).explains(new Violation("lost", LOST_US, "a", "")));
+        }
+    }
+
     /** The kernel counts a wait when it ends: one of 0.6 s is noted in the 0.1 s after it, here after the request was given up. */
     @Test
     void aLongWaitCountsFromItsBegin() {
