Checkers: a stop excuses what had no time left after it, and no broken connection

What callers saw: nothing; a check was too wide. Cause: OneAnswer excused whoever asked up to 0.5 s after a process went on, whatever time was left to the request, and connections that the process closed with no answer. Evidence: two tests of OneAnswerTest fail on the checker before: a request asked 0.34 s after the stop with 0.8 s left and never answered, and a connection closed right after the stop. Why the fix works: excused is a request whose deadline passes before the process has run again for 0.5 s; a stop closes no connection.

--- a/src/main/java/rushproxy/lab/check/OneAnswer.java
+++ b/src/main/java/rushproxy/lab/check/OneAnswer.java
@@ -9,8 +9,8 @@
 
 /**
  * Each request that a running sidecar has taken gets exactly one final answer in time. What a process held that was
- * killed is not lost; what it held when it left by itself is. A stopped process owes nothing until a while after it goes
- * on.
+ * killed is not lost; what it held when it left by itself is. A stopped process owes nothing to a request whose time ends before it has
+ * run again for a while.
  */
 final class OneAnswer implements Checker {
     /** What came this long after SIGTERM is owed an answer even by a process that is killed then. */
@@ -84,8 +84,12 @@
                     killsBegun.values().stream().mapToLong(us -> us).max().orElse(0));
         }
 
-        boolean stalled(long fromUs, long toUs) {
-            return stalls.stream().anyMatch(s -> s.sinceUs <= toUs && fromUs <= s.untilUs + AFTER_STALL_US);
+        /** Whether the request's time was over before the process had run for a while after a stop. */
+        boolean stalled(long askedUs, long deadlineUs) {
+            return stalls.stream()
+                    .anyMatch(s -> s.sinceUs <= deadlineUs
+                            && askedUs <= s.untilUs
+                            && deadlineUs <= s.untilUs + AFTER_STALL_US);
         }
 
         /** Killed between the two, with no word of the stop long before the request. */
@@ -125,14 +129,14 @@
                 found.add(new Violation(
                         rule(), answers.get(1).us(), e.getKey(), "was answered " + answers.size() + " times"));
             }
+            long deadlineUs = ask.us() + Math.round(ask.number() * 1e3);
             for (Observation o : e.getValue()) {
-                boolean excused = life.killed(ask.us(), o.us()) || life.stalled(ask.us(), o.us());
-                if (o.what() == What.GAVE_UP
-                        && o.text() == null
-                        && !excused
-                        && !absences.nobodyCouldTake(ask, e.getValue())) {
+                boolean killed = life.killed(ask.us(), o.us());
+                // A connection that breaks was broken by somebody: neither a stop nor an absence does that.
+                boolean nobodyThere = life.stalled(ask.us(), deadlineUs) || absences.nobodyCouldTake(ask, e.getValue());
+                if (o.what() == What.GAVE_UP && o.text() == null && !killed && !nobodyThere) {
                     found.add(new Violation(rule(), o.us(), e.getKey(), "got no answer in its time"));
-                } else if (o.what() == What.BROKE && !excused) {
+                } else if (o.what() == What.BROKE && !killed) {
                     if ("part".equals(o.text()) && spoilt(e.getValue())) {
                         // What an upstream broke off can't be made whole: its client has seen that, and in its time.
                         continue;
--- a/src/test/java/rushproxy/lab/check/OneAnswerTest.java
+++ b/src/test/java/rushproxy/lab/check/OneAnswerTest.java
@@ -51,6 +51,28 @@
         assertEquals(1, seen.asked(3_200, "a").gaveUp(4_070, "a").violations(new OneAnswer()));
     }
 
+    private static Seen stopped() {
+        return new Seen()
+                .node(1_000, "stop")
+                .node(1_010, "stop sent")
+                .node(1_950, "cont")
+                .node(1_960, "cont sent");
+    }
+
+    /** Guards against excusing whoever asks around a stop: with half a second and more after it there is time for an answer. */
+    @Test
+    void whoHasTimeLeftAfterAStopIsOwedAnAnswer() throws Exception {
+        assertEquals(0, stopped().asked(1_500, "a").gaveUp(2_370, "a").violations(new OneAnswer()));
+        assertEquals(1, stopped().asked(1_800, "a").gaveUp(2_670, "a").violations(new OneAnswer()));
+        assertEquals(1, stopped().asked(2_300, "a").gaveUp(3_170, "a").violations(new OneAnswer()));
+    }
+
+    /** Guards against excusing a process that closes connections with no answer once it goes on. */
+    @Test
+    void aStopBreaksNoConnection() throws Exception {
+        assertEquals(1, stopped().asked(1_500, "a").broke(1_970, "a").violations(new OneAnswer()));
+    }
+
     /** Signals take their time to be sent: only a stop that was longer than a short one for certain excuses. */
     @Test
     void aStopIsExcusedByWhatIsSureOfItsLength() throws Exception {
