Laboratory: SIGHUP reaches no process that starts, as no platform sends one then

Cause: faults that move discovery signalled whatever process a node had; a restart held the node's lock, they did not ask for it. Evidence: LabIT.aReloadWaitsForAProcessThatStarts ends with 'n0 ended before it was ready, with 129' on the laboratory before, and holds now. TERMS: no SIGHUP in a program's first second, nor before it is ready.

--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -34,6 +34,8 @@
     private static final long POLL_MS = 20;
     private static final int CALL_MS = 3_000;
     private static final int FIRST_CALL_MS = 200;
+    /** No reload comes in a program's first second. */
+    private static final long FIRST_RELOAD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** A node that can't be had; the message is for the one who reads the terminal. */
     public static final class Trouble extends Exception {
@@ -60,6 +62,8 @@
     /** Which of the two addresses for operators the process that was started last has. */
     private int current;
 
+    /** When the process that was started last was. */
+    private long launchedNanos;
     /** How much its processes had written when the last one was started. */
     private long logBefore;
     /** When processes were first asked to leave, by their ids. */
@@ -174,6 +178,7 @@
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.file().toFile()));
         logBefore = log.length();
+        launchedNanos = System.nanoTime();
         synchronized (this) {
             if (ended) {
                 throw new InterruptedException("the run is over");
@@ -312,6 +317,7 @@
 
     /** Writes the configuration anew, with discovery where it is now, and asks for a reload. */
     public void reload() throws IOException, InterruptedException {
+        TimeUnit.NANOSECONDS.sleep(launchedNanos + FIRST_RELOAD_NANOS - System.nanoTime());
         Files.write(
                 folder.resolve("config.json"),
                 NodeConfig.write(
--- a/src/test/java/rushproxy/lab/LabIT.java
+++ b/src/test/java/rushproxy/lab/LabIT.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -36,6 +37,17 @@
         }
     }
 
+    /** Guards against a SIGHUP to a process that has not started yet, which ends it: no platform sends one then. */
+    @Test
+    void aReloadWaitsForAProcessThatStarts() throws Exception {
+        List<String> faults = new ArrayList<>(List.of(LabRig.fault(1, "kill", "nodes = \"n0\"; for_s = 0.3")));
+        for (double atS = 1.3; atS < 2; atS += 0.02) {
+            faults.add(LabRig.fault(atS, "discovery-moves", "nodes = \"n0\""));
+        }
+        Summary s = LabRig.run(LabRig.scenario(1, 6, faults.toArray(String[]::new)), LabRig.sidecar(), folder);
+        assertEquals("held", s.verdict(), s.why() + " " + s.violations());
+    }
+
     @Test
     void crashesDrainsCordonsAndCutsBreakNoRule() throws Exception {
         Summary s = LabRig.run(
