Clients: the kernel tells how long a request has lain unread

What callers saw: a server was told more time than its client had, by up to 0.18 s (CrowdTest beside load, told 1.79 to 1.88 s of at most 1.7); who asked right after a hold-up with all of its time was refused. Cause: the age of unread bytes was guessed from the loop's own clock, and time in the accept queue counted nowhere. Evidence: traced in that test, the connection was accepted 242, 314 and 515 ms after its request was written, the sidecar reckoned 31 ms; TCP_INFO said 628 ms at 625 ms. Why the fix works: TCP_INFO is read before a connection's first read and before reads after a hold-up; where bytes may hold several requests, whose first is older, the old reckoning stays.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -6,6 +6,10 @@
 cd "$(dirname "$0")/.." || exit 1
 # The sidecar may be gone while it is written to: that is no reason for this shell to go too.
 trap '' PIPE
+# The native library, of which one call is used, lies beside the jar: no sidecar has a folder to unpack it to.
+rm -rf target/native
+mkdir -p target/native
+(cd target/native && jar xf ../rushproxy.jar META-INF/native && mv META-INF/native/*.so . && rm -r META-INF) 2>/dev/null
 archive=target/sidecar.jsa
 classes=target/sidecar.classes
 rm -f "$archive" "$classes"
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -593,6 +593,11 @@
         }
     }
 
+    /** The head of a request has come, and its answer is not over. */
+    boolean isBusy() {
+        return busy;
+    }
+
     /** Between requests: nothing is held, and no part of the next one has come. */
     boolean quiet() {
         return !busy && ahead.isEmpty() && readingSinceUs == 0 && !lingers;
--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -1,9 +1,12 @@
 package rushproxy.sidecar;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
@@ -19,6 +22,10 @@
     static final long UNWATCHED_MS = 80;
     /** What lies in the kernel is read without such a gap. */
     private static final long PAUSE_US = 5_000;
+    /** Each head has it in its first line. */
+    private static final ByteBuf VERSION =
+            Unpooled.unreleasableBuffer(Unpooled.wrappedBuffer("HTTP/1.".getBytes(StandardCharsets.US_ASCII))
+                    .asReadOnly());
 
     interface Listener {
         /** Bytes come that may have lain there since {@code sentUs}. */
@@ -48,6 +55,9 @@
     private long emptySinceUs;
 
     private int reads;
+    /** What was read last had lain in the kernel, and more of it may lie there. */
+    private boolean lay;
+
     private boolean held;
     private boolean paused;
     /** No more may be kept until the decoder has taken what is. */
@@ -71,6 +81,34 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
+        if (ctx.channel() instanceof TcpConnection connection) {
+            connection.tellsAgeIf(this::mayBeOld);
+        }
+    }
+
+    /** What is read next may have lain in the kernel: before the connection was accepted, in a hold-up, or while nothing was read. */
+    private boolean mayBeOld() {
+        return readAtUs == 0 || lay || loopDelay.behindUs(clock.now()) >= LoopDelay.LATE_US;
+    }
+
+    /**
+     * How long ago the last byte of it came; {@link TcpInfo#UNKNOWN} where the kernel does not tell, and where it may hold several requests,
+     * of which the first is older.
+     */
+    private static long receivedAgoUs(ChannelHandlerContext ctx, ByteBuf bytes) {
+        long agoUs =
+                ctx.channel() instanceof TcpConnection connection ? connection.lastReceivedAgoUs() : TcpInfo.UNKNOWN;
+        return agoUs == TcpInfo.UNKNOWN || mayHoldSeveral(bytes) ? TcpInfo.UNKNOWN : agoUs;
+    }
+
+    private static boolean mayHoldSeveral(ByteBuf bytes) {
+        ByteBuf all = bytes.slice();
+        int first = ByteBufUtil.indexOf(VERSION, all);
+        if (first < 0) {
+            return false;
+        }
+        ByteBuf rest = all.skipBytes(first + VERSION.readableBytes()).slice();
+        return ByteBufUtil.indexOf(VERSION, rest) >= 0;
     }
 
     @Override
@@ -84,12 +122,17 @@
             unreadSinceUs = 0;
         }
         readAtUs = now;
+        ByteBuf bytes = (ByteBuf) message;
+        long agoUs = receivedAgoUs(ctx, bytes);
+        if (agoUs != TcpInfo.UNKNOWN) {
+            sentUs = now - agoUs;
+            lay = agoUs >= LoopDelay.LATE_US;
+        }
         if (unreadSinceUs > 0) {
             sentUs = Math.min(sentUs, unreadSinceUs);
         }
         sentUs = Math.max(sentUs, emptySinceUs);
         lookIfEmpty(now);
-        ByteBuf bytes = (ByteBuf) message;
         if (held || paused || passing || !kept.isEmpty()) {
             keep(bytes);
         } else {
@@ -109,6 +152,7 @@
         SocketLook.before((EventLoop) context.executor(), () -> {
             if (read == reads && context.channel() instanceof TcpConnection connection && connection.reads()) {
                 emptySinceUs = now;
+                lay = false;
             }
         });
     }
--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -29,6 +29,8 @@
     private final SocketOptions options = new SocketOptions(javaChannel());
     private final RegistrationRetry registration = new RegistrationRetry(this);
     private final FailureSpell reads = new FailureSpell(System::nanoTime);
+    private BooleanSupplier ageWanted = () -> false;
+    private long lastReceivedAgoUs = TcpInfo.UNKNOWN;
     /** Not asked for readiness to read until the next try. */
     private boolean readPaused;
 
@@ -69,8 +71,20 @@
         }
     }
 
+    /** From now on {@code wanted} is asked before each read whether {@link #lastReceivedAgoUs} is needed after it. */
+    void tellsAgeIf(BooleanSupplier wanted) {
+        ageWanted = wanted;
+    }
+
+    /** By the kernel, before the last read: how long ago data came last. {@link TcpInfo#UNKNOWN} where it was not wanted or does not tell. */
+    long lastReceivedAgoUs() {
+        return lastReceivedAgoUs;
+    }
+
     @Override
     protected int doReadBytes(ByteBuf to) throws Exception {
+        // Before it: what comes between the two is taken for older than it is, never for younger.
+        lastReceivedAgoUs = ageWanted.getAsBoolean() ? TcpInfo.lastReceivedAgoUs(javaChannel()) : TcpInfo.UNKNOWN;
         int n;
         try {
             n = super.doReadBytes(to);
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/UnreadAgeTest.java
@@ -0,0 +1,131 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A request's time runs while it lies unread in the kernel, and no longer than it lay there. */
+@Timeout(60)
+class UnreadAgeTest {
+    private static final long WAIT_MS = 400;
+    private static final long HOLD_UP_MS = 900;
+    private static final long REMAINING_MS = 2_000;
+    /** The kernel counts in steps of up to 10 ms. */
+    private static final long STEP_US = 10_000;
+
+    private static long toldUs(Rig rig, String id) throws Exception {
+        return Long.parseLong(rig.await("request " + id + " ").split(" ")[2]);
+    }
+
+    /** Guards against a kernel's figure that does not count while a connection waits to be accepted. */
+    @Test
+    void theKernelCountsInTheAcceptQueueToo() throws Exception {
+        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0))) {
+            for (long waitMs : new long[] {0, 50, 300}) {
+                try (SocketChannel client = SocketChannel.open(listener.getLocalAddress())) {
+                    long beforeNanos = System.nanoTime();
+                    client.write(ByteBuffer.wrap("GET".getBytes(StandardCharsets.US_ASCII)));
+                    long sentNanos = System.nanoTime();
+                    Thread.sleep(waitMs);
+                    try (SocketChannel accepted = listener.accept()) {
+                        long leastUs = (System.nanoTime() - sentNanos) / 1_000;
+                        long agoUs = TcpInfo.lastReceivedAgoUs(accepted);
+                        long mostUs = (System.nanoTime() - beforeNanos) / 1_000;
+                        assertTrue(
+                                agoUs >= leastUs - STEP_US && agoUs <= mostUs + STEP_US,
+                                agoUs + " not in " + leastUs + " to " + mostUs);
+                    }
+                }
+            }
+        }
+    }
+
+    /** Guards against a server that is told more time than its client has, by what it waited for a place. */
+    @Test
+    void whatWaitedToBeLetInHasLessTimeLeft() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.onRequest = (now, r, out) -> {};
+            rig.sockets = 48 + 2 * 16;
+            rig.start();
+            List<Peer.Client> clients = new ArrayList<>();
+            try {
+                // As many as are let in, and some more.
+                for (int i = 0; i < 48; i++) {
+                    clients.add(rig.client().send(Rig.get("busy" + i, 20_000)));
+                }
+                rig.await("request busy0");
+                try (Peer.Client waits = rig.client()) {
+                    waits.send(Rig.get("waits", REMAINING_MS));
+                    long sentNanos = System.nanoTime();
+                    Thread.sleep(WAIT_MS);
+                    for (Peer.Client c : clients) {
+                        c.close();
+                    }
+                    long leastWaitUs = (System.nanoTime() - sentNanos) / 1_000;
+                    long toldUs = toldUs(rig, "waits");
+                    assertTrue(toldUs <= REMAINING_MS * 1_000 - WAIT_MS * 1_000 + STEP_US, toldUs + " " + leastWaitUs);
+                }
+            } finally {
+                for (Peer.Client c : clients) {
+                    c.close();
+                }
+            }
+        }
+    }
+
+    /** Guards against refusing, after a hold-up, who has just asked and has all of its time. */
+    @Test
+    void whatCameAtTheEndOfAHoldUpHasItsTime() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+            rig.start();
+            try (Peer.Client known = rig.client()) {
+                known.send(Rig.get("a0", REMAINING_MS));
+                assertEquals(200, known.status());
+                List<Peer.Client> fresh = new ArrayList<>();
+                rig.holdUp(0, () -> {
+                    Thread.sleep(HOLD_UP_MS);
+                    known.send(Rig.get("a1", REMAINING_MS));
+                    fresh.add(rig.client().send(Rig.get("a2", REMAINING_MS)));
+                });
+                for (String id : List.of("a1", "a2")) {
+                    long toldUs = toldUs(rig, id);
+                    // A quarter of its time may be kept for the way back.
+                    assertTrue(toldUs > REMAINING_MS * 1_000 * 2 / 3, id + " " + toldUs);
+                }
+                assertEquals(200, known.status());
+                assertEquals(200, fresh.get(0).status());
+                fresh.get(0).close();
+            }
+        }
+    }
+
+    /** Guards against taking the first of two requests for as young as the second, which the kernel received last. */
+    @Test
+    void theFirstOfTwoThatLayThereIsAsOldAsItMayBe() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a0", REMAINING_MS));
+                assertEquals(200, client.status());
+                rig.holdUp(0, () -> {
+                    client.send(Rig.get("first", REMAINING_MS));
+                    Thread.sleep(WAIT_MS);
+                    client.send(Rig.get("second", REMAINING_MS));
+                });
+                long toldUs = toldUs(rig, "first");
+                assertTrue(toldUs <= REMAINING_MS * 1_000 - WAIT_MS * 1_000 + LoopDelay.BEAT_US + STEP_US, "" + toldUs);
+            }
+        }
+    }
+}
