Tests: CrowdTest waits until the room is full

Cause: the test's own. After 0.1 s not all of the 192 that were to fill the room had been read, so the request found room, was served by an upstream that says nothing, and timed out. Evidence: in a failing run the module had been told of it and of the four before it; in passing ones of one of them at most. Why the fix works: the test waits on the condition it means, 192 clients that hold their room. Its checks are unchanged.

--- a/src/test/java/rushproxy/sidecar/CrowdTest.java
+++ b/src/test/java/rushproxy/sidecar/CrowdTest.java
@@ -163,7 +163,7 @@
                 for (int i = 0; i < 192; i++) {
                     filling.add(rig.client().send(upload("f" + i, 20_000, 65_536)));
                 }
-                Thread.sleep(100);
+                awaitBusy(rig, filling.size());
                 BlockingQueue<String> answered = new LinkedBlockingQueue<>();
                 for (int i = 0; i < 4; i++) {
                     filling.add(refused(rig, "patient" + i, 20_000, answered));
@@ -189,7 +189,7 @@
                 for (int i = 0; i < 192; i++) {
                     filling.add(rig.client().send(upload("f" + i, 20_000, 65_536)));
                 }
-                Thread.sleep(100);
+                awaitBusy(rig, filling.size());
                 try (Peer.Client client = rig.client()) {
                     client.send(upload("a1", 2_000, 60_000) + "x".repeat(60_000));
                     Thread.sleep(300);
@@ -206,6 +206,20 @@
         }
     }
 
+    /** Until so many clients have brought a head, and hold the room that they asked for. */
+    private static void awaitBusy(Rig rig, int clients) throws Exception {
+        long busy;
+        do {
+            Thread.sleep(5);
+            busy = rig.sidecar
+                    .loop()
+                    .submit(() -> rig.sidecar.clients().connections().stream()
+                            .filter(ClientConnection::isBusy)
+                            .count())
+                    .get();
+        } while (busy < clients);
+    }
+
     /** Sends a whole body and tells, on a thread of its own, how it was answered. */
     private static Peer.Client refused(Rig rig, String id, long remainingMs, BlockingQueue<String> answered)
             throws Exception {
