Sidecar: signals, reload and operators' calls are files of their own

ProcessSignals takes what the platform asks of the process, Reload reads the replaced configuration again, OperatorCalls carries out what operators call for.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -10,17 +10,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
-import sun.misc.Signal;
-import sun.misc.SignalHandler;
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
 public final class Sidecar {
@@ -33,11 +28,6 @@
     /** An answer to a probe that takes longer tells nothing of now. */
     private static final long PROBE_US = 50_000;
 
-    /** A configuration counts 4 s after the signal: by then it was read if it could be. */
-    private static final int MOST_RELOAD_TRIES = 30;
-
-    private static final long RELOAD_AGAIN_MS = 100;
-
     private static final long BEAT_MS = LoopDelay.BEAT_US / 1000;
     private static final int BEATS = 100;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
@@ -59,6 +49,7 @@
     private final UpstreamList known;
 
     private final Discovery discovery;
+    private final Reload reload;
     private final Peers peers;
     /** Null where no part of it is on. */
     private final FleetPlane fleet;
@@ -119,6 +110,7 @@
                 config.known().generation(),
                 settings.rules().askEveryUs(),
                 !settings.discoveryOnRequest());
+        reload = new Reload(address -> loop.execute(() -> discovery.moveTo(address)));
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
         fleet = config.fleet().members()
                 ? new FleetPlane(loop, clock, peers, decisions, config, upstreams::ready)
@@ -148,7 +140,7 @@
     public static int serve(Map<String, String> environment) throws InterruptedException {
         // Before all else: without handlers of its own the Java runtime ends on these, and a reload that comes now is
         // meant.
-        Signals signals = new Signals(environment);
+        ProcessSignals signals = new ProcessSignals(environment);
         boolean reloads = signals.take();
         Config config;
         try {
@@ -186,87 +178,9 @@
         return 0;
     }
 
-    /** What the platform asks of the process, from its first moment on. */
-    private static final class Signals {
-        private final Map<String, String> environment;
-        /** Null while there is none yet. */
-        private Sidecar sidecar;
-
-        private boolean reload;
-
-        Signals(Map<String, String> environment) {
-            this.environment = environment;
-        }
-
-        /** False where a reload can't be asked for: the runtime leaves a signal ignored that was so at its start. */
-        boolean take() {
-            // Not a hook of the runtime's end: by then its logging has been taken down, and the last lines with it.
-            for (String end : List.of("TERM", "INT")) {
-                Signal.handle(new Signal(end), s -> end());
-            }
-            return Signal.handle(new Signal("HUP"), s -> reload()) != SignalHandler.SIG_IGN;
-        }
-
-        synchronized void started(Sidecar now) {
-            sidecar = now;
-            if (reload) {
-                now.reload(environment);
-            }
-        }
-
-        private synchronized void end() {
-            // A stop that was asked for and went well is no failure, whatever signal asked; before the start nothing is
-            // held.
-            if (sidecar == null) {
-                Runtime.getRuntime().halt(0);
-            }
-            sidecar.stop(() -> Runtime.getRuntime().halt(0));
-        }
-
-        private synchronized void reload() {
-            reload = true;
-            if (sidecar != null) {
-                sidecar.reload(environment);
-            }
-        }
-    }
-
-    /**
-     * The configuration was replaced: of all that it says only where discovery is may change while running. Read on a thread of its own,
-     * since one that can't be read yet, as while it is being written, is read again.
-     */
-    private void reload(Map<String, String> environment) {
-        // The file tells of the change; what the environment said at the start is old.
-        Map<String, String> now = new HashMap<>(environment);
-        now.remove("BALANCER_DISCOVERY");
-        Thread reader = new Thread(() -> reloadFrom(now), "reload");
-        reader.setDaemon(true);
-        reader.start();
-    }
-
-    private void reloadFrom(Map<String, String> environment) {
-        for (int tries = 1; tries <= MOST_RELOAD_TRIES; tries++) {
-            try {
-                moveDiscovery(environment);
-                return;
-            } catch (Config.Broken e) {
-                if (tries == 1 || tries == MOST_RELOAD_TRIES) {
-                    Log.warn("nothing reloaded" + (tries == 1 ? " yet: " : ": ") + e.getMessage());
-                }
-            }
-            try {
-                Thread.sleep(RELOAD_AGAIN_MS);
-            } catch (InterruptedException e) {
-                return;
-            }
-        }
-    }
-
-    /** One at a time, so that what was read last is what is done last. */
-    private synchronized void moveDiscovery(Map<String, String> environment) throws Config.Broken {
-        InetSocketAddress address = Config.read(environment).discovery();
-        loop.execute(() -> discovery.moveTo(address));
-        Log.line("discovery is at " + address);
+    /** The configuration file was replaced. */
+    void reload(Map<String, String> environment) {
+        reload.begin(environment);
     }
 
     void start() throws InterruptedException {
@@ -305,7 +219,9 @@
         }
         clients.start();
         if (config.admin() != null) {
-            administered = new AdminServer(loop, new Operators()).listen(config.admin());
+            OperatorCalls calls =
+                    new OperatorCalls(loop, clients, upstreams, fleet, cordons, id -> marks.containsKey(id));
+            administered = new AdminServer(loop, calls).listen(config.admin());
         }
         Recurring.every(loop, BEAT_MS, this::beat);
         wakes.cancel(false);
@@ -478,86 +394,6 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
-    /** Carries out what the operators call for. */
-    private final class Operators implements AdminServer.Calls {
-        @Override
-        public String health() {
-            return clients.takesClients() ? null : "takes no clients";
-        }
-
-        @Override
-        public void quiesce() {
-            Log.line("drains, as the operators ask");
-            clients.drain();
-        }
-
-        @Override
-        public void resume() {
-            Log.line("goes on, as the operators ask");
-            clients.resume();
-        }
-
-        @Override
-        public void cordon(String id, Consumer<String> done) {
-            put(id, true, done);
-        }
-
-        @Override
-        public void uncordon(String id, Consumer<String> done) {
-            put(id, false, done);
-        }
-
-        @Override
-        public String members() {
-            return fleet == null ? null : fleet.view();
-        }
-
-        @Override
-        public String verdicts() {
-            return fleet == null || !fleet.shares() ? null : fleet.verdicts();
-        }
-
-        @Override
-        public String limits() {
-            return fleet == null || !fleet.shares() ? null : fleet.limits();
-        }
-
-        @Override
-        public String limit(String name, String of, String most, String per) {
-            Log.line("limit " + name + " of " + of + ": " + most + " " + per + ", as the operators ask");
-            return fleet.limit(name, of, most, per);
-        }
-
-        @Override
-        public String orders() {
-            return fleet == null || !fleet.shares() ? null : fleet.orders();
-        }
-
-        @Override
-        public String tallies(String release) {
-            return fleet.tallies(release);
-        }
-
-        @Override
-        public String order(String[] words) {
-            return fleet.order(words[0], words[1], words[2], words[3], words[4], words[5], words[6]);
-        }
-
-        @Override
-        public String unlimit(String name) {
-            Log.line("limit " + name + " is taken back, as the operators ask");
-            return fleet.unlimit(name);
-        }
-
-        private void put(String id, boolean out, Consumer<String> done) {
-            if (upstreams.knows(id) || marks.containsKey(id)) {
-                cordons.put(id, out, no -> loop.execute(() -> done.accept(no)));
-            } else {
-                done.accept("no such upstream");
-            }
-        }
-    }
-
     /** Carries out what the module decides. */
     private final class Hands implements Balancer.Actions {
         @Override
