Log: lines are written by a thread of their own; a full pipe held up the event loop

What callers saw: nothing any more. Where the reader of the sidecar's standard error stops reading (a log collector that is stopped or too slow), the pipe fills after 64 KiB, and from then on the event loop stands in its write: every client waits, for as long as that lasts. Cause: java.util.logging's console handler writes on the thread that logs. Why it holds: whoever logs hands the line to a queue without a lock and goes on; LogWriter's thread alone touches the stream. The queue is bounded by characters (512 KiB), what finds no room is dropped and counted, and the number is written later. A process that ends waits 50 ms at most for its last lines. Cost: one more thread that waits; no class of the runtime that was not loaded before but a queue's.

--- a/src/main/java/rushproxy/sidecar/Log.java
+++ b/src/main/java/rushproxy/sidecar/Log.java
@@ -4,8 +4,6 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.time.Instant;
 import java.util.Locale;
-import java.util.logging.ConsoleHandler;
-import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -13,7 +11,8 @@
 /**
  * Lines to standard error for what an operator should know; on a single request only at the debug level. Of three forms by the
  * configuration's {@code log} table: {@code plain}, the words alone; {@code text}, with time, level, node and fields;
- * {@code json}, an object a line. Written by the runtime's own logging (java.util.logging), to which Netty's goes too.
+ * {@code json}, an object a line. Taken by the runtime's own logging (java.util.logging), to which Netty's goes too, and
+ * written by {@link LogWriter}, which nobody who logs waits for.
  */
 final class Log {
     enum Level {
@@ -49,6 +48,10 @@
     }
 
     private static final int MOST_LINES_OF_TRACE = 4;
+    /** A process that ends waits so long for its last lines to be written. */
+    private static final long LAST_LINES_MS = 50;
+
+    private static final LogWriter WRITER = new LogWriter(System.err);
     private static final Logger ROOT = Logger.getLogger("");
     private static final Logger OURS = Logger.getLogger("rushproxy");
 
@@ -67,17 +70,8 @@
         for (Handler h : ROOT.getHandlers()) {
             ROOT.removeHandler(h);
         }
-        Handler handler = new ConsoleHandler();
+        Handler handler = new ToWriter(style);
         handler.setLevel(style.least.theirs);
-        handler.setFormatter(new Formatter() {
-            @Override
-            public String format(LogRecord r) {
-                Object[] fields = r.getParameters();
-                String text = r.getThrown() == null ? r.getMessage() : r.getMessage() + ": " + r.getThrown();
-                return Log.format(
-                        style, r.getMillis(), Level.of(r.getLevel()), text, fields == null ? new Object[0] : fields);
-            }
-        });
         ROOT.addHandler(handler);
         // Others' words only where they are grave: a request's fate is none.
         ROOT.setLevel(Level.WARN.theirs);
@@ -85,6 +79,35 @@
         debugs = style.least == Level.DEBUG;
     }
 
+    /** Hands each line to the writer. */
+    private static final class ToWriter extends Handler {
+        private final Style style;
+
+        ToWriter(Style style) {
+            this.style = style;
+        }
+
+        @Override
+        public void publish(LogRecord r) {
+            if (isLoggable(r)) {
+                Object[] fields = r.getParameters() == null ? new Object[0] : r.getParameters();
+                String text = r.getThrown() == null ? r.getMessage() : r.getMessage() + ": " + r.getThrown();
+                WRITER.write(Log.format(style, r.getMillis(), Level.of(r.getLevel()), text, fields));
+            }
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+    }
+
+    /** Before the process ends: its last lines are written if their reader takes them. */
+    static void writeLastLines() {
+        WRITER.flush(LAST_LINES_MS);
+    }
+
     /** Whether lines of the debug level are written. */
     static boolean debugs() {
         return debugs;
--- a/src/main/java/rushproxy/sidecar/ProcessSignals.java
+++ b/src/main/java/rushproxy/sidecar/ProcessSignals.java
@@ -37,9 +37,14 @@
         // A stop that was asked for and went well is no failure, whatever signal asked; before the start nothing is
         // held.
         if (sidecar == null) {
-            Runtime.getRuntime().halt(0);
+            leave();
         }
-        sidecar.stop(() -> Runtime.getRuntime().halt(0));
+        sidecar.stop(ProcessSignals::leave);
+    }
+
+    private static void leave() {
+        Log.writeLastLines();
+        Runtime.getRuntime().halt(0);
     }
 
     private synchronized void reload() {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -147,6 +147,7 @@
             config = Config.read(environment);
         } catch (Config.Broken e) {
             Log.event(Log.Level.ERROR, e.getMessage());
+            Log.writeLastLines();
             return 2;
         }
         Log.style(config.log());
@@ -166,6 +167,7 @@
             sidecar.start();
         } catch (Exception e) {
             Log.event(Log.Level.ERROR, "can't start: " + e);
+            Log.writeLastLines();
             return 1;
         }
         if (!reloads) {
--- a/src/test/java/rushproxy/sidecar/SidecarProcess.java
+++ b/src/test/java/rushproxy/sidecar/SidecarProcess.java
@@ -40,6 +40,7 @@
     final Process process;
     final InetSocketAddress address;
     final ConcurrentLinkedQueue<String> log = new ConcurrentLinkedQueue<>();
+    private volatile boolean readsLog = true;
 
     private SidecarProcess(Process process) throws Exception {
         this.process = process;
@@ -77,7 +78,7 @@
     private void read(CompletableFuture<InetSocketAddress> serves) {
         try (BufferedReader in =
                 new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
-            for (String line; (line = in.readLine()) != null; ) {
+            for (String line; readsLog && (line = in.readLine()) != null; ) {
                 log.add(line);
                 Matcher m = SERVES.matcher(line);
                 if (m.find()) {
@@ -85,12 +86,19 @@
                             new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2))));
                 }
             }
+            // A pipe whose reader has closed it is no full one.
+            process.onExit().join();
         } catch (IOException e) {
             log.add("its log can't be read: " + e);
         }
         serves.completeExceptionally(new IOException("it did not start: " + log));
     }
 
+    /** One more line is read at most: what comes then fills the pipe. */
+    void stopReadingLog() {
+        readsLog = false;
+    }
+
     Peer.Client client() throws IOException {
         return new Peer.Client(address);
     }
