Start: a held socket whose address can't be told for a moment is asked for again

What callers saw: a node that is gone. A successor that starts on the socket held for it, while calls of the system fail for a moment, ended with 1, "descriptor 0 is no listening socket"; the socket was whole. All that its clients sent until the next start failed.

Cause: the runtime (Java 17) asks for the socket's family by getsockname. Where that fails it says that nothing was inherited, and says so from then on: it asks once in a process's life.

--- a/src/main/java/rushproxy/lab/node/SharedSocket.java
+++ b/src/main/java/rushproxy/lab/node/SharedSocket.java
@@ -15,24 +15,31 @@
  * put in the place of this process's descriptor 0, one start at a time. Needs {@code java.base/sun.nio.ch} and
  * {@code java.base/java.io} opened, which the jar's manifest does.
  */
-final class SharedSocket implements AutoCloseable {
+public final class SharedSocket implements AutoCloseable {
     private static final Object ONE_AT_A_TIME = new Object();
     private static final int BACKLOG = 256;
 
-    interface Start<T> {
+    /** Starts a process. */
+    public interface Start<T> {
         T start() throws IOException;
     }
 
     private final ServerSocketChannel socket;
 
-    SharedSocket(InetSocketAddress address) throws IOException {
+    /** Listens there. */
+    public SharedSocket(InetSocketAddress address) throws IOException {
         socket = ServerSocketChannel.open(StandardProtocolFamily.INET);
         socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         socket.bind(address, BACKLOG);
     }
 
+    /** Where it listens. */
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) socket.getLocalAddress();
+    }
+
     /** {@code start} starts a process whose standard input is inherited: it gets this socket. */
-    <T> T inherited(Start<T> start) throws IOException {
+    public <T> T inherited(Start<T> start) throws IOException {
         synchronized (ONE_AT_A_TIME) {
             try {
                 Class<?> channel = Class.forName("sun.nio.ch.InheritedChannel");
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
@@ -152,13 +151,7 @@
         Log.style(config.log());
         Sidecar sidecar;
         try {
-            ServerSocketChannel inherited = null;
-            if (config.inherits()) {
-                inherited = System.inheritedChannel() instanceof ServerSocketChannel socket ? socket : null;
-                if (inherited == null) {
-                    throw new IOException("descriptor 0 is no listening socket");
-                }
-            }
+            ServerSocketChannel inherited = config.inherits() ? InheritedListener.open() : null;
             sidecar = new Sidecar(
                     config, inherited, (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
             // Before anybody can ask.
--- a/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
+++ b/src/test/java/rushproxy/sidecar/MomentaryFailuresIT.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.file.Path;
@@ -22,6 +23,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import rushproxy.lab.node.SharedSocket;
 import rushproxy.lab.node.SystemFaults;
 import rushproxy.lab.node.SystemFaults.Call;
 
@@ -135,6 +137,23 @@
         }
     }
 
+    /** Guards against a successor that ends at its start since its held socket's address can't be told for a moment. */
+    @Test
+    void aProcessTakesAHeldSocket() throws Exception {
+        try (SharedSocket socket = new SharedSocket(new InetSocketAddress("127.0.0.1", 0))) {
+            for (int i = 0; i < STARTS; i++) {
+                faults.set(Call.NAME_FAILS, OFTEN);
+                SidecarProcess process = standIns.startOn(socket, folder, faults.environment());
+                faults.clear();
+                try (Peer.Client connection = new Peer.Client(socket.address())) {
+                    request(connection, id(0, i));
+                }
+                assertEquals(List.of(), List.copyOf(wrong));
+                process.close();
+            }
+        }
+    }
+
     /** A connection to a server that this machine can't open for a moment is no fault of the server's. */
     @ParameterizedTest
     @EnumSource(names = {"CONNECT_FAILS", "SOCKET_FAILS", "NAME_FAILS"})
--- a/src/test/java/rushproxy/sidecar/SidecarProcess.java
+++ b/src/test/java/rushproxy/sidecar/SidecarProcess.java
@@ -17,6 +17,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import rushproxy.lab.node.Build;
+import rushproxy.lab.node.SharedSocket;
 
 /** A real sidecar, started as the deploy file says, between stand-ins on loopback. */
 final class SidecarProcess implements AutoCloseable {
@@ -53,6 +54,21 @@
     /** {@code environment}: what it is started with besides, such as a library of faults. */
     static SidecarProcess start(Path folder, Peer discovery, List<Peer> upstreams, Map<String, String> environment)
             throws Exception {
+        return new SidecarProcess(
+                command(folder, discovery, upstreams, environment).start());
+    }
+
+    /** It takes its clients from {@code socket}, its descriptor 0. */
+    static SidecarProcess startOn(
+            SharedSocket socket, Path folder, Peer discovery, List<Peer> upstreams, Map<String, String> environment)
+            throws Exception {
+        ProcessBuilder command = command(folder, discovery, upstreams, environment);
+        command.environment().put("BALANCER_ACCEPT_FD", "0");
+        return new SidecarProcess(socket.inherited(command.redirectInput(ProcessBuilder.Redirect.INHERIT)::start));
+    }
+
+    private static ProcessBuilder command(
+            Path folder, Peer discovery, List<Peer> upstreams, Map<String, String> environment) throws Exception {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < upstreams.size(); i++) {
             entries.add(Rig.entry("u" + i, upstreams.get(i).address(), "Ready", 0));
@@ -71,7 +87,7 @@
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
         builder.environment().putAll(environment);
-        return new SidecarProcess(builder.redirectErrorStream(true).start());
+        return builder.redirectErrorStream(true);
     }
 
     private void read(CompletableFuture<InetSocketAddress> serves) {
--- a/src/test/java/rushproxy/sidecar/StandIns.java
+++ b/src/test/java/rushproxy/sidecar/StandIns.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import rushproxy.lab.node.SharedSocket;
 
 /** What a real sidecar meets in a test: discovery that says nothing, and servers; closed together with the sidecar. */
 final class StandIns implements AutoCloseable {
@@ -27,6 +28,12 @@
         return sidecar;
     }
 
+    /** As {@link #start}, on a socket that is held. */
+    SidecarProcess startOn(SharedSocket socket, Path folder, Map<String, String> environment) throws Exception {
+        sidecar = SidecarProcess.startOn(socket, folder, discovery, servers, environment);
+        return sidecar;
+    }
+
     @Override
     public void close() throws Exception {
         if (sidecar != null) {
