Process: it ends when its event loop's thread has ended, so that another is started

What callers saw, by a trial: a node that the kernel lets everybody into, that answers nobody and does not end on SIGTERM. It waits for nothing but its signals, and no supervisor sees it gone.

Cause: the loop's thread ends where an error meets no handler, and errors of the logging that was to tell it are such. All else of the process is no daemon's and lives on; a stop handed to the loop is rejected. The same error in the loop's cleaning up leaves its termination untold as well.

Why it works: a thread waits for the loop's thread itself, not for the loop's termination.

Cost: one thread that sleeps. What ends before the loop has begun is not covered.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -158,6 +158,7 @@
             // Before anybody can ask.
             sidecar.clients.notReady();
             sidecar.start();
+            LoopWatch.begin(sidecar.loop, Sidecar::endWithoutLoop);
         } catch (Exception e) {
             Log.event(Log.Level.ERROR, "can't start: " + e);
             return 1;
@@ -172,6 +173,15 @@
         return 0;
     }
 
+    /** Whoever supervises the process starts another. */
+    private static void endWithoutLoop() {
+        try {
+            Log.event(Log.Level.ERROR, "the event loop has ended, and the process with it");
+        } finally {
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
     /** The configuration file was replaced. */
     void reload(Map<String, String> environment) {
         reload.begin(environment);
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/LoopWatchTest.java
@@ -0,0 +1,34 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.util.concurrent.FastThreadLocal;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class LoopWatchTest {
+    /** Guards against a process that lives on, deaf to signals, after an error has ended its event loop and even that loop's cleaning up. */
+    @Test
+    void theEndOfTheThreadIsToldWhereTheLoopTellsNone() throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, SocketLook.handlers()).next();
+        CountDownLatch ended = new CountDownLatch(1);
+        LoopWatch.begin(loop, ended::countDown);
+        FastThreadLocal<Object> fails = new FastThreadLocal<>() {
+            @Override
+            protected void onRemoval(Object value) {
+                throw new NoClassDefFoundError();
+            }
+        };
+        loop.submit(() -> fails.set("")).sync();
+        assertFalse(ended.await(0, TimeUnit.SECONDS));
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        assertTrue(ended.await(30, TimeUnit.SECONDS));
+        assertFalse(loop.isTerminated());
+    }
+}
