--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
@@ -151,20 +150,16 @@
             return 2;
         }
         Log.style(config.log());
+        TcpInfo.load();
         Sidecar sidecar;
         try {
-            ServerSocketChannel inherited = null;
-            if (config.inherits()) {
-                inherited = System.inheritedChannel() instanceof ServerSocketChannel socket ? socket : null;
-                if (inherited == null) {
-                    throw new IOException("descriptor 0 is no listening socket");
-                }
-            }
+            ServerSocketChannel inherited = config.inherits() ? InheritedListener.open() : null;
             sidecar = new Sidecar(
                     config, inherited, (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
             // Before anybody can ask.
             sidecar.clients.notReady();
             sidecar.start();
+            LoopWatch.begin(sidecar.loop, Sidecar::endWithoutLoop);
         } catch (Exception e) {
             Log.event(Log.Level.ERROR, "can't start: " + e);
             Log.writeLastLines();
@@ -180,6 +175,15 @@
         return 0;
     }
 
+    /** Whoever supervises the process starts another. */
+    private static void endWithoutLoop() {
+        try {
+            Log.event(Log.Level.ERROR, "the event loop has ended, and the process with it");
+        } finally {
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
     /** The configuration file was replaced. */
     void reload(Map<String, String> environment) {
         reload.begin(environment);
