First loss: its classes are in the archive, and no key's hashing is made at run time

What callers saw: when a server falls silent for the first time in a process's life, all sidecars of a fleet use twice the processor for two seconds, and answers come late.

Cause: code that is loaded and linked then. Between 4 and 8 s (server silent at 4 s) eight sidecars defined 411 classes outside of the archive: 236 of them lambda forms, nearly all for the equals and hashCode of one record, Store.Id, which the runtime makes at their first call (78 ms of one event loop between the first and the last); a third of all that was compiled in 4 to 6 s was java.lang.invoke and its class writer. The archive's rehearsal had one sidecar alone that nothing fails.

Change: Store.Id has its own equals and hashCode. After the old rehearsal the laboratory plays four sidecars for 12 s through each kind of fault (deploy/rehearsal.toml), and the archive holds what any of them loaded. Two calls may have the same lambda, so a line stays as often as one process wrote it. If the play fails, the archive holds the rest as before.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
 # Makes the class archive that `run` starts from: a sidecar whose upstreams, discovery and fleet are itself is given a
-# few requests and a reload, so that what serving needs is loaded, and is stopped. Of the classes that it has loaded an
-# archive is made that holds the runtime's as well: it costs a start less than one on top of the runtime's own archive.
+# few requests and a reload, so that what serving needs is loaded, and is stopped. Then the laboratory plays a fleet that
+# meets each kind of fault once: what is loaded first when a server is lost would be loaded by all sidecars of a fleet in
+# the same second. Of the classes that they have loaded an archive is made that holds the runtime's as well: it costs a
+# start less than one on top of the runtime's own archive.
 # Without an archive `run` only starts slower, so nothing here fails the build.
 cd "$(dirname "$0")/.." || exit 1
 # The sidecar may be gone while it is written to: that is no reason for this shell to go too.
@@ -40,6 +42,18 @@
 fi
 kill -TERM "$sidecar" 2>/dev/null
 wait "$sidecar"
+# A checkout of its own, whose sidecars write down what they load.
+fleet=target/rehearsal
+rm -rf "$fleet"
+mkdir -p "$fleet/deploy"
+ln -s ../../target "$fleet/target"
+echo "run = \"exec java $options -XX:DumpLoadedClassList=fleet-%p.classes -jar target/rushproxy.jar serve\"" > "$fleet/deploy/balancer.toml"
+(cd "$fleet" && java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar target/rushproxy.jar \
+    lab run --quiet --out played ../../deploy/rehearsal.toml) > target/rehearsal-fleet.log 2>&1
+# Numbers of classes are each process's own. Two calls may have the same lambda, and need one each.
+awk 'FNR == 1 { split("", here) } { sub(/ id: .*/, "") } ++here[$0] > all[$0] { all[$0]++; print }' \
+    "$classes" "$fleet"/fleet-*.classes > "$classes.all"
+mv "$classes.all" "$classes"
 # The heap's bounds are those of a sidecar that serves, too small for all classes at once.
 # shellcheck disable=SC2086
 java $(echo "$options" | sed 's/-Xms[^ ]*//; s/-Xmx[^ ]*//; s/-XX:MaxMetaspaceSize=[^ ]*//') \
--- a/src/main/java/rushproxy/fleet/shared/Store.java
+++ b/src/main/java/rushproxy/fleet/shared/Store.java
@@ -68,7 +68,18 @@
     private static final int LEAVES = 23;
     private static final int WANT = 24;
 
-    private record Id(int table, long key, long writer) {}
+    /** A record's own {@code equals} and {@code hashCode} are made at their first call, which holds the event loop up. */
+    private record Id(int table, long key, long writer) {
+        @Override
+        public boolean equals(Object o) {
+            return o instanceof Id other && table == other.table && key == other.key && writer == other.writer;
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * (31 * table + Long.hashCode(key)) + Long.hashCode(writer);
+        }
+    }
 
     /** {@code value} is null where it was taken back. */
     private static final class Held {
