Connections: a read that goes on being interrupted no longer keeps the loop from waiting

What callers saw: nothing yet.

Cause: an interrupted read (EINTR) counted as "nothing read", and its socket stayed readable: the loop read it again in its next turn, at once and for as long as reads were interrupted. Every other call that fails waits 3 ms for its next try.

Evidence: IdleLoopIT makes one kind of call fail always while clients hang, are half closed, send too much or reset, and takes the loop's figures from the kernel.

Mend: such a read is made once more at once, as is usual, and one that is interrupted again has failed for a moment: it is tried again 3 ms later, its client counts as unwatched after 80 ms, and its connection ends after 20 s.

No cost where no read is interrupted.

--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -14,8 +15,9 @@
 
 /**
  * A TCP connection, opened or accepted, to which only the peer's end is an end: any other error of a call is this machine's own, and
- * the call is tried again ({@link SocketErrors}). Netty closes a connection at each error of a read or write. The JDK returns a
- * negative number other than -1 for a read that a signal interrupted (EINTR); Netty takes every negative number for the peer's end.
+ * the call is tried again ({@link SocketErrors}), a few milliseconds later: what keeps failing must not keep the loop from waiting.
+ * Netty closes a connection at each error of a read or write. The JDK returns a negative number other than -1 for a read that a
+ * signal interrupted (EINTR); Netty takes every negative number for the peer's end.
  */
 final class TcpConnection extends NioSocketChannel implements RegistrationRetry.Registered {
     /** Told to the handlers where it could not be read for so long that its peer may have gone unseen. */
@@ -87,7 +89,7 @@
         lastReceivedAgoUs = ageWanted.getAsBoolean() ? TcpInfo.lastReceivedAgoUs(javaChannel()) : TcpInfo.UNKNOWN;
         int n;
         try {
-            n = super.doReadBytes(to);
+            n = readInterruptible(to);
         } catch (IOException e) {
             history.failed(ConnectionHistory.Call.READ, e);
             if (!reads.mayTryAgain(e)) {
@@ -106,8 +108,19 @@
                 registration.proven();
             }
         }
-        // After an interrupted read the socket stays readable, and the next turn of the loop reads it.
-        return n < END ? 0 : n;
+        return n;
+    }
+
+    /** A read that a signal interrupts is made once more at once; one that is interrupted again has failed for a moment. */
+    private int readInterruptible(ByteBuf to) throws Exception {
+        int n = super.doReadBytes(to);
+        if (n < END) {
+            n = super.doReadBytes(to);
+        }
+        if (n < END) {
+            throw new InterruptedIOException("interrupted");
+        }
+        return n;
     }
 
     /** Whether what comes is read as soon as it comes. */
