Start: a native library that is cut off is not looked at; what is missing is told once

The load before the listener opens and the one line where the library is missing stay. The loop's watch waits for its last line of the log.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -179,6 +179,7 @@
     private static void endWithoutLoop() {
         try {
             Log.event(Log.Level.ERROR, "the event loop has ended, and the process with it");
+            Log.writeLastLines();
         } finally {
             Runtime.getRuntime().halt(1);
         }
--- a/src/main/java/rushproxy/sidecar/TcpInfo.java
+++ b/src/main/java/rushproxy/sidecar/TcpInfo.java
@@ -2,16 +2,11 @@
 
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollTcpInfo;
-import java.io.File;
-import java.io.IOException;
 import java.lang.reflect.AccessibleObject;
 import java.lang.reflect.Constructor;
 import java.lang.reflect.Field;
 import java.lang.reflect.Method;
 import java.nio.channels.SocketChannel;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.Optional;
 
 /**
  * What the kernel knows of a connection (TCP_INFO): when it last received data, also while nobody had accepted the connection or read
@@ -22,7 +17,6 @@
     /** The kernel does not tell. */
     static final long UNKNOWN = -1;
 
-    private static final String LIBRARY = System.mapLibraryName("netty_transport_native_epoll_x86_64");
     /** Null where a part is missing. */
     private static final TcpInfo KERNEL;
     /** Why nothing is known; null where it is. */
@@ -33,7 +27,7 @@
         String missing = null;
         try {
             found = find();
-        } catch (ReflectiveOperationException | IOException | RuntimeException | LinkageError e) {
+        } catch (ReflectiveOperationException | RuntimeException | LinkageError e) {
             missing = rootOf(e).toString();
         }
         KERNEL = found;
@@ -53,11 +47,7 @@
         this.read = read;
     }
 
-    private static TcpInfo find() throws ReflectiveOperationException, IOException {
-        Optional<Path> cut = cutLibrary();
-        if (cut.isPresent()) {
-            throw new IOException(cut.get() + " is cut off");
-        }
+    private static TcpInfo find() throws ReflectiveOperationException {
         Epoll.ensureAvailability();
         Class<?> linuxSocket = Class.forName("io.netty.channel.epoll.LinuxSocket");
         Field descriptor = Class.forName("sun.nio.ch.SocketChannelImpl").getDeclaredField("fdVal");
@@ -69,17 +59,6 @@
         return new TcpInfo(descriptor, socket, read);
     }
 
-    /** The library's file that would be loaded, where it is not whole: loading it would end the process. */
-    private static Optional<Path> cutLibrary() throws IOException {
-        for (String folder : System.getProperty("java.library.path", "").split(File.pathSeparator)) {
-            Path file = Path.of(folder, LIBRARY);
-            if (Files.isRegularFile(file) && ElfFile.isCut(file)) {
-                return Optional.of(file);
-            }
-        }
-        return Optional.empty();
-    }
-
     private static Throwable rootOf(Throwable e) {
         Throwable root = e;
         while (root.getCause() != null) {
