Clients: a new connection whose output has ended gives its place back where that is wanted

What callers saw: while bad clients come in a crowd, others wait in the backlog for places that are held by connections on which nothing can be answered any more. Beside it a breach was counted that is none: "CLOSED_YOUNG ... was to lose it: room needed".

Cause: who has been refused (400) within its first moments has its output ended and waits for its client's end, first of all to go where room is wanted. The guard for new connections, whose first request may be on its way, kept it; and it had left the queue of those that go by then, so that it stayed until its client's end or the longest wait.

Why it works: what has ended its output can answer no first request; the guard has nothing to keep. All others it keeps as before.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -740,7 +740,7 @@
 
     /** Gives its descriptor back at once. */
     void close(CloseReason reason) {
-        if (answersFirst(reason) || !guard.mayClose(isYoung(), reason)) {
+        if (answersFirst(reason) || !guard.mayClose(isYoung() && !lingers, reason)) {
             return;
         }
         RequestLog.closes(channel, reason);
--- a/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
@@ -92,6 +92,22 @@
         }
     }
 
+    /** Guards against keeping, and counting as a breach, a new connection whose output has ended, where its place is wanted. */
+    @Test
+    void aNewConnectionWhoseOutputHasEndedMakesRoom() throws Exception {
+        try (Rig rig = new Rig();
+                Peer.Client client = rig.start().client()) {
+            client.send("no request\r\n\r\n");
+            assertEquals(400, client.status());
+            onLoop(rig, connection -> {
+                assertTrue(connection.lingers());
+                connection.close(CloseReason.ROOM_NEEDED);
+                assertEquals(Map.of(), rig.sidecar.invariants().counts());
+                assertEquals(0, rig.sidecar.clients().open());
+            });
+        }
+    }
+
     /** Until the end of a drain is due; from then on none may be idle. */
     @Test
     void aNewConnectionIsSparedUntilADrainIsDue() throws Exception {
