Laboratory: a first byte has the time at which the kernel got it, not the loop's read

Now the upstream asks the kernel before each read for the age of the last data and for the number of segments with data, in one call. One new segment: the first byte's time is known to the kernel's step (10 ms at most). Several: it came by then, and not before the read before.

--- /dev/null
+++ b/src/main/java/rushproxy/kernel/TcpInfo.java
@@ -0,0 +1,92 @@
+package rushproxy.kernel;
+
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.unix.Socket;
+import java.io.IOException;
+import java.lang.reflect.Field;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.channels.SocketChannel;
+
+/**
+ * What the kernel knows of a connection (TCP_INFO): when it last received data, also while nobody had accepted the connection or read
+ * from it. It takes Netty's native library and a part of the runtime that is not public; where either is missing nothing is known.
+ */
+public final class TcpInfo {
+    /** The kernel does not tell. */
+    public static final long UNKNOWN = -1;
+
+    /**
+     * What a connection has received, as of one moment.
+     *
+     * @param lastAgoUs    how long ago the last data came, or the connection was established, where none has; {@link #UNKNOWN} else
+     * @param dataSegments segments with data since the connection began
+     */
+    public record Received(long lastAgoUs, int dataSegments) {}
+
+    private static final Received NOTHING_KNOWN = new Received(UNKNOWN, 0);
+    private static final long US_A_MS = 1_000;
+    /** {@code IPPROTO_TCP} and {@code TCP_INFO} of Linux. */
+    private static final int LEVEL = 6;
+
+    private static final int OPTION = 11;
+    /** Offsets in {@code struct tcp_info} of Linux, and as much of it as is wanted here. */
+    private static final int RCV_MSS = 20;
+
+    private static final int LAST_DATA_RECV = 52;
+    private static final int DATA_SEGS_IN = 152;
+    private static final int LENGTH = 160;
+
+    private static final TcpInfo KERNEL = find();
+
+    private final Field descriptor;
+    private final ByteBuffer info = ByteBuffer.allocateDirect(LENGTH).order(ByteOrder.nativeOrder());
+
+    private TcpInfo(Field descriptor) {
+        this.descriptor = descriptor;
+    }
+
+    /** Null where a part is missing. */
+    private static TcpInfo find() {
+        try {
+            if (!Epoll.isAvailable()) {
+                return null;
+            }
+            Field descriptor = Class.forName("sun.nio.ch.SocketChannelImpl").getDeclaredField("fdVal");
+            descriptor.setAccessible(true);
+            return new TcpInfo(descriptor);
+        } catch (ReflectiveOperationException | RuntimeException | LinkageError e) {
+            return null;
+        }
+    }
+
+    /** How long ago the connection last received data, or was established, where it has received none; {@link #UNKNOWN} else. */
+    public static long lastReceivedAgoUs(SocketChannel connection) {
+        return received(connection).lastAgoUs;
+    }
+
+    /** What the connection has received until now. */
+    public static synchronized Received received(SocketChannel connection) {
+        if (KERNEL == null || !connection.isOpen()) {
+            return NOTHING_KNOWN;
+        }
+        try {
+            return KERNEL.read(connection);
+        } catch (IOException | ReflectiveOperationException | RuntimeException e) {
+            return NOTHING_KNOWN;
+        }
+    }
+
+    private Received read(SocketChannel connection) throws IOException, ReflectiveOperationException {
+        info.clear();
+        // What an older kernel does not fill in stays 0.
+        for (int i = 0; i < LENGTH; i += Integer.BYTES) {
+            info.putInt(i, 0);
+        }
+        new Socket(descriptor.getInt(connection)).getRawOpt(LEVEL, OPTION, info);
+        // A kernel has a segment size for each connection; what stands in for one may fill in nothing.
+        return info.getInt(RCV_MSS) == 0
+                ? NOTHING_KNOWN
+                : new Received(info.getInt(LAST_DATA_RECV) * US_A_MS, info.getInt(DATA_SEGS_IN));
+    }
+}
--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -15,6 +15,7 @@
  * @param text    class, status, body or words, by the kind of event
  * @param number  milliseconds of work, remaining milliseconds or the like, by the kind of event
  * @param sinceUs when what ended now began, or when it was meant to happen
+ * @param sinceEarliestUs where {@code sinceUs} is only the latest time at which it can have begun, the earliest; 0 where they are one
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record Observation(
@@ -28,7 +29,27 @@
         @JsonProperty("first") String first,
         @JsonProperty("text") String text,
         @JsonProperty("number") double number,
-        @JsonProperty("sinceUs") long sinceUs) {
+        @JsonProperty("sinceUs") long sinceUs,
+        @JsonProperty("sinceEarliestUs") long sinceEarliestUs) {
+
+    /** What began at one moment that is known, or with none. */
+    public Observation(
+            long us,
+            What what,
+            String node,
+            String server,
+            String id,
+            String first,
+            String text,
+            double number,
+            long sinceUs) {
+        this(us, what, node, server, id, first, text, number, sinceUs, 0);
+    }
+
+    /** What ended now surely did not begin before. */
+    public long beganEarliestUs() {
+        return sinceEarliestUs == 0 ? sinceUs : sinceEarliestUs;
+    }
 
     /** Kinds of events; after each what {@code text}, {@code number} and {@code sinceUs} say. */
     public enum What {
@@ -50,7 +71,7 @@
         GAVE_UP,
         /** A client's first try is over for good: "served", "late", "refused", "failed"; ms since it was meant to leave. */
         SETTLED,
-        /** The last byte of a request has come to an upstream: its idempotency key, its work in ms; sinceUs its first byte. */
+        /** The last byte of a request has come to an upstream: its idempotency key, its work in ms; sinceUs its first byte, by the kernel. */
         GOT,
         /** The upstream has turned it away unseen. */
         TURNED_AWAY,
--- a/src/main/java/rushproxy/lab/world/Observations.java
+++ b/src/main/java/rushproxy/lab/world/Observations.java
@@ -34,12 +34,32 @@
     public void see(
             What what, String node, String server, String id, String first, String text, double number, long sinceUs) {
         synchronized (this) {
-            Observation o = new Observation(us(), what, node, server, id, first, text, number, sinceUs);
-            all.add(o);
-            each.accept(o);
+            note(new Observation(us(), what, node, server, id, first, text, number, sinceUs));
         }
     }
 
+    /** A server has got a request whole, whose first byte came at {@code first}. */
+    void got(String node, String server, String id, String key, double workMs, ArrivalTime first) {
+        synchronized (this) {
+            note(new Observation(
+                    us(),
+                    What.GOT,
+                    node,
+                    server,
+                    id,
+                    null,
+                    key,
+                    workMs,
+                    first.latestUs(),
+                    first.earliestUs() == first.latestUs() ? 0 : first.earliestUs()));
+        }
+    }
+
+    private void note(Observation o) {
+        all.add(o);
+        each.accept(o);
+    }
+
     public synchronized List<Observation> all() {
         return List.copyOf(all);
     }
--- a/src/main/java/rushproxy/lab/world/UpstreamServer.java
+++ b/src/main/java/rushproxy/lab/world/UpstreamServer.java
@@ -6,11 +6,11 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -311,7 +311,7 @@
         ChannelFuture listen() {
             ChannelFuture bind = new ServerBootstrap()
                     .group(loop)
-                    .channel(NioServerSocketChannel.class)
+                    .channelFactory(() -> new TimedListener(seen))
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
@@ -332,8 +332,13 @@
                 channel.close();
                 return;
             }
-            Connection connection = new Connection(channel, node);
-            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), connection);
+            Connection connection = new Connection((TimedListener.Connection) channel, node);
+            channel.pipeline()
+                    .addLast(
+                            connection.firstBytes(),
+                            new HttpServerCodec(),
+                            new HttpObjectAggregator(MAX_BODY),
+                            connection);
         }
 
         /** A cut in either way keeps connections from coming up: the queue is filled, and the kernel drops the rest. */
@@ -381,13 +386,15 @@
 
     /** One connection of a node, from the server's side. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Channel channel;
+        private final TimedListener.Connection channel;
         private final Network.End node;
         private final Link link;
         private final List<UpstreamModel.Job> jobs = new ArrayList<>(1);
         private boolean fresh = true;
+        /** When the request that is coming began to come; null where none is. */
+        private ArrivalTime began;
 
-        Connection(Channel channel, Network.End node) {
+        Connection(TimedListener.Connection channel, Network.End node) {
             this.channel = channel;
             this.node = node;
             link = new Link(loop, network, node, end);
@@ -398,16 +405,30 @@
             }
         }
 
+        /** Sees the bytes before the request is whole: only one at a time comes on a connection. */
+        ChannelInboundHandlerAdapter firstBytes() {
+            return new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                    if (began == null) {
+                        began = channel.lastRead();
+                    }
+                    ctx.fireChannelRead(bytes);
+                }
+            };
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest m) {
-            long sinceUs = seen.us();
+            ArrivalTime first = began == null ? channel.lastRead() : began;
+            began = null;
             String path = m.uri();
             String txn = m.headers().get("X-Txn");
             String key = m.headers().get("Idempotency-Key");
-            link.inward(() -> arrived(path, txn, key, sinceUs));
+            link.inward(() -> arrived(path, txn, key, first));
         }
 
-        private void arrived(String path, String txn, String key, long sinceUs) {
+        private void arrived(String path, String txn, String key, ArrivalTime first) {
             // A connection that its node has closed meanwhile still brings what was on its way.
             if (model == null) {
                 return;
@@ -419,7 +440,7 @@
                 return;
             }
             Needs needs = txn == null ? null : shared.needs(txn);
-            seen.see(What.GOT, node.name(), id, txn, null, key, needs == null ? 0 : needs.workMs, sinceUs);
+            seen.got(node.name(), id, txn, key, needs == null ? 0 : needs.workMs, first);
             if (needs == null) {
                 answer(HttpResponseStatus.BAD_REQUEST, "", null);
                 return;
--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import rushproxy.kernel.TcpInfo;
 
 /**
  * What a client sends, between its socket and the decoder. While the decoder is to take nothing the socket is read all the
--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -11,6 +11,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import rushproxy.kernel.TcpInfo;
 
 /**
  * A TCP connection, opened or accepted, to which only the peer's end is an end: any other error of a call is this machine's own, and
--- /dev/null
+++ b/src/test/java/rushproxy/lab/world/ArrivalClockTest.java
@@ -0,0 +1,58 @@
+package rushproxy.lab.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import org.junit.jupiter.api.Test;
+import rushproxy.kernel.TcpInfo;
+
+/** A byte has the time at which it came, not the one at which a late loop read it. */
+class ArrivalClockTest {
+    private static final long STEP_US = ArrivalClock.STEP_US;
+    private final ArrivalClock clock = new ArrivalClock(1_000);
+
+    private ArrivalTime at(long readUs, long agoUs, int segments) {
+        return clock.beforeRead(new TcpInfo.Received(agoUs, segments), readUs, readUs);
+    }
+
+    /** Guards against a sender that is judged by how late the laboratory's loop was. */
+    @Test
+    void oneSegmentCameWhenTheKernelSays() {
+        assertEquals(new ArrivalTime(600_000 - STEP_US, 600_000 + STEP_US), at(700_000, 100_000, 1));
+        assertEquals(new ArrivalTime(800_000 - STEP_US, 800_000 + STEP_US), at(950_000, 150_000, 2));
+    }
+
+    /** Guards against taking the age of the last of several segments for the first one's. */
+    @Test
+    void ofSeveralSegmentsTheFirstCameAfterTheReadBefore() {
+        assertEquals(new ArrivalTime(1_000, 700_000), at(700_000, 0, 2));
+        assertEquals(new ArrivalTime(700_000, 800_000 + STEP_US), at(950_000, 150_000, 4));
+    }
+
+    /** Guards against older data's age, and no age at all, taken for that of bytes that come within the read. */
+    @Test
+    void withoutANewSegmentOrAnAgeTheReadCounts() {
+        at(700_000, 0, 1);
+        assertEquals(ArrivalTime.readAt(800_000), at(800_000, 100_000, 1));
+        assertEquals(ArrivalTime.readAt(900_000), at(900_000, TcpInfo.UNKNOWN, 0));
+    }
+
+    /** Guards against a kernel that counts other segments, or none. */
+    @Test
+    void theKernelCountsSegmentsWithData() throws Exception {
+        try (ServerSocketChannel listener = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+                SocketChannel sender = SocketChannel.open(listener.getLocalAddress());
+                SocketChannel accepted = listener.accept()) {
+            assertEquals(0, TcpInfo.received(accepted).dataSegments());
+            for (int sent = 1; sent <= 3; sent++) {
+                sender.write(ByteBuffer.allocate(1));
+                assertTrue(accepted.read(ByteBuffer.allocate(1)) == 1);
+                assertEquals(sent, TcpInfo.received(accepted).dataSegments());
+            }
+        }
+    }
+}
--- a/src/test/java/rushproxy/sidecar/UnreadAgeTest.java
+++ b/src/test/java/rushproxy/sidecar/UnreadAgeTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import rushproxy.kernel.TcpInfo;
 
 /** A request's time runs while it lies unread in the kernel, and no longer than it lay there. */
 @Timeout(60)
