Departures: an attempt counts by when it was sent, the laboratory's lateness excuses none

What callers saw: an attempt for a client that had gone was excused by whatever the laboratory's loop had been late by in that second, up to seconds on a busy machine, since that loop's read was all that told when the attempt began.

Now the kernel's bounds tell: an attempt is found when it began too late at the earliest, however late the loop was, and allowed while it may have begun in time. A client's end is noted after its close: a laboratory held up between the two must not count it as gone before it was.

The excuse stays for the end that a client is shown who stops within a request: the kernel keeps no time of that.

--- a/src/main/java/rushproxy/lab/check/Departures.java
+++ b/src/main/java/rushproxy/lab/check/Departures.java
@@ -8,7 +8,7 @@
 
 /**
  * Nothing is begun for a client that has gone, as it wished or since its time was over, and one that stops within a request is shown an
- * end. What the laboratory was late by itself in between is not the sidecar's.
+ * end. What the laboratory was late by with seeing that end is not the sidecar's; when an attempt began the kernel tells.
  */
 final class Departures implements Checker {
     /** An attempt may begin this long after its client's end. */
@@ -35,14 +35,12 @@
                     .findFirst()
                     .orElse(null);
             for (Observation o : e.getValue()) {
-                if (left != null
-                        && o.what() == What.GOT
-                        && o.sinceUs() > left.us() + ALLOWED_US + WAY_US + lateUs(late, left.us(), o.sinceUs())) {
+                if (left != null && o.what() == What.GOT && o.beganEarliestUs() > left.us() + ALLOWED_US + WAY_US) {
                     found.add(new Violation(
                             rule(),
                             o.us(),
                             e.getKey(),
-                            "came to " + o.server() + " " + (o.sinceUs() - left.us()) / 1_000
+                            "came to " + o.server() + " " + (o.beganEarliestUs() - left.us()) / 1_000
                                     + " ms after its client had gone"));
                 }
             }
--- a/src/main/java/rushproxy/lab/world/Clients.java
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -420,31 +420,34 @@
             if (over || line == null) {
                 return;
             }
-            seen.see(What.LEFT, node(), null, id, of.arrival.id(), null, 0, sentUs);
             over = true;
             patience.cancel(false);
             line.busy = null;
             line.channel.close();
+            // Noted after it: a laboratory that is held up here must not count its client as gone before it was.
+            seen.see(What.LEFT, node(), null, id, of.arrival.id(), null, 0, sentUs);
             of.settle("failed");
         }
 
         private void giveUp() {
-            if (!over) {
-                seen.see(
-                        What.GAVE_UP,
-                        node(),
-                        null,
-                        id,
-                        of.arrival.id(),
-                        line == null ? "unconnected" : null,
-                        waitUs / 1e3,
-                        meantUs);
-                Line had = line;
-                end("failed", 0);
-                if (had != null) {
-                    had.channel.close();
-                }
+            if (over) {
+                return;
+            }
+            if (line != null) {
+                line.busy = null;
+                line.channel.close();
             }
+            // Noted after the close, as in leave().
+            seen.see(
+                    What.GAVE_UP,
+                    node(),
+                    null,
+                    id,
+                    of.arrival.id(),
+                    line == null ? "unconnected" : null,
+                    waitUs / 1e3,
+                    meantUs);
+            end("failed", 0);
         }
 
         private void end(String how, double retryAfterMs) {
--- a/src/test/java/rushproxy/lab/check/DeparturesTest.java
+++ b/src/test/java/rushproxy/lab/check/DeparturesTest.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** An attempt for a client that has gone is found, whatever the laboratory was late by at another time. */
+/** An attempt for a client that has gone is found, whatever the laboratory was late by. */
 class DeparturesTest {
     private static final long TOO_LATE_MS = 201;
 
@@ -29,10 +29,16 @@
                         .violations(new Departures()));
     }
 
+    /** Guards against holding a first byte that a late laboratory read late against the sidecar. */
     @Test
-    void onlyLatenessInBetweenIsTheLaboratorys() {
-        assertEquals(
-                1, left().late(500, 300).late(9_000, 300).got(1_400, 1_410, "a").violations(new Departures()));
-        assertEquals(0, left().late(2_000, 300).got(1_400, 1_410, "a").violations(new Departures()));
+    void whatMayHaveBegunInTimeIsAllowed() {
+        assertEquals(0, left().got(1_099 + TOO_LATE_MS, 1_600, 1_610, "a").violations(new Departures()));
+    }
+
+    /** Guards against excusing an attempt that began late by what the laboratory was late by at that time. */
+    @Test
+    void whatBeganTooLateIsFoundHoweverLateTheLaboratoryWas() {
+        Seen late = left().late(2_000, 300).got(1_100 + TOO_LATE_MS, 1_600, 1_610, "a");
+        assertEquals(1, late.violations(new Departures()));
     }
 }
--- a/src/test/java/rushproxy/lab/check/Seen.java
+++ b/src/test/java/rushproxy/lab/check/Seen.java
@@ -54,7 +54,14 @@
 
     /** A server has got the request, its first byte at {@code firstMs}. */
     Seen got(long firstMs, long lastMs, String id) {
-        return add(lastMs, What.GOT, "s0", id, null, 4, firstMs);
+        return got(firstMs, firstMs, lastMs, id);
+    }
+
+    /** Its first byte came between the two. */
+    Seen got(long earliestMs, long latestMs, long lastMs, String id) {
+        all.add(new Observation(
+                lastMs * 1_000, What.GOT, "n0", "s0", id, null, null, 4, latestMs * 1_000, earliestMs * 1_000));
+        return this;
     }
 
     Seen gaveUp(long ms, String id) {
