Drains, cordons: a ban is broken by what was sent within it for sure

What callers saw: a request sent within the grace, or after its server was told ready again, counted as sent to one that drains when the laboratory read it, or noted the news, late.

A first byte's earliest time is held against the grace, and both its bounds have to lie in one ban; a ban ends by the earliest time at which the news can have been out, which TOLD now carries. DrainsTest.onlyWhatWasSentInTheBanForSureIsFound failed before.

--- a/src/main/java/rushproxy/lab/check/Bans.java
+++ b/src/main/java/rushproxy/lab/check/Bans.java
@@ -28,19 +28,23 @@
         });
     }
 
-    /** What was sent later than the grace after the begin of a ban, by its first byte; {@code why} tells of the begin. */
+    /**
+     * What was sent later than the grace after the begin of a ban, by its first byte, whenever within its bounds that came; {@code why}
+     * tells of the begin.
+     */
     List<Violation> broken(Run run, String rule, String why) {
         long graceUs =
                 run.scenario().rules().drainGraceUs() + run.scenario().rules().slackUs();
         List<Violation> found = new ArrayList<>();
         for (Observation got : run.of(What.GOT)) {
-            Long since = of(got.node(), got.server()).beginOf(got.sinceUs());
-            if (since != null && got.sinceUs() > since + graceUs) {
+            Periods bans = of(got.node(), got.server());
+            Long since = bans.beginOf(got.beganEarliestUs());
+            if (since != null && bans.cover(since, got.sinceUs()) && got.beganEarliestUs() > since + graceUs) {
                 found.add(new Violation(
                         rule,
                         got.us(),
                         got.id(),
-                        "sent by " + got.node() + " to " + got.server() + " " + (got.sinceUs() - since) / 1_000
+                        "sent by " + got.node() + " to " + got.server() + " " + (got.beganEarliestUs() - since) / 1_000
                                 + " ms after " + why));
             }
         }
--- a/src/main/java/rushproxy/lab/check/Drains.java
+++ b/src/main/java/rushproxy/lab/check/Drains.java
@@ -16,7 +16,7 @@
         Bans bans = new Bans();
         for (Observation o : run.all()) {
             if (o.what() == What.TOLD && o.text().equals("Ready")) {
-                bans.of(o.node(), o.server()).end(o.us());
+                bans.of(o.node(), o.server()).end(o.beganEarliestUs() == 0 ? o.us() : o.beganEarliestUs());
             } else if (o.what() == What.TOLD) {
                 bans.of(o.node(), o.server()).begin(o.us());
             } else if (o.what() == What.NODE && o.text().equals("started")) {
--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -85,7 +85,7 @@
         SERVER_STARTED,
         /** A server's process is gone: why. */
         SERVER_ENDED,
-        /** Discovery has written to a node's agent that a server is now in this state: the state, the start in Unix ms. */
+        /** Discovery has written to a node's agent that a server is now in this state: the state, the start in Unix ms; sinceUs before it wrote. */
         TOLD,
         /**
          * A node's process: "started", "serving" once it takes clients from a socket that the laboratory holds, "ready", "exit CODE" with the
--- a/src/main/java/rushproxy/lab/world/Registry.java
+++ b/src/main/java/rushproxy/lab/world/Registry.java
@@ -253,10 +253,11 @@
             List<Line> told = lines.values().stream()
                     .filter(l -> index < 0 || changedAt.get(l.server.id) > index)
                     .toList();
+            long fromUs = seen.us();
             channel.writeAndFlush(response).addListener(f -> {
                 if (f.isSuccess()) {
                     for (Line l : told) {
-                        seen.see(What.TOLD, node, l.server.id, null, null, l.state, l.startedAtMs, 0);
+                        seen.see(What.TOLD, node, l.server.id, null, null, l.state, l.startedAtMs, fromUs);
                     }
                 }
             });
--- a/src/test/java/rushproxy/lab/check/DrainsTest.java
+++ b/src/test/java/rushproxy/lab/check/DrainsTest.java
@@ -16,6 +16,16 @@
         assertEquals(0, draining().got(1_000 + Seen.graceMs(), 3_000, "a").violations(new Drains()));
     }
 
+    /** Guards against holding what a late laboratory read late, or noted late, against the sidecar; what was sent late stays found. */
+    @Test
+    void onlyWhatWasSentInTheBanForSureIsFound() {
+        long endMs = 1_000 + Seen.graceMs();
+        assertEquals(0, draining().got(endMs, endMs + 300, 3_000, "a").violations(new Drains()));
+        assertEquals(1, draining().got(endMs + 1, endMs + 300, 3_000, "a").violations(new Drains()));
+        assertEquals(
+                0, draining().told(4_000, "Ready").got(3_990, 4_001, 4_010, "a").violations(new Drains()));
+    }
+
     /** Its last byte came when the server was back, or the sidecar's process another one; its first did not. */
     @Test
     void whatBeganBeforeTheEndOfTheDrainIsJudgedToo() {
