Cold budget: who was told of a start before it sent is who was for sure

What callers saw: work that a sidecar had sent before it was told of a start counted as sent in knowledge of it where a late loop had read it after the news.

The earliest time of the first byte is held against the news. ColdBudgetTest.whatMayHaveBeenSentBeforeTheNewsIsNoFaultOfItsSender failed before.

--- a/src/main/java/rushproxy/lab/check/ColdBudget.java
+++ b/src/main/java/rushproxy/lab/check/ColdBudget.java
@@ -18,7 +18,7 @@
 
     private static final double INFORMED = 2.0 / 3;
 
-    /** Work that a server was sent, and the part of it whose sender had been told of the start when it sent the first byte. */
+    /** Work that a server was sent, and the part of it whose sender had been told of the start when it sent the first byte, for sure. */
     private record Sent(long us, double work, double informed) {}
 
     /** A server that has just started, and what it was sent in the last window. */
@@ -39,7 +39,8 @@
 
         void add(Observation got, long fallUs) {
             Long told = toldUs.get(got.node());
-            Sent sent = new Sent(got.us(), got.number(), told != null && got.sinceUs() >= told ? got.number() : 0);
+            Sent sent =
+                    new Sent(got.us(), got.number(), told != null && got.beganEarliestUs() >= told ? got.number() : 0);
             window.add(sent);
             work += sent.work;
             informed += sent.informed;
