Attempts: what allows a first byte is asked again right before its write

What callers may see: a keyed request run twice after its window, a request sent for a client that has gone or to a server that drains. The guard looked at the clock, then the message was made and encoded, then written. A process that was held up in between wrote late whatever the guard had said; only a write that had failed asked again.

Now the connection asks before each try of a write of which no byte has left, the first one too, and what may not begin any more ends as not sent. Within 1 ms of the first look nothing is asked twice, so an attempt costs one more reading of the clock.

UpstreamsTest.whatMayNotBeginAnyMoreAtItsFirstByteIsNotSent holds the loop up while the message is made; before, the server got it (OK instead of NOT_SENT). What is left is the time between that look and the system call's end.

--- a/src/main/java/rushproxy/sidecar/FailureSpell.java
+++ b/src/main/java/rushproxy/sidecar/FailureSpell.java
@@ -37,6 +37,11 @@
         failing = false;
     }
 
+    /** Whether the last call failed. */
+    boolean failing() {
+        return failing;
+    }
+
     /** For how long it has been failing; 0 where it is not. */
     long lastsMs() {
         return failing ? TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - sinceNanos) : 0;
--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -38,7 +38,7 @@
     private boolean toldUnwatched;
     private final FailureSpell writes = new FailureSpell(System::nanoTime);
     private boolean writePaused;
-    /** Asked before a failed write is tried again, as long as no byte of what it writes has left; null where nobody asks. */
+    /** Asked before each write, as long as no byte of what it writes has left; null where nobody asks. */
     private BooleanSupplier mayBegin;
 
     /** One that is to be opened. */
@@ -148,8 +148,8 @@
     // ---- writing
 
     /**
-     * {@code now} is asked before each further try of a write of which no byte has left: false, and it is not tried. It is forgotten
-     * with the first byte.
+     * {@code now} is asked right before each try of a write of which no byte has left: false, and it is not tried. It is forgotten with
+     * the first byte.
      */
     void beginsIf(BooleanSupplier now) {
         mayBegin = now;
@@ -160,8 +160,16 @@
         return mayBegin != null;
     }
 
+    /** Whether the last write failed for a moment. */
+    boolean writesFail() {
+        return writes.failing();
+    }
+
     @Override
     protected void doWrite(ChannelOutboundBuffer out) throws Exception {
+        if (mayBegin != null && !mayBegin.getAsBoolean()) {
+            return;
+        }
         long pendingBefore = out.totalPendingWriteBytes();
         try {
             super.doWrite(out);
@@ -190,7 +198,7 @@
 
     private void writeAgain() {
         writePaused = false;
-        if (isOpen() && (mayBegin == null || mayBegin.getAsBoolean())) {
+        if (isOpen()) {
             unsafe().forceFlush();
         }
     }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -45,6 +45,8 @@
     private static final int MOST_DIALS = 12;
     /** A first byte that can't be written for so long is not written any more: its message tells a time that runs on. */
     private static final long MOST_FIRST_BYTE_US = 50_000;
+    /** What allowed a first byte so short a time ago need not be asked again. */
+    private static final long BEGINS_AT_ONCE_US = 1_000;
     /** A connection that had less time to come up, since its call's was over, says nothing of its upstream. */
     private static final long LEAST_DIAL_US = 20_000;
 
@@ -665,12 +667,20 @@
                 });
     }
 
-    /** Its first byte could not be written for a moment: what was asked before it is asked again, and the time that it tells is old. */
+    /**
+     * Its first byte could not be written for a moment, or the process was held up on the way to it: what was asked before it is asked
+     * again. While writes fail the time that it tells grows old.
+     */
     private boolean stillBegins(Call call) {
         if (call.ended) {
             return false;
         }
-        if (clock.now() - call.startedUs < MOST_FIRST_BYTE_US && mayBegin(call) && call.result.mayBegin(call)) {
+        long waitedUs = clock.now() - call.startedUs;
+        if (waitedUs < BEGINS_AT_ONCE_US) {
+            return true;
+        }
+        boolean tooOld = waitedUs >= MOST_FIRST_BYTE_US && ((TcpConnection) call.channel).writesFail();
+        if (!tooOld && mayBegin(call) && call.result.mayBegin(call)) {
             return true;
         }
         call.withdraw();
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -101,6 +101,49 @@
         }
     }
 
+    /** Guards against a repeat that a process, held up between its last look at the clock and the write, sends after its window. */
+    @Test
+    void whatMayNotBeginAnyMoreAtItsFirstByteIsNotSent() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = upstreams(15_000_000, 100);
+            java.util.concurrent.atomic.AtomicLong closesUs =
+                    new java.util.concurrent.atomic.AtomicLong(Long.MAX_VALUE);
+            Upstreams.Call late = new Upstreams.Call(
+                    "u",
+                    clock.now() + 20_000_000,
+                    false,
+                    left -> {
+                        closesUs.set(clock.now() + 5_000);
+                        while (clock.now() < closesUs.get()) {
+                            Thread.onSpinWait();
+                        }
+                        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
+                    },
+                    null,
+                    new Upstreams.Result() {
+                        @Override
+                        public boolean mayBegin(Upstreams.Call c) {
+                            return clock.now() < closesUs.get();
+                        }
+
+                        @Override
+                        public void ended(
+                                Upstreams.Call c,
+                                rushproxy.Balancer.Outcome outcome,
+                                rushproxy.Balancer.LoadReport report,
+                                io.netty.buffer.ByteBuf body) {
+                            outcomes.add("u " + outcome);
+                        }
+                    });
+            loop.execute(() -> {
+                upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0)));
+                upstreams.start(late);
+            });
+            assertEquals("u NOT_SENT", outcome());
+            assertTrue(up.messages.isEmpty(), "its first byte left after its window");
+        }
+    }
+
     /** The same upstream named again, as in every whole list, is no change: its connections stay. */
     @Test
     void aListThatSaysTheSameKeepsTheConnections() throws Exception {
