Laboratory: the time that a server is told is checked against what its client has left

A server's GOT carries the time told; a client notes when its last byte has left where that took longer than a moment (slow writers, requests sent once more), since its time begins then.

--- a/src/main/java/rushproxy/lab/check/Checker.java
+++ b/src/main/java/rushproxy/lab/check/Checker.java
@@ -14,6 +14,7 @@
         return List.of(
                 new OneAnswer(),
                 new RunsOnce(),
+                new Deadlines(),
                 new Drains(),
                 new Cordons(),
                 new ColdBudget(),
--- a/src/main/java/rushproxy/lab/world/Clients.java
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -46,6 +46,9 @@
 final class Clients {
     private static final int CONNECT_MS = 1_000;
     private static final int SLOW_PIECE = 16;
+    /** What was written within this of its note has its time from that. */
+    private static final long AT_ONCE_US = 1_000;
+
     private static final int MAX_ANSWER = 1 << 20;
     private static final double IDLE_US = 4e6;
     /** After SIGTERM new connections come for this long to twice as long, as the protocol has it. */
@@ -356,9 +359,16 @@
                 strangers.stopHalfWay(of.arrival.node());
             }
             if (!again && misbehavesNow("slow")) {
-                writeSlowly(to, m);
+                writeSlowly(to, m, left);
             } else {
-                to.channel.writeAndFlush(m);
+                to.channel.writeAndFlush(m).addListener(f -> written(left));
+            }
+        }
+
+        /** The last byte has left: the client's time begins. */
+        private void written(long leftMs) {
+            if (again || seen.us() - sentUs > AT_ONCE_US) {
+                seen.see(What.WRITTEN, node(), null, id, of.arrival.id(), null, leftMs, sentUs);
             }
         }
 
@@ -389,7 +399,7 @@
         }
 
         /** In pieces of a few bytes; its time runs from the last of them. */
-        private void writeSlowly(Line to, DefaultFullHttpRequest m) {
+        private void writeSlowly(Line to, DefaultFullHttpRequest m, long leftMs) {
             EmbeddedChannel encoder = new EmbeddedChannel(new HttpRequestEncoder());
             encoder.writeOutbound(m);
             ByteBuf all = Unpooled.buffer();
@@ -400,13 +410,17 @@
             int pieces = 0;
             while (all.isReadable()) {
                 ByteBuf piece = all.readRetainedSlice(Math.min(SLOW_PIECE, all.readableBytes()));
+                boolean last = !all.isReadable();
                 loop.schedule(
                         () -> {
                             ChannelHandlerContext codec = to.channel.pipeline().context(HttpClientCodec.class);
                             if (codec == null || over) {
                                 piece.release();
                             } else {
-                                codec.writeAndFlush(piece);
+                                ChannelFuture sent = codec.writeAndFlush(piece);
+                                if (last) {
+                                    sent.addListener(f -> written(leftMs));
+                                }
                             }
                         },
                         pieces++,
--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -16,6 +16,7 @@
  * @param number  milliseconds of work, remaining milliseconds or the like, by the kind of event
  * @param sinceUs when what ended now began, or when it was meant to happen
  * @param sinceEarliestUs where {@code sinceUs} is only the latest time at which it can have begun, the earliest; 0 where they are one
+ * @param toldMs with a request that an upstream got, the time that it was told, in milliseconds; 0 with others, and where none was told
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record Observation(
@@ -30,7 +31,8 @@
         @JsonProperty("text") String text,
         @JsonProperty("number") double number,
         @JsonProperty("sinceUs") long sinceUs,
-        @JsonProperty("sinceEarliestUs") long sinceEarliestUs) {
+        @JsonProperty("sinceEarliestUs") long sinceEarliestUs,
+        @JsonProperty("toldMs") long toldMs) {
 
     /** What began at one moment that is known, or with none. */
     public Observation(
@@ -43,7 +45,7 @@
             String text,
             double number,
             long sinceUs) {
-        this(us, what, node, server, id, first, text, number, sinceUs, 0);
+        this(us, what, node, server, id, first, text, number, sinceUs, 0, 0);
     }
 
     /** What ended now surely did not begin before. */
@@ -55,6 +57,8 @@
     public enum What {
         /** A client has written a whole request: its class, the time it waits in ms, when it was meant to leave. */
         ASKED,
+        /** That took more than a moment, or it was sent once more: the last byte left by now; the time it waits since then in ms. */
+        WRITTEN,
         /** A whole answer has come: its status and body, the wait that it asks for in ms; sinceUs the send. */
         ANSWERED,
         /** The connection ended before a whole answer: "reset", "closed" or "part"; number 1 on a connection used before. */
--- a/src/main/java/rushproxy/lab/world/Observations.java
+++ b/src/main/java/rushproxy/lab/world/Observations.java
@@ -38,8 +38,8 @@
         }
     }
 
-    /** A server has got a request whole, whose first byte came at {@code first}. */
-    void got(String node, String server, String id, String key, double workMs, ArrivalTime first) {
+    /** A server has got a request whole, whose first byte came at {@code first}; it was told to answer within {@code toldMs}, 0 for none. */
+    void got(String node, String server, String id, String key, double workMs, ArrivalTime first, long toldMs) {
         synchronized (this) {
             note(new Observation(
                     us(),
@@ -51,7 +51,8 @@
                     key,
                     workMs,
                     first.latestUs(),
-                    first.earliestUs() == first.latestUs() ? 0 : first.earliestUs()));
+                    first.earliestUs() == first.latestUs() ? 0 : first.earliestUs(),
+                    toldMs));
         }
     }
 
--- a/src/main/java/rushproxy/lab/world/UpstreamServer.java
+++ b/src/main/java/rushproxy/lab/world/UpstreamServer.java
@@ -425,10 +425,16 @@
             String path = m.uri();
             String txn = m.headers().get("X-Txn");
             String key = m.headers().get("Idempotency-Key");
-            link.inward(() -> arrived(path, txn, key, first));
+            long toldMs = told(m);
+            link.inward(() -> arrived(path, txn, key, first, toldMs));
         }
 
-        private void arrived(String path, String txn, String key, ArrivalTime first) {
+        private static long told(FullHttpRequest m) {
+            String text = m.headers().get("X-Remaining-Ms");
+            return text != null && text.matches("[0-9]{1,9}") ? Long.parseLong(text) : 0;
+        }
+
+        private void arrived(String path, String txn, String key, ArrivalTime first, long toldMs) {
             // A connection that its node has closed meanwhile still brings what was on its way.
             if (model == null) {
                 return;
@@ -440,7 +446,7 @@
                 return;
             }
             Needs needs = txn == null ? null : shared.needs(txn);
-            seen.got(node.name(), id, txn, key, needs == null ? 0 : needs.workMs, first);
+            seen.got(node.name(), id, txn, key, needs == null ? 0 : needs.workMs, first, toldMs);
             if (needs == null) {
                 answer(HttpResponseStatus.BAD_REQUEST, "", null);
                 return;
--- a/src/test/java/rushproxy/lab/CheckersIT.java
+++ b/src/test/java/rushproxy/lab/CheckersIT.java
@@ -38,6 +38,7 @@
         "refuses,twice",
         "drains,drains",
         "cordons,cordons",
+        "deadlines,deadlines",
         "made,made"
     })
     void aWrongNodeIsFound(String fault, String rule) throws Exception {
--- a/src/test/java/rushproxy/lab/WrongNode.java
+++ b/src/test/java/rushproxy/lab/WrongNode.java
@@ -237,6 +237,7 @@
                 .timeout(Duration.ofMillis(
                         Math.max(1, Long.parseLong(x.getRequestHeaders().getFirst("X-Remaining-Ms")) - 50)))
                 .header("X-Txn", id)
+                .header("X-Remaining-Ms", fault.equals("deadlines") ? "60000" : "1")
                 .method(x.getRequestMethod(), HttpRequest.BodyPublishers.ofByteArray(body));
         String key = x.getRequestHeaders().getFirst("Idempotency-Key");
         if (key != null) {
--- a/src/test/java/rushproxy/lab/check/ColdBudgetTest.java
+++ b/src/test/java/rushproxy/lab/check/ColdBudgetTest.java
@@ -25,7 +25,7 @@
         List<Observation> all = new ArrayList<>();
         all.add(seen(0, What.SERVER_STARTED, null, "cold", STARTED_MS, 0));
         all.add(seen(toldUs, What.TOLD, null, "Ready", STARTED_MS, 0));
-        all.add(new Observation(2_000, What.GOT, "n0", "s0", "a", null, null, 1e9, latestUs, earliestUs));
+        all.add(new Observation(2_000, What.GOT, "n0", "s0", "a", null, null, 1e9, latestUs, earliestUs, 0));
         all.sort(java.util.Comparator.comparingLong(Observation::us));
         return new ColdBudget().check(new Run(Seen.scenario(), all)).size();
     }
--- a/src/test/java/rushproxy/lab/check/RunsOnceTest.java
+++ b/src/test/java/rushproxy/lab/check/RunsOnceTest.java
@@ -17,7 +17,7 @@
     private static final long READ_US = 3_000_000;
 
     private static Observation got(String server, long earliestUs, long latestUs) {
-        return new Observation(READ_US, What.GOT, "n0", server, "a", null, "k", 4, latestUs, earliestUs);
+        return new Observation(READ_US, What.GOT, "n0", server, "a", null, "k", 4, latestUs, earliestUs, 0);
     }
 
     private static int violations(Observation first, Observation second) throws Exception {
--- a/src/test/java/rushproxy/lab/check/Seen.java
+++ b/src/test/java/rushproxy/lab/check/Seen.java
@@ -60,7 +60,7 @@
     /** Its first byte came between the two. */
     Seen got(long earliestMs, long latestMs, long lastMs, String id) {
         all.add(new Observation(
-                lastMs * 1_000, What.GOT, "n0", "s0", id, null, null, 4, latestMs * 1_000, earliestMs * 1_000));
+                lastMs * 1_000, What.GOT, "n0", "s0", id, null, null, 4, latestMs * 1_000, earliestMs * 1_000, 0));
         return this;
     }
 
