Kills: who waits on in the socket's queue is the next process's, not excused

A killed process's connections break with it, so a client that waits on to the end of its time was not held by that process. Its silence is excused where its time ended by half a second after the kill (the laboratory may not have seen the break yet, and no process starts sooner), or where nobody took from the socket for the rest of it. A connection that broke is excused as before: a client that reads slowly sees that late.

AbsencesTest.whoWaitedThroughAKillIsTheNextProcesss failed before: the request that the next process had 10 ms for was excused.

--- a/src/main/java/rushproxy/lab/check/Absences.java
+++ b/src/main/java/rushproxy/lab/check/Absences.java
@@ -35,14 +35,19 @@
         }
     }
 
+    /** Whether the node had no process that took clients from the one moment to the other. */
+    boolean cover(String node, long fromUs, long toUs) {
+        Periods absences = byNode.get(node);
+        return absences != null && absences.cover(fromUs, toUs);
+    }
+
     /**
      * Whether no process could take this request in its time: there was none from its send to the end of its client's patience. What a
      * server got by then was taken all the same.
      */
     boolean nobodyCouldTake(Observation asked, List<Observation> ofRequest) {
-        Periods absences = byNode.get(asked.node());
         long deadlineUs = asked.us() + Math.round(asked.number() * 1e3);
         boolean got = ofRequest.stream().anyMatch(o -> o.what() == What.GOT && o.sinceUs() <= deadlineUs);
-        return absences != null && !got && absences.cover(asked.us(), deadlineUs);
+        return !got && cover(asked.node(), asked.us(), deadlineUs);
     }
 }
--- a/src/main/java/rushproxy/lab/check/OneAnswer.java
+++ b/src/main/java/rushproxy/lab/check/OneAnswer.java
@@ -17,6 +17,8 @@
     private static final long TERM_US = 700_000;
 
     private static final long AFTER_STALL_US = 500_000;
+    /** By then the laboratory has seen that a killed process's connections broke, and the next process is still on its way. */
+    private static final long AFTER_KILL_US = 500_000;
     /** A process that is held up for up to 0.15 s owes what it always does. */
     private static final long SHORT_STALL_US = 200_000;
 
@@ -100,6 +102,18 @@
                             .noneMatch(t -> t <= askedUs - TERM_US
                                     && kills.stream().anyMatch(k -> k.sinceUs >= t && k.sinceUs <= endUs + 1_000));
         }
+
+        /**
+         * Killed between the two, and nobody else could take the request in the rest of its time. What the killed process itself held
+         * had its connection broken with it: who waits on was in the kernel's queue, and is the next process's.
+         */
+        boolean killedAndNobodyThere(Observation asked, long endUs, long deadlineUs, Absences absences) {
+            return killed(asked.us(), endUs)
+                    && kills.stream()
+                            .filter(k -> k.untilUs >= asked.us() - 1_000 && k.sinceUs <= endUs + 1_000)
+                            .anyMatch(k -> endUs <= k.untilUs + AFTER_KILL_US
+                                    || absences.cover(asked.node(), k.untilUs + AFTER_KILL_US, deadlineUs));
+        }
     }
 
     private record Span(long sinceUs, long untilUs) {}
@@ -134,7 +148,8 @@
                 boolean killed = life.killed(ask.us(), o.us());
                 // A connection that breaks was broken by somebody: neither a stop nor an absence does that.
                 boolean nobodyThere = life.stalled(ask.us(), deadlineUs) || absences.nobodyCouldTake(ask, e.getValue());
-                if (o.what() == What.GAVE_UP && o.text() == null && !killed && !nobodyThere) {
+                boolean killedInQueue = life.killedAndNobodyThere(ask, o.us(), deadlineUs, absences);
+                if (o.what() == What.GAVE_UP && o.text() == null && !killedInQueue && !nobodyThere) {
                     found.add(new Violation(rule(), o.us(), e.getKey(), "got no answer in its time"));
                 } else if (o.what() == What.BROKE && !killed) {
                     if ("part".equals(o.text()) && spoilt(e.getValue())) {
--- a/src/test/java/rushproxy/lab/check/AbsencesTest.java
+++ b/src/test/java/rushproxy/lab/check/AbsencesTest.java
@@ -53,6 +53,19 @@
         assertEquals(1, lost(4_010));
     }
 
+    /** Guards against a process that drops its queue and hides behind the kill of the one before: the kill breaks what that one held. */
+    @Test
+    void whoWaitedThroughAKillIsTheNextProcesss() throws Exception {
+        Seen killed = new Seen()
+                .node(0, "started")
+                .node(500, "ready")
+                .node(1_900, "kill")
+                .node(2_000, "exit 137")
+                .node(2_050, "started");
+        assertEquals(0, violations(killed.asked(1_950, "a").gaveUp(2_820, "a"), REPLACEMENT));
+        assertEquals(1, violations(killed.node(2_740, "serving"), REPLACEMENT));
+    }
+
     /** Guards against excusing what the old process could still take, or what it did not take although it had not left. */
     @Test
     void whoAskedBeforeTheOldProcessLeftIsOwedAnAnswer() throws Exception {
