Laboratory: a wait for a processor that goes on is seen, and that of the machine's thread

Cause, two: the kernel adds a wait to its figure when it ends, so one that lasts to the run's end is never told; and a loop that stands at a safepoint is in no queue itself: it waits for the virtual machine's own thread, which is. Change: each look takes the thread's state as well. Ready at two looks and not run between them is a wait, told once; a loop that did not run while its VM Thread so waited, waits. It is no narrower rule for a loop that runs: what it does not answer then stays its own.

--- /dev/null
+++ b/src/main/java/rushproxy/lab/node/LoopWait.java
@@ -0,0 +1,40 @@
+package rushproxy.lab.node;
+
+/**
+ * For how long an event loop waited for a processor between one look and the next. The kernel tells of a wait when it is over; one that goes
+ * on is seen by the thread's state. A loop that stands at a safepoint waits for the virtual machine's own thread: while that one waits
+ * for a processor, the loop does too.
+ */
+final class LoopWait {
+    private static final double NANOS_A_MS = 1e6;
+
+    private ThreadSample loop;
+    /** Null where it is not known. */
+    private ThreadSample machine;
+    /** Of the wait that goes on, what has been told. */
+    private double toldMs;
+
+    LoopWait(ThreadSample loop, ThreadSample machine) {
+        this.loop = loop;
+        this.machine = machine;
+    }
+
+    /** {@code periodMs}: the time since the last look. */
+    double since(ThreadSample loopNow, ThreadSample machineNow, double periodMs) {
+        double overMs = (loopNow.waitedNanos() - loop.waitedNanos()) / NANOS_A_MS;
+        boolean waits = loopNow.waitedSince(loop);
+        boolean stands = loopNow.ranNanos() == loop.ranNanos();
+        boolean machineWaits = stands && machineNow != null && machine != null && machineNow.waitedSince(machine);
+        loop = loopNow;
+        machine = machineNow;
+        if (overMs > 0) {
+            double untoldMs = Math.max(0, overMs - toldMs);
+            toldMs = 0;
+            return untoldMs;
+        }
+        if (waits) {
+            toldMs += periodMs;
+        }
+        return waits || machineWaits ? periodMs : 0;
+    }
+}
--- a/src/main/java/rushproxy/lab/node/ProcessorWaits.java
+++ b/src/main/java/rushproxy/lab/node/ProcessorWaits.java
@@ -18,55 +18,67 @@
 public final class ProcessorWaits {
     /** How often to look. */
     public static final long EVERY_MS = 100;
-    /** The kernel's name of a sidecar's event loop. */
+    /** The kernel's names of a sidecar's event loop and of its virtual machine's own thread. */
     private static final String LOOP = "multiThreadIoEv";
+
+    private static final String MACHINE = "VM Thread";
     /** Shorter waits are not worth an observation. */
     private static final double LEAST_MS = 5;
 
-    private static final int WAIT_FIELD = 1;
+    private static final double US_A_MS = 1e3;
 
     private final Observations seen;
     private final Path laboratory;
     private final Map<String, Watched> watched = new HashMap<>();
 
-    /** A thread of which is known how long it has waited in all. */
+    /** An event loop that is looked at again and again. */
     private static final class Watched {
         private final long pid;
-        private final Path figures;
-        private double waitedMs;
+        private final Path loop;
+        /** Null where it is not known. */
+        private final Path machine;
+
+        private LoopWait wait;
         private long sinceUs;
 
-        Watched(long pid, Path figures, double waitedMs, long sinceUs) {
+        Watched(long pid, Path loop, Path machine) {
             this.pid = pid;
-            this.figures = figures;
-            this.waitedMs = waitedMs;
-            this.sinceUs = sinceUs;
+            this.loop = loop;
+            this.machine = machine;
         }
     }
 
     /** {@code laboratory}: the kernel's figures for the laboratory's loop; null where it has none. */
     public ProcessorWaits(Observations seen, Path laboratory) {
         this.seen = seen;
-        this.laboratory = laboratory;
+        this.laboratory = laboratory == null ? null : laboratory.getParent();
     }
 
     /** Notes what was waited since the last look. */
     public void look(List<Node> nodes) {
-        look(null, 0, laboratory);
+        if (laboratory != null) {
+            look(null, watched.computeIfAbsent(null, n -> new Watched(0, laboratory, null)));
+        }
         for (Node node : nodes) {
             node.pid().ifPresent(pid -> {
                 Watched known = watched.get(node.name);
-                look(node.name, pid, known != null && known.pid == pid ? known.figures : loopOf(pid));
+                if (known == null || known.pid != pid) {
+                    known = new Watched(pid, threadOf(pid, LOOP), threadOf(pid, MACHINE));
+                }
+                if (known.loop != null) {
+                    watched.put(node.name, known);
+                    look(node.name, known);
+                }
             });
         }
     }
 
-    /** Null where it has none yet. */
-    private static Path loopOf(long pid) {
+    /** The folder of the process's thread of this name; null where it has none yet. */
+    private static Path threadOf(long pid, String name) {
         try (DirectoryStream<Path> threads = Files.newDirectoryStream(Path.of("/proc/" + pid + "/task"))) {
             for (Path thread : threads) {
-                if (Files.readString(thread.resolve("comm")).startsWith(LOOP)) {
-                    return thread.resolve("schedstat");
+                if (Files.readString(thread.resolve("comm")).startsWith(name)) {
+                    return thread;
                 }
             }
         } catch (IOException | DirectoryIteratorException e) {
@@ -75,27 +87,25 @@
         return null;
     }
 
-    private void look(String node, long pid, Path figures) {
-        if (figures == null) {
-            return;
-        }
+    private void look(String node, Watched of) {
         long now = seen.us();
-        double waitedMs;
+        ThreadSample loop;
+        ThreadSample machine;
         try {
-            waitedMs = Long.parseLong(Files.readString(figures).trim().split(" ")[WAIT_FIELD]) / 1e6;
+            loop = ThreadSample.of(of.loop);
+            machine = of.machine == null ? null : ThreadSample.of(of.machine);
         } catch (IOException | RuntimeException e) {
             watched.remove(node);
             return;
         }
-        Watched before = watched.get(node);
-        if (before == null || before.pid != pid) {
-            watched.put(node, new Watched(pid, figures, waitedMs, now));
-            return;
-        }
-        if (waitedMs - before.waitedMs >= LEAST_MS) {
-            seen.see(What.WAITED, node, null, null, null, null, waitedMs - before.waitedMs, before.sinceUs);
+        if (of.wait == null) {
+            of.wait = new LoopWait(loop, machine);
+        } else {
+            double waitedMs = of.wait.since(loop, machine, (now - of.sinceUs) / US_A_MS);
+            if (waitedMs >= LEAST_MS) {
+                seen.see(What.WAITED, node, null, null, null, null, waitedMs, of.sinceUs);
+            }
         }
-        before.waitedMs = waitedMs;
-        before.sinceUs = now;
+        of.sinceUs = now;
     }
 }
