Clients: one that stopped within its first request is waited for from its first bytes, not from its accept

What callers saw: a client that stopped in the middle of its first request, on a connection that had waited in the kernel's queue while the process was busy, was kept for longer than the 3 s in which its end is due: 3.0 to 4.1 s beside busy processes.

Cause: the first patience (2.7 s) was counted from the accept, whatever the connection had waited for before.

Why the fix works: the first read of a connection asks the kernel how long ago data came last (TCP_INFO), and the wait begins then where that was before the accept. It is safe: the age is that of the last bytes that lie there, so who writes slowly is taken for younger than it is; a time-out runs behind a look at the sockets, so what the rest of a request brings meanwhile is read first; a connection that was accepted less than 0.2 s ago is not closed. Where the kernel does not tell, and before the first bytes, the accept counts as before; an estimate of the loop's own delay does not count.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -71,6 +71,8 @@
 
     private long activeUs;
     private final long openedUs;
+    /** When its first bytes came by the kernel, where that was before it was accepted; 0 before they are read. */
+    private long firstBytesUs;
     /** Since when what was read last may have lain there. */
     private long sentUs;
     /** Whether a whole request has come: such a client may be quiet for as long as it likes. */
@@ -151,6 +153,10 @@
     public void arrived(long sinceUs) {
         activeUs = clock.now();
         sentUs = sinceUs;
+        if (firstBytesUs == 0) {
+            long agoUs = channel.lastReceivedAgoUs();
+            firstBytesUs = agoUs == TcpInfo.UNKNOWN ? openedUs : Math.min(openedUs, activeUs - agoUs);
+        }
         if (readingSinceUs == 0) {
             readingSinceUs = activeUs;
         }
@@ -657,7 +663,7 @@
 
     /**
      * A head is waited for from its first byte, not the last: a peer that sends byte by byte is no better than a silent
-     * one. A new peer's wait begins with its connection.
+     * one. A new peer's wait begins with its connection, or with its first bytes where they waited in the kernel's queue.
      */
     void closeIfUnfinished(long now, long patienceUs, long firstPatienceUs) {
         if (lingers) {
@@ -671,7 +677,7 @@
             }
         } else if (ahead.isEmpty()) {
             boolean late = !proven
-                    ? now - openedUs >= firstPatienceUs
+                    ? now - beganUs() >= firstPatienceUs && !isYoung()
                     : readingSinceUs != 0 && now - readingSinceUs >= patienceUs;
             if (late) {
                 end(CloseReason.REQUEST_UNFINISHED);
@@ -679,6 +685,11 @@
         }
     }
 
+    /** Since when its peer, which has sent no whole request yet, is known to be there. */
+    private long beganUs() {
+        return firstBytesUs == 0 ? openedUs : firstBytesUs;
+    }
+
     private void lookAtBody(long now) {
         if (asking != null) {
             return;
--- a/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/GuardedCloseTest.java
@@ -108,6 +108,32 @@
         }
     }
 
+    /** Guards against keeping a client that stopped within its request for longer, by the time that it waited to be accepted. */
+    @Test
+    void aClientThatStoppedInTheQueueIsWaitedForFromItsFirstBytes() throws Exception {
+        try (Rig rig = new Rig();
+                Peer.Client client = queuedHalfWay(rig.start())) {
+            awaitOpen(rig);
+            long patienceUs = 700_000;
+            boolean young = true;
+            while (young) {
+                TimeUnit.MILLISECONDS.sleep(5);
+                young = rig.sidecar.loop().submit(() -> only(rig).isYoung()).get(20, TimeUnit.SECONDS);
+            }
+            onLoop(rig, connection -> {
+                connection.closeIfUnfinished(new Clock().now(), patienceUs, patienceUs);
+                assertEquals(0, rig.sidecar.clients().open());
+            });
+        }
+    }
+
+    /** Its first bytes have lain in the kernel for 0.6 s when it is accepted. */
+    private static Peer.Client queuedHalfWay(Rig rig) throws Exception {
+        Peer.Client[] client = new Peer.Client[1];
+        rig.holdUp(600, () -> client[0] = rig.client().send("GET /api/slots HTTP/1.1\r\nX-Txn: "));
+        return client[0];
+    }
+
     /** Until the end of a drain is due; from then on none may be idle. */
     @Test
     void aNewConnectionIsSparedUntilADrainIsDue() throws Exception {
