Deploy: a class list that was cut off costs itself alone, and the rehearsal's play has an end

What could be seen: the build's second play kills a sidecar while it writes down what it loads. A play that does not end would have held the build for ever, and one that loads nothing was not told.

Why it works: where no archive can be made of all lists it is made of the first sidecar's alone, as before there was a fleet. The play is ended after 120 s (it lasts 12) and ends its sidecars then. Lists that are missing are left out: the awk of some systems stops at the first of them.

Evidence: lines cut off for real were not seen (6 lists of 1 play all ended with a line).

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -48,16 +48,25 @@
 mkdir -p "$fleet/deploy"
 ln -s ../../target "$fleet/target"
 echo "run = \"exec java $options -XX:DumpLoadedClassList=fleet-%p.classes -jar target/rushproxy.jar serve\"" > "$fleet/deploy/balancer.toml"
-(cd "$fleet" && java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar target/rushproxy.jar \
+# It lasts 12 s, and ends its sidecars when it is ended itself.
+(cd "$fleet" && timeout -k 30 120 java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar target/rushproxy.jar \
     lab run --quiet --out played ../../deploy/rehearsal.toml) > target/rehearsal-fleet.log 2>&1
+lists=()
+for list in "$classes" "$fleet"/fleet-*.classes; do
+    [ -f "$list" ] && lists+=("$list")
+done
+[ ${#lists[@]} -gt 1 ] || echo "the rehearsal's fleet loaded nothing: a sidecar's first loss will take longer" >&2
 # Numbers of classes are each process's own. Two calls may have the same lambda, and need one each.
 awk 'FNR == 1 { split("", here) } { sub(/ id: .*/, "") } ++here[$0] > all[$0] { all[$0]++; print }' \
-    "$classes" "$fleet"/fleet-*.classes > "$classes.all"
-mv "$classes.all" "$classes"
-# The heap's bounds are those of a sidecar that serves, too small for all classes at once.
-# shellcheck disable=SC2086
-java $(echo "$options" | sed 's/-Xms[^ ]*//; s/-Xmx[^ ]*//; s/-XX:MaxMetaspaceSize=[^ ]*//') \
-    -Xshare:dump -XX:SharedClassListFile="$classes" -XX:SharedArchiveFile="$archive" \
-    -cp target/rushproxy.jar > target/archive.log 2>&1
+    "${lists[@]}" < /dev/null > "$classes.all"
+# A list that was cut off, as by a kill, may not be readable: then one sidecar's has to do.
+for list in "$classes.all" "$classes"; do
+    # The heap's bounds are those of a sidecar that serves, too small for all classes at once.
+    # shellcheck disable=SC2086
+    [ -s "$list" ] && java $(echo "$options" | sed 's/-Xms[^ ]*//; s/-Xmx[^ ]*//; s/-XX:MaxMetaspaceSize=[^ ]*//') \
+        -Xshare:dump -XX:SharedClassListFile="$list" -XX:SharedArchiveFile="$archive" \
+        -cp target/rushproxy.jar > target/archive.log 2>&1
+    [ -f "$archive" ] && break
+done
 [ -f "$archive" ] || echo "no class archive for the sidecar: it will start slower" >&2
 exit 0
