Time-outs: a late one reads its socket first, also one that the loop's look passes over

Cause: a connection's registration is made anew six times in its first second, and its interest is withdrawn for a millisecond each time (RegistrationRetry). A hold-up that begins in that millisecond, 105 ms after the connection as the test has it, leaves the loop's look without that socket; the time-out then ran in the same turn as the timer that restores the interest. The log of such a run: "overdue", no outcome before it, with the answer unread. Why it holds: the shorter way is taken only where the socket of the call itself could be read just then; a call whose connection is coming up, or whose reads fail for a moment, takes the look of two turns as before. Cost: one read of the call's own socket at a time-out that comes late.

--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -76,7 +76,10 @@
     }
 
     private void await(Exchange x) {
-        x.overdue = timeOuts.at(x.deadlineUs + OVERDUE_US, () -> overdue(x));
+        x.overdue = timeOuts.at(
+                x.deadlineUs + OVERDUE_US,
+                () -> List.copyOf(x.attempts).stream().allMatch(upstreams::readNow),
+                () -> overdue(x));
     }
 
     /** The last byte of the request has come: its time runs from now. */
--- a/src/main/java/rushproxy/sidecar/TimeOuts.java
+++ b/src/main/java/rushproxy/sidecar/TimeOuts.java
@@ -3,10 +3,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
- * Time-outs of what waits for a socket: each runs after every socket has been looked at since it was due, since after a hold-up what it
- * waits for may lie there. A loop that comes late to it has looked already; another look would take another turn, as long as the last.
+ * Time-outs of what waits for a socket: each runs after that socket has been read since it was due, since after a hold-up what it waits
+ * for may lie there. A loop that comes late to it has looked at its sockets already; another look would take another turn, as long as the last.
  */
 final class TimeOuts {
     private final EventLoop loop;
@@ -17,10 +18,14 @@
         this.time = time;
     }
 
-    Future<?> at(long dueUs, Runnable work) {
+    /**
+     * {@code readsNow}: reads the socket that is waited for, and tells whether it could. The loop's look passes over one whose registration is
+     * being made anew, or whose reads fail for a moment.
+     */
+    Future<?> at(long dueUs, BooleanSupplier readsNow, Runnable work) {
         return loop.schedule(
                 () -> {
-                    if (time.lookedAtUs() >= dueUs) {
+                    if (time.lookedAtUs() >= dueUs && readsNow.getAsBoolean()) {
                         // Behind the tasks by which the look tells of ends.
                         loop.execute(work);
                     } else {
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -472,7 +472,19 @@
         if (call.timeout != null) {
             call.timeout.cancel(false);
         }
-        call.timeout = timeOuts.at(untilUs, () -> timedOut(call));
+        call.timeout = timeOuts.at(untilUs, () -> readNow(call), () -> timedOut(call));
+    }
+
+    /** Reads what lies in the call's socket; false where it is not up, or can't be read now. */
+    boolean readNow(Call call) {
+        if (call.ended) {
+            return true;
+        }
+        if (!call.started || !((TcpConnection) call.channel).reads()) {
+            return false;
+        }
+        ((TcpConnection) call.channel).readNow();
+        return true;
     }
 
     private void timedOut(Call call) {
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -451,7 +451,7 @@
         BlockingQueue<String> order = new LinkedBlockingQueue<>();
         TimeOuts timeOuts = new TimeOuts(loop, new RunningTime(clock, loopDelay));
         loop.execute(() -> {
-            timeOuts.at(clock.now(), () -> order.add("time-out"));
+            timeOuts.at(clock.now(), () -> true, () -> order.add("time-out"));
             Runnable turnEnds = () -> order.add("end of the turn");
             loop.schedule(
                     () -> ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(turnEnds),
