Sidecar: an answer's margin follows each turn of the loop, and a late time-out takes no second look

What callers saw: beside busy processes, with a silent server and 440 to 500 ms of patience, the sidecar's own 502 came 1 to 100 ms after its client's time, and only later answers came sooner.

Cause, three faults in one path: - The heartbeat's delay was counted from the heartbeat before, which was late as well: a loop that is always late by as much had the least margin. Heartbeats are 50 ms apart, so of a turn of 100 ms they saw 50 to 70. - What was held was made due earlier only after hold-ups of 20 ms and more. - A time-out to which the loop came late took one more look at the sockets, though the loop had looked since the time-out was due: another turn, as long as the one that had made it late.

Evidence: on one core, six sidecars beside six busy processes, of the heartbeats that were 20 ms late and more (71 to 91 a sidecar, by their own schedule) 16 to 31 were counted as less than 5 ms.

Why it works: the loop's I/O handler is timed. Each turn tells how late a time-out would have run in it, so the margin knows a long turn before an answer meets one. Held requests follow at the next heartbeat where that gains 5 ms or more: a request keeps the longest delay of its own life, so the memory of 0.25 s stays as it is. A time-out that was due before the loop's last look at the sockets began runs behind that look; one for which the loop woke looks as before.

UpstreamsTest now runs on the program's own I/O handler: with every look left out three tests fail.

--- a/src/main/java/rushproxy/sidecar/LoopDelay.java
+++ b/src/main/java/rushproxy/sidecar/LoopDelay.java
@@ -1,8 +1,9 @@
 package rushproxy.sidecar;
 
 /**
- * How late the event loop runs, by a heartbeat that it should get every {@link #BEAT_US}. What is read after a delay may have
- * lain in the kernel since: its client has waited for that time already, and counts it.
+ * How late the event loop runs. A heartbeat that it should get every {@link #BEAT_US} tells of hold-ups: what is read after one may
+ * have lain in the kernel since, and its client has waited for that time already. Each turn of the loop tells how late a time-out
+ * would have run in it.
  */
 final class LoopDelay {
     static final long BEAT_US = 50_000;
@@ -18,13 +19,45 @@
     private long heldUpUs;
     private long recentUs;
     private long delayedAtUs;
+    /** Since when a time-out may have been due that has not run by the end of the last look at the sockets. */
+    private long waitingSinceUs;
+    /** When the last look at the sockets began. */
+    private long lookedAtUs;
 
     void beat(long now) {
         heldUpUs = heldUpUs(now);
         beatAtUs = now;
     }
 
-    /** A heartbeat came late by so much. Several may come at once, the missed ones after a delay. */
+    /** The loop's first turn begins. */
+    void begins(long now) {
+        waitingSinceUs = now;
+    }
+
+    /**
+     * The loop has looked at its sockets, and takes up its timers next: one that was due as the turn before began has waited for all of
+     * that turn, and one for which the loop woke waits for another look.
+     *
+     * @param beganUs     when the loop began to look
+     * @param idleUntilUs until when it had nothing to do but wait for sockets, by its timers; {@code beganUs} where it did not wait
+     */
+    void looked(long beganUs, long idleUntilUs, long now) {
+        if (idleUntilUs > beganUs) {
+            delayed(now, Math.max(beganUs - waitingSinceUs, now - idleUntilUs));
+            waitingSinceUs = Math.min(now, idleUntilUs);
+        } else {
+            delayed(now, now - waitingSinceUs);
+            waitingSinceUs = now;
+        }
+        lookedAtUs = beganUs;
+    }
+
+    /** Every socket has been looked at since then. */
+    long lookedAtUs() {
+        return lookedAtUs;
+    }
+
+    /** A time-out would have been late by so much. */
     void delayed(long now, long byUs) {
         double left = Math.pow(0.5, Math.max(0, now - delayedAtUs) / HALF_LIFE_US);
         recentUs = Math.max(byUs, (long) (recentUs * left));
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 
@@ -17,11 +16,14 @@
 final class Requests {
     /** The module answers at the deadline, when attempts time out; what it has not by then is answered here. */
     private static final long OVERDUE_US = 2_000;
+    /** A deadline is not moved for less. */
+    static final long LEAST_GAIN_US = 5_000;
     /** A body that is still coming has its own bounds, with the client and with the upstream. */
     private static final long UPLOAD_US = 3_600_000_000L;
 
     private final EventLoop loop;
     private final Clock clock;
+    private final TimeOuts timeOuts;
     private Watch watch = (upstream, requestClass, outcome, tookUs) -> {};
     private final Decisions decisions;
     private final Upstreams upstreams;
@@ -44,14 +46,15 @@
 
     Requests(
             EventLoop loop,
-            Clock clock,
+            RunningTime time,
             Decisions decisions,
             Upstreams upstreams,
             RequestGuard guard,
             int maxAttempts) {
         this.guard = guard;
         this.loop = loop;
-        this.clock = clock;
+        clock = time.clock();
+        timeOuts = new TimeOuts(loop, time);
         this.decisions = decisions;
         this.upstreams = upstreams;
         this.maxAttempts = maxAttempts;
@@ -73,11 +76,7 @@
     }
 
     private void await(Exchange x) {
-        // After a hold-up its answer may lie in a socket, and what its attempts are told comes first.
-        x.overdue = loop.schedule(
-                () -> SocketLook.before(loop, () -> overdue(x)),
-                x.deadlineUs + OVERDUE_US - clock.now(),
-                TimeUnit.MICROSECONDS);
+        x.overdue = timeOuts.at(x.deadlineUs + OVERDUE_US, () -> overdue(x));
     }
 
     /** The last byte of the request has come: its time runs from now. */
@@ -103,10 +102,13 @@
         }
     }
 
-    /** After a hold-up of the loop: the next one may be as long, and what is held has to be over before it. */
+    /** The loop has been late: it may be as late again, and what is held has to be over before that. */
     void tighten(AnswerDeadlines deadlines) {
         for (Exchange x : open.values()) {
-            hasten(x, deadlines.dueUs(x.request.requestClass(), x.sentUs, x.remainingUs));
+            long dueUs = deadlines.dueUs(x.request.requestClass(), x.sentUs, x.remainingUs);
+            if (x.deadlineUs - dueUs >= LEAST_GAIN_US) {
+                hasten(x, dueUs);
+            }
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/RunningTime.java
+++ b/src/main/java/rushproxy/sidecar/RunningTime.java
@@ -20,6 +20,11 @@
         return clock;
     }
 
+    /** Every socket of the loop has been looked at since then. */
+    long lookedAtUs() {
+        return loopDelay.lookedAtUs();
+    }
+
     Mark mark() {
         long now = clock.now();
         return new Mark(now, loopDelay.heldUpUs(now));
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -36,9 +36,11 @@
     private final Config config;
     private final ServerSocketChannel inherited;
     private final Module module;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, SocketLook.handlers());
-    private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
+    private final LoopDelay loopDelay = new LoopDelay();
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, TimedIoHandler.factory(SocketLook.handlers(), clock, loopDelay));
+    private final EventLoop loop = group.next();
     private final Decisions decisions = new Decisions();
     private final Upstreams upstreams;
     private final Invariants invariants = new Invariants();
@@ -63,7 +65,6 @@
     /** Null where no second address is named. */
     private InetSocketAddress administered;
 
-    private final LoopDelay loopDelay = new LoopDelay();
     private final AnswerDeadlines deadlines;
     private long worstLagUs;
     /** At the last line of the log; null where the kernel does not tell. */
@@ -87,9 +88,10 @@
         // Those who only come to stay are on the clients' side. What that does not use upstreams may have.
         int free = Math.max(2 * LEAST_PER_SIDE, config.sockets() - OWN_DESCRIPTORS);
         int ofClients = free - Math.max(LEAST_PER_SIDE, free / 4);
+        RunningTime time = new RunningTime(clock, loopDelay);
         upstreams = new Upstreams(
                 loop,
-                new RunningTime(clock, loopDelay),
+                time,
                 settings.limits().connIdleUs(),
                 Upstreams.REST_US,
                 config.dialTimeoutUs(),
@@ -97,7 +99,7 @@
                 budget);
         guard = new RequestGuard(clock, settings.classes(), invariants);
         requests = new Requests(
-                loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts());
+                loop, time, decisions, upstreams, guard, settings.limits().maxAttempts());
         starts = new StartTimes(clock, System::currentTimeMillis);
         known = starts.known(config.known());
         discovery = new Discovery(
@@ -232,11 +234,12 @@
         long now = clock.now();
         long behindUs = loopDelay.behindUs(now);
         worstLagUs = Math.max(worstLagUs, behindUs);
-        loopDelay.delayed(now, behindUs);
+        if (loopDelay.recentUs() >= Requests.LEAST_GAIN_US) {
+            requests.tighten(deadlines);
+        }
         if (behindUs < LoopDelay.LATE_US) {
             loopDelay.beat(now);
         } else {
-            requests.tighten(deadlines);
             // What lay in the sockets meanwhile is read only now, and is as old as the hold-up.
             loop.schedule(() -> loopDelay.beat(clock.now()), LoopDelay.LOOK_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -287,6 +287,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final RunningTime time;
+    private final TimeOuts timeOuts;
     private final long idleUs;
     private final long restUs;
     private final long dialTimeoutUs;
@@ -310,6 +311,7 @@
             Budget budget) {
         this.loop = loop;
         this.time = time;
+        timeOuts = new TimeOuts(loop, time);
         this.clock = time.clock();
         this.restUs = restUs;
         this.dialTimeoutUs = dialTimeoutUs;
@@ -468,9 +470,7 @@
         if (call.timeout != null) {
             call.timeout.cancel(false);
         }
-        // After a hold-up its answer may lie in the socket, and its connection may have come up.
-        call.timeout = loop.schedule(
-                () -> SocketLook.before(loop, () -> timedOut(call)), untilUs - clock.now(), TimeUnit.MICROSECONDS);
+        call.timeout = timeOuts.at(untilUs, () -> timedOut(call));
     }
 
     private void timedOut(Call call) {
--- a/src/main/java/rushproxy/sidecar/WarmUp.java
+++ b/src/main/java/rushproxy/sidecar/WarmUp.java
@@ -72,26 +72,20 @@
         this.clock = clock;
         this.settings = settings;
         classes = settings.classes();
-        upstreams = connections();
-        clients = connections();
+        RunningTime time = new RunningTime(clock, new LoopDelay());
+        upstreams = connections(time);
+        clients = connections(time);
         requests = new Requests(
                 loop,
-                clock,
+                time,
                 decisions,
                 upstreams,
                 new RequestGuard(clock, classes, new Invariants()),
                 settings.limits().maxAttempts());
     }
 
-    private Upstreams connections() {
-        return new Upstreams(
-                loop,
-                new RunningTime(clock, new LoopDelay()),
-                MOST_US,
-                0,
-                MOST_US,
-                () -> AT_ONCE,
-                new Budget(AT_ONCE * Body.KEPT));
+    private Upstreams connections(RunningTime time) {
+        return new Upstreams(loop, time, MOST_US, 0, MOST_US, () -> AT_ONCE, new Budget(AT_ONCE * Body.KEPT));
     }
 
     /** The runtime's own generator loads the security providers, of which a sidecar needs nothing else. */
--- a/src/test/java/rushproxy/sidecar/AnswerDeadlinesTest.java
+++ b/src/test/java/rushproxy/sidecar/AnswerDeadlinesTest.java
@@ -71,4 +71,16 @@
         assertEquals(5_000, marginUs("c", 20_000));
         assertEquals(200_000, marginUs("c", 800_000));
     }
+
+    /** A loop that was always late by as much, or by less than the time between two heartbeats, had the least margin. */
+    @Test
+    void eachTurnTellsHowLongATimeOutWaitsInIt() {
+        loopDelay.begins(SENT);
+        loopDelay.looked(SENT, SENT + 50_000, SENT + 50_000);
+        assertEquals(AnswerDeadlines.LEAST_MARGIN_US, marginUs("tight", 800_000));
+        // It wakes 30 ms late, works for 40 ms, and looks again before what it woke for runs.
+        loopDelay.looked(SENT + 50_000, SENT + 100_000, SENT + 130_000);
+        loopDelay.looked(SENT + 170_000, SENT + 170_000, SENT + 170_000);
+        assertEquals(AnswerDeadlines.LEAST_MARGIN_US + 70_000, marginUs("tight", 800_000));
+    }
 }
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -5,7 +5,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
@@ -20,10 +20,11 @@
 /** Connections and the list: everything here happens on one event loop, as in the program. */
 @Timeout(60)
 class UpstreamsTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final LoopDelay loopDelay = new LoopDelay();
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, TimedIoHandler.factory(SocketLook.handlers(), clock, loopDelay));
+    private final EventLoop loop = group.next();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
 
     @AfterEach
@@ -400,4 +401,20 @@
         }
         return full;
     }
+
+    /** A late loop took another turn for a look at the sockets that it had looked at since, and was as late again. */
+    @Test
+    void aTimeOutThatComesLateTakesNoFurtherTurn() throws Exception {
+        BlockingQueue<String> order = new LinkedBlockingQueue<>();
+        TimeOuts timeOuts = new TimeOuts(loop, new RunningTime(clock, loopDelay));
+        loop.execute(() -> {
+            timeOuts.at(clock.now(), () -> order.add("time-out"));
+            Runnable turnEnds = () -> order.add("end of the turn");
+            loop.schedule(
+                    () -> ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(turnEnds),
+                    0,
+                    TimeUnit.MILLISECONDS);
+        });
+        assertEquals("time-out", order.poll(20, TimeUnit.SECONDS));
+    }
 }
