Test: what is read later of a hold-up is as old as what was read first

Nobody noticed where `lay` in ClientInput was false always: bytes of a hold-up that are read after the loop counts as in time again would have been taken for new, and their client's time for whole. The test reads byte by byte and lets the loop count as in time after the first.

--- a/src/test/java/rushproxy/sidecar/UnreadAgeTest.java
+++ b/src/test/java/rushproxy/sidecar/UnreadAgeTest.java
@@ -3,13 +3,23 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -128,4 +138,47 @@
             }
         }
     }
+
+    /** Guards against taking what was read last of a hold-up for new, since the loop counted as in time again by then. */
+    @Test
+    void whatIsReadLaterOfAHoldUpIsAsOld() throws Exception {
+        Clock clock = new Clock();
+        LoopDelay loopDelay = new LoopDelay();
+        BlockingQueue<Long> agesUs = new LinkedBlockingQueue<>();
+        ClientInput input = new ClientInput(clock, loopDelay, new Budget(1 << 20), new ClientInput.Listener() {
+            @Override
+            public void arrived(long sentUs) {
+                agesUs.add(clock.now() - sentUs);
+                loopDelay.beat(clock.now());
+            }
+
+            @Override
+            public void unwatched() {}
+        });
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, SocketLook.handlers());
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            new Bootstrap()
+                    .group(group)
+                    .channelFactory(TcpConnection::new)
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(1))
+                    .handler(input)
+                    .connect(listener.getLocalSocketAddress())
+                    .sync();
+            try (Socket client = listener.accept()) {
+                client.getOutputStream().write('a');
+                agesUs.take();
+                group.next()
+                        .submit(() -> {
+                            client.getOutputStream().write(new byte[] {'b', 'c'});
+                            Thread.sleep(WAIT_MS);
+                            return null;
+                        })
+                        .sync();
+                assertTrue(agesUs.take() >= WAIT_MS * 1_000 - STEP_US);
+                assertTrue(agesUs.take() >= WAIT_MS * 1_000 - STEP_US, "the second read");
+            }
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        }
+    }
 }
