Upstreams: calls, their results, targets and idle connections in files of their own

No change of behaviour. UpstreamCall is one message until its outcome, CallResult what it brings, UpstreamTarget an upstream as the list has it, IdleConnections the connections that rest or are idle, and what may be used of them.

--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -50,13 +50,13 @@
 
     final Answer answer;
     final RequestTimes times;
-    final List<Upstreams.Call> attempts = new ArrayList<>(1);
+    final List<UpstreamCall> attempts = new ArrayList<>(1);
     Future<?> overdue;
     RequestState state = RequestState.TAKEN;
     /** Whether its client is still there can't be seen any more. */
     boolean unwatched;
     /** The attempt whose answer the client is getting in pieces. */
-    Upstreams.Call passing;
+    UpstreamCall passing;
 
     Exchange(
             Request request,
@@ -86,6 +86,6 @@
     }
 
     boolean noneOut() {
-        return attempts.stream().allMatch(Upstreams.Call::ended);
+        return attempts.stream().allMatch(UpstreamCall::ended);
     }
 }
--- a/src/main/java/rushproxy/sidecar/RequestGuard.java
+++ b/src/main/java/rushproxy/sidecar/RequestGuard.java
@@ -7,7 +7,6 @@
 import rushproxy.Balancer.Semantics;
 import rushproxy.Balancer.Upstream;
 import rushproxy.sidecar.Invariants.Breach;
-import rushproxy.sidecar.Upstreams.Call;
 
 /**
  * The one place that is asked before a request changes its state, before the first byte of an attempt is sent, and before a
@@ -37,7 +36,7 @@
     }
 
     /** Why the attempt's first byte must not be sent now; null where it may. */
-    String whyNotSend(Exchange x, Call call) {
+    String whyNotSend(Exchange x, UpstreamCall call) {
         if (x.state.isOver()) {
             invariants.breached(Breach.SENT_AFTER_ITS_END, x.request.id(), "is " + x.state + " and was to be sent");
             return "the request is over";
@@ -54,8 +53,8 @@
         return whyNotRepeat(x, call);
     }
 
-    private String whyNotRepeat(Exchange x, Call call) {
-        for (Call other : x.attempts) {
+    private String whyNotRepeat(Exchange x, UpstreamCall call) {
+        for (UpstreamCall other : x.attempts) {
             if (other != call && other.mayRun() && !repeatable(x, other, call)) {
                 invariants.breached(
                         Breach.REPEATED,
@@ -67,7 +66,7 @@
         return null;
     }
 
-    private boolean repeatable(Exchange x, Call earlier, Call call) {
+    private boolean repeatable(Exchange x, UpstreamCall earlier, UpstreamCall call) {
         RequestClass c = classes.get(x.request.requestClass());
         if (c == null || c.semantics() == Semantics.UNSAFE) {
             return false;
@@ -90,7 +89,7 @@
 
     /** Whether a refusal would be true: it promises that nothing has run. */
     boolean mayRefuse(Exchange x) {
-        if (x.attempts.stream().noneMatch(Call::mayRun)) {
+        if (x.attempts.stream().noneMatch(UpstreamCall::mayRun)) {
             return true;
         }
         invariants.breached(Breach.REFUSED_WHAT_MAY_HAVE_RUN, x.request.id(), "was to be refused");
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -86,7 +86,7 @@
             x.sentUs = sentUs;
             x.deadlineUs = deadlineUs;
             await(x);
-            for (Upstreams.Call call : x.attempts) {
+            for (UpstreamCall call : x.attempts) {
                 upstreams.due(call, deadlineUs);
             }
         }
@@ -118,7 +118,7 @@
         x.overdue.cancel(false);
         x.deadlineUs = us;
         await(x);
-        for (Upstreams.Call call : x.attempts) {
+        for (UpstreamCall call : x.attempts) {
             upstreams.due(call, Math.min(call.untilUs(), us));
         }
     }
@@ -137,7 +137,7 @@
         }
         if (flows) {
             x.body.stop();
-            List.copyOf(x.attempts).forEach(Upstreams.Call::cancel);
+            List.copyOf(x.attempts).forEach(UpstreamCall::cancel);
         }
     }
 
@@ -173,15 +173,15 @@
         long until =
                 !x.body.complete() ? now + UPLOAD_US : untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
         String moot = whyMoot(x, number, until <= now);
-        Upstreams.Call call =
-                new Upstreams.Call(upstream, until, false, left -> message(x, number), x.body, new Upstreams.Result() {
+        UpstreamCall call =
+                new UpstreamCall(upstream, until, false, left -> message(x, number), x.body, new CallResult() {
                     @Override
-                    public void ended(Upstreams.Call c, Outcome outcome, LoadReport report, ByteBuf body) {
+                    public void ended(UpstreamCall c, Outcome outcome, LoadReport report, ByteBuf body) {
                         Requests.this.ended(x, number, c, outcome, report, body);
                     }
 
                     @Override
-                    public boolean begins(Upstreams.Call c, long length, Runnable resume) {
+                    public boolean begins(UpstreamCall c, long length, Runnable resume) {
                         return Requests.this.begins(x, number, c, length, resume);
                     }
 
@@ -191,12 +191,12 @@
                     }
 
                     @Override
-                    public boolean mayBegin(Upstreams.Call c) {
+                    public boolean mayBegin(UpstreamCall c) {
                         return Requests.this.mayBegin(x, number, c);
                     }
 
                     @Override
-                    public void sent(Upstreams.Call c) {
+                    public void sent(UpstreamCall c) {
                         if (x.request.partial()) {
                             decisions.call(m -> m.onSent(clock.now(), x.request.id(), number), () -> {});
                         }
@@ -215,7 +215,7 @@
     }
 
     /** Asked just before the first byte, on every way to it: the module, then the guard. */
-    private boolean mayBegin(Exchange x, int number, Upstreams.Call call) {
+    private boolean mayBegin(Exchange x, int number, UpstreamCall call) {
         String why = decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number))
                 ? guard.whyNotSend(x, call)
                 : "the module says no";
@@ -262,7 +262,7 @@
     }
 
     /** What lies in the sockets goes first: it may say that this must not be sent any more. */
-    private void begin(Upstreams.Call call) {
+    private void begin(UpstreamCall call) {
         SocketLook.before(loop, () -> {
             if (!call.ended()) {
                 upstreams.start(call);
@@ -273,11 +273,11 @@
     /** Whether its client is still there can't be known: no attempt begins any more. Without one it is over now. */
     void unwatched(Exchange x) {
         x.unwatched = true;
-        List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
+        List.copyOf(x.attempts).forEach(UpstreamCall::withdraw);
         if (x.state.isOver() || !x.noneOut()) {
             return;
         }
-        if (x.attempts.stream().allMatch(Upstreams.Call::neverRan)) {
+        if (x.attempts.stream().allMatch(UpstreamCall::neverRan)) {
             refuse(x.request.id(), 0);
         } else {
             fail(x);
@@ -297,7 +297,7 @@
     }
 
     /** An answer too long to be kept, or of which nobody knows how long it is, has begun to come. */
-    private boolean begins(Exchange x, int number, Upstreams.Call call, long length, Runnable resume) {
+    private boolean begins(Exchange x, int number, UpstreamCall call, long length, Runnable resume) {
         if (x.state.isOver() || !finish(x, RequestState.PASSING_ON)) {
             return false;
         }
@@ -312,7 +312,7 @@
         return true;
     }
 
-    private void ended(Exchange x, int number, Upstreams.Call call, Outcome outcome, LoadReport report, ByteBuf body) {
+    private void ended(Exchange x, int number, UpstreamCall call, Outcome outcome, LoadReport report, ByteBuf body) {
         outcomes.merge(outcome, 1, Integer::sum);
         long tookUs = upstreams.tookUs(call);
         RequestLog.outcome(x.request.id(), number, call.upstream, outcome, tookUs);
@@ -438,7 +438,7 @@
         }
         // A connection may still be coming up for one: whoever has gone, or has been answered, is sent nothing more
         // for.
-        List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
+        List.copyOf(x.attempts).forEach(UpstreamCall::withdraw);
         forgetIfSettled(x);
         return true;
     }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -418,7 +418,7 @@
 
         @Override
         public void probe(String upstream) {
-            upstreams.start(new Upstreams.Call(
+            upstreams.start(new UpstreamCall(
                     upstream,
                     clock.now() + PROBE_US,
                     true,
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -21,7 +21,6 @@
 import java.util.function.BiConsumer;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
-import rushproxy.sidecar.Upstreams.Call;
 
 /**
  * One connection to an upstream: one call at a time, and what comes back told as its outcome. A short answer is kept
@@ -38,8 +37,8 @@
     private final Budget budget;
     private final Clock clock;
     long idleSinceUs;
-    private Call call;
-    private BiConsumer<Call, Channel> release;
+    private UpstreamCall call;
+    private BiConsumer<UpstreamCall, Channel> release;
     /** The head of the call's answer; null until it has come. */
     private HttpResponse head;
 
@@ -69,7 +68,7 @@
         this.clock = clock;
     }
 
-    void begin(Call next, BiConsumer<Call, Channel> whenFree) {
+    void begin(UpstreamCall next, BiConsumer<UpstreamCall, Channel> whenFree) {
         call = next;
         release = whenFree;
     }
@@ -195,7 +194,7 @@
         kept = null;
         if (!call.begins(length, () -> ctx.channel().config().setAutoRead(true))) {
             // Another attempt was faster, or the client has left: this one is answered, and nobody wants the rest.
-            Call current = call;
+            UpstreamCall current = call;
             call = null;
             settle();
             giveUp(ctx, CloseReason.NOT_WANTED);
@@ -271,7 +270,7 @@
         HttpResponse response = head;
         Outcome told = outcome;
         ByteBuf body = passing || kept == null ? Unpooled.EMPTY_BUFFER : kept;
-        Call current = call;
+        UpstreamCall current = call;
         call = null;
         settle();
         if (HttpUtil.isKeepAlive(response)
@@ -343,7 +342,7 @@
     }
 
     private void broke() {
-        Call current = call;
+        UpstreamCall current = call;
         call = null;
         settle();
         if (current != null) {
--- a/src/main/java/rushproxy/sidecar/WarmUp.java
+++ b/src/main/java/rushproxy/sidecar/WarmUp.java
@@ -157,7 +157,7 @@
     private void request() {
         out++;
         int number = begun++;
-        clients.start(new Upstreams.Call(
+        clients.start(new UpstreamCall(
                 CLIENTS,
                 untilUs + REMAINING_US,
                 false,
--- a/src/test/java/rushproxy/sidecar/RequestGuardTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestGuardTest.java
@@ -54,16 +54,16 @@
                 new RequestTimes(0, 0, 0, 0, 0));
     }
 
-    private Upstreams.Call attempt(Exchange x) {
-        Upstreams.Call call = new Upstreams.Call(
+    private UpstreamCall attempt(Exchange x) {
+        UpstreamCall call = new UpstreamCall(
                 "u", clock.now() + SECOND_US, false, left -> null, null, (c, outcome, report, body) -> {});
         call.sentAt(new RunningTime.Mark(clock.now(), 0));
         x.attempts.add(call);
         return call;
     }
 
-    private Upstreams.Call begun(Exchange x) {
-        Upstreams.Call call = attempt(x);
+    private UpstreamCall begun(Exchange x) {
+        UpstreamCall call = attempt(x);
         call.startsNow();
         return call;
     }
@@ -102,7 +102,7 @@
     @Test
     void nothingIsSentForARequestThatIsOver() {
         Exchange x = exchange("safe");
-        Upstreams.Call call = attempt(x);
+        UpstreamCall call = attempt(x);
         assertNull(guard.whyNotSend(x, call));
         guard.become(x, RequestState.ANSWERED);
         assertNotNull(guard.whyNotSend(x, call));
@@ -112,14 +112,14 @@
     @Test
     void nothingIsSentForAClientThatHasGoneOrCannotBeSeenOrHasNoTime() {
         Exchange x = exchange("safe");
-        Upstreams.Call call = attempt(x);
+        UpstreamCall call = attempt(x);
         clientIsThere = false;
         assertEquals("the client has gone", guard.whyNotSend(x, call));
         clientIsThere = true;
         x.unwatched = true;
         assertEquals("the client can't be watched", guard.whyNotSend(x, call));
         x.unwatched = false;
-        Upstreams.Call late = new Upstreams.Call("u", clock.now() - 1, false, left -> null, null, (c, o, r, b) -> {});
+        UpstreamCall late = new UpstreamCall("u", clock.now() - 1, false, left -> null, null, (c, o, r, b) -> {});
         assertEquals("no time left", guard.whyNotSend(x, late));
         assertEquals(0, invariants.total(), "these are ordinary");
     }
@@ -149,7 +149,7 @@
     @Test
     void aKeyIsRememberedForItsWindow() {
         Exchange x = exchange("keyed");
-        Upstreams.Call earlier = begun(x);
+        UpstreamCall earlier = begun(x);
         assertNull(guard.whyNotSend(x, attempt(x)));
         earlier.sentAt(new RunningTime.Mark(clock.now() - 11 * SECOND_US, 0));
         assertEquals("it may have run", guard.whyNotSend(x, attempt(x)));
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -55,12 +55,12 @@
         return UpstreamList.of(Json.parse(Rig.list(1, whole, entries).getBytes(StandardCharsets.UTF_8)));
     }
 
-    private Upstreams.Call call(String upstream) {
+    private UpstreamCall call(String upstream) {
         return call(upstream, 20_000_000);
     }
 
-    private Upstreams.Call call(String upstream, long withinUs) {
-        return new Upstreams.Call(
+    private UpstreamCall call(String upstream, long withinUs) {
+        return new UpstreamCall(
                 upstream,
                 clock.now() + withinUs,
                 false,
@@ -157,7 +157,7 @@
                 Body body = new Body(() -> {}, -1);
                 loop.execute(() -> {
                     body.add(io.netty.buffer.Unpooled.wrappedBuffer(new byte[100]));
-                    upstreams.start(new Upstreams.Call(
+                    upstreams.start(new UpstreamCall(
                             "u",
                             clock.now() + 20_000_000,
                             false,
@@ -296,8 +296,8 @@
      * Starts the call while the loop handles a socket, and holds the loop up there: its timers run next, and only then does it ask
      * which sockets are ready.
      */
-    private void startAndHoldUp(Upstreams upstreams, Upstreams.Call call) {
-        loop.execute(() -> upstreams.start(new Upstreams.Call(
+    private void startAndHoldUp(Upstreams upstreams, UpstreamCall call) {
+        loop.execute(() -> upstreams.start(new UpstreamCall(
                 "u",
                 clock.now() + 20_000_000,
                 false,
@@ -358,7 +358,7 @@
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = used(up);
             up.script = (m, line) -> {};
-            Upstreams.Call call = call("u", DIAL_US);
+            UpstreamCall call = call("u", DIAL_US);
             loop.execute(() -> {
                 loopDelay.beat(clock.now());
                 upstreams.start(call);
