--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -56,12 +56,12 @@
         return UpstreamList.of(Json.parse(Rig.list(1, whole, entries).getBytes(StandardCharsets.UTF_8)));
     }
 
-    private Upstreams.Call call(String upstream) {
+    private UpstreamCall call(String upstream) {
         return call(upstream, 20_000_000);
     }
 
-    private Upstreams.Call call(String upstream, long withinUs) {
-        return new Upstreams.Call(
+    private UpstreamCall call(String upstream, long withinUs) {
+        return new UpstreamCall(
                 upstream,
                 clock.now() + withinUs,
                 false,
@@ -109,7 +109,7 @@
             Upstreams upstreams = upstreams(15_000_000, 100);
             java.util.concurrent.atomic.AtomicLong closesUs =
                     new java.util.concurrent.atomic.AtomicLong(Long.MAX_VALUE);
-            Upstreams.Call late = new Upstreams.Call(
+            UpstreamCall late = new UpstreamCall(
                     "u",
                     clock.now() + 20_000_000,
                     false,
@@ -121,15 +121,15 @@
                         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
                     },
                     null,
-                    new Upstreams.Result() {
+                    new CallResult() {
                         @Override
-                        public boolean mayBegin(Upstreams.Call c) {
+                        public boolean mayBegin(UpstreamCall c) {
                             return clock.now() < closesUs.get();
                         }
 
                         @Override
                         public void ended(
-                                Upstreams.Call c,
+                                UpstreamCall c,
                                 rushproxy.Balancer.Outcome outcome,
                                 rushproxy.Balancer.LoadReport report,
                                 io.netty.buffer.ByteBuf body) {
@@ -201,7 +201,7 @@
                 Body body = new Body(() -> {}, -1);
                 loop.execute(() -> {
                     body.add(io.netty.buffer.Unpooled.wrappedBuffer(new byte[100]));
-                    upstreams.start(new Upstreams.Call(
+                    upstreams.start(new UpstreamCall(
                             "u",
                             clock.now() + 20_000_000,
                             false,
@@ -340,8 +340,8 @@
      * Starts the call while the loop handles a socket, and holds the loop up there: its timers run next, and only then does it ask
      * which sockets are ready.
      */
-    private void startAndHoldUp(Upstreams upstreams, Upstreams.Call call) {
-        loop.execute(() -> upstreams.start(new Upstreams.Call(
+    private void startAndHoldUp(Upstreams upstreams, UpstreamCall call) {
+        loop.execute(() -> upstreams.start(new UpstreamCall(
                 "u",
                 clock.now() + 20_000_000,
                 false,
@@ -363,6 +363,23 @@
         }
     }
 
+    /** Guards against a time-out that runs behind a look which passed over its socket, whose registration was being made anew. */
+    @Test
+    void anAnswerBehindAWithdrawnRegistrationIsTaken() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = used(up);
+            UpstreamCall call = call("u", DIAL_US);
+            loop.execute(() -> {
+                upstreams.start(call);
+                loop.execute(() -> {
+                    ((TcpConnection) call.channel).withdrawInterest();
+                    holdUp();
+                });
+            });
+            assertEquals("u OK", outcome());
+        }
+    }
+
     /** It is up, but its call's time was used up here. */
     @Test
     void aCallWhoseTimeEndsInAHoldUpIsNoFailureOfItsUpstream() throws Exception {
@@ -402,7 +419,7 @@
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = used(up);
             up.script = (m, line) -> {};
-            Upstreams.Call call = call("u", DIAL_US);
+            UpstreamCall call = call("u", DIAL_US);
             loop.execute(() -> {
                 loopDelay.beat(clock.now());
                 upstreams.start(call);
