Loop: a beat tells its own lateness at once, its end is watched from the start, the log outlives an error

A loop that ended before the start was over left the process waiting. An error in the log's thread, as for want of memory, silenced the log. Cost: none to name. The first two have no test of their own.

--- a/src/main/java/rushproxy/sidecar/LogWriter.java
+++ b/src/main/java/rushproxy/sidecar/LogWriter.java
@@ -57,16 +57,26 @@
         while (true) {
             String line = lines.poll();
             if (line != null) {
-                print(line);
+                tryToPrint(line);
                 waiting.addAndGet(-line.length());
             } else if (dropped.get() > 0) {
-                print("rushproxy: " + dropped.getAndSet(0) + " lines of the log were dropped, since nobody read it\n");
+                print("rushproxy: " + dropped.getAndSet(0)
+                        + " lines of the log were dropped: nobody read it, or there was no memory\n");
             } else {
                 LockSupport.park(this);
             }
         }
     }
 
+    /** For want of memory one line is lost, and not the log. */
+    private void tryToPrint(String line) {
+        try {
+            print(line);
+        } catch (RuntimeException | Error e) {
+            dropped.incrementAndGet();
+        }
+    }
+
     private void print(String line) {
         byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
         to.write(bytes, 0, bytes.length);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -160,8 +160,8 @@
                     config, inherited, (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
             // Before anybody can ask.
             sidecar.clients.notReady();
-            sidecar.start();
             LoopWatch.begin(sidecar.loop, Sidecar::endWithoutLoop);
+            sidecar.start();
         } catch (Exception e) {
             Log.event(Log.Level.ERROR, "can't start: " + e);
             Log.writeLastLines();
@@ -241,6 +241,8 @@
         long now = clock.now();
         long behindUs = loopDelay.behindUs(now);
         worstLagUs = Math.max(worstLagUs, behindUs);
+        // The turn that this beat is part of is told only when it is over.
+        loopDelay.delayed(now, behindUs);
         if (loopDelay.recentUs() >= Requests.LEAST_GAIN_US) {
             requests.tighten(deadlines);
         }
