--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -15,6 +15,8 @@
  * @param text    class, status, body or words, by the kind of event
  * @param number  milliseconds of work, remaining milliseconds or the like, by the kind of event
  * @param sinceUs when what ended now began, or when it was meant to happen
+ * @param sinceEarliestUs where {@code sinceUs} is only the latest time at which it can have begun, the earliest; 0 where they are one
+ * @param toldMs with a request that an upstream got, the time that it was told, in milliseconds; 0 with others, and where none was told
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record Observation(
@@ -28,12 +30,35 @@
         @JsonProperty("first") String first,
         @JsonProperty("text") String text,
         @JsonProperty("number") double number,
-        @JsonProperty("sinceUs") long sinceUs) {
+        @JsonProperty("sinceUs") long sinceUs,
+        @JsonProperty("sinceEarliestUs") long sinceEarliestUs,
+        @JsonProperty("toldMs") long toldMs) {
+
+    /** What began at one moment that is known, or with none. */
+    public Observation(
+            long us,
+            What what,
+            String node,
+            String server,
+            String id,
+            String first,
+            String text,
+            double number,
+            long sinceUs) {
+        this(us, what, node, server, id, first, text, number, sinceUs, 0, 0);
+    }
+
+    /** What ended now surely did not begin before. */
+    public long beganEarliestUs() {
+        return sinceEarliestUs == 0 ? sinceUs : sinceEarliestUs;
+    }
 
     /** Kinds of events; after each what {@code text}, {@code number} and {@code sinceUs} say. */
     public enum What {
         /** A client has written a whole request: its class, the time it waits in ms, when it was meant to leave. */
         ASKED,
+        /** That took more than a moment, or it was sent once more: the last byte left by now; the time it waits since then in ms. */
+        WRITTEN,
         /** A whole answer has come: its status and body, the wait that it asks for in ms; sinceUs the send. */
         ANSWERED,
         /** The connection ended before a whole answer: "reset", "closed" or "part"; number 1 on a connection used before. */
@@ -50,7 +75,7 @@
         GAVE_UP,
         /** A client's first try is over for good: "served", "late", "refused", "failed"; ms since it was meant to leave. */
         SETTLED,
-        /** The last byte of a request has come to an upstream: its idempotency key, its work in ms; sinceUs its first byte. */
+        /** The last byte of a request has come to an upstream: its idempotency key, its work in ms; sinceUs its first byte, by the kernel. */
         GOT,
         /** The upstream has turned it away unseen. */
         TURNED_AWAY,
@@ -64,7 +89,7 @@
         SERVER_STARTED,
         /** A server's process is gone: why. */
         SERVER_ENDED,
-        /** Discovery has written to a node's agent that a server is now in this state: the state, the start in Unix ms. */
+        /** Discovery has written to a node's agent that a server is now in this state: the state, the start in Unix ms; sinceUs before it wrote. */
         TOLD,
         /**
          * A node's process: "started", "serving" once it takes clients from a socket that the laboratory holds, "ready", "exit CODE" with the
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 
@@ -17,11 +16,14 @@
 final class Requests {
     /** The module answers at the deadline, when attempts time out; what it has not by then is answered here. */
     private static final long OVERDUE_US = 2_000;
+    /** A deadline is not moved for less. */
+    static final long LEAST_GAIN_US = 5_000;
     /** A body that is still coming has its own bounds, with the client and with the upstream. */
     private static final long UPLOAD_US = 3_600_000_000L;
 
     private final EventLoop loop;
     private final Clock clock;
+    private final TimeOuts timeOuts;
     private Watch watch = (upstream, requestClass, outcome, tookUs) -> {};
     private final Decisions decisions;
     private final Upstreams upstreams;
@@ -44,14 +46,15 @@
 
     Requests(
             EventLoop loop,
-            Clock clock,
+            RunningTime time,
             Decisions decisions,
             Upstreams upstreams,
             RequestGuard guard,
             int maxAttempts) {
         this.guard = guard;
         this.loop = loop;
-        this.clock = clock;
+        clock = time.clock();
+        timeOuts = new TimeOuts(loop, time);
         this.decisions = decisions;
         this.upstreams = upstreams;
         this.maxAttempts = maxAttempts;
@@ -73,11 +76,10 @@
     }
 
     private void await(Exchange x) {
-        // After a hold-up its answer may lie in a socket, and what its attempts are told comes first.
-        x.overdue = loop.schedule(
-                () -> SocketLook.before(loop, () -> overdue(x)),
-                x.deadlineUs + OVERDUE_US - clock.now(),
-                TimeUnit.MICROSECONDS);
+        x.overdue = timeOuts.at(
+                x.deadlineUs + OVERDUE_US,
+                () -> List.copyOf(x.attempts).stream().allMatch(upstreams::readNow),
+                () -> overdue(x));
     }
 
     /** The last byte of the request has come: its time runs from now. */
@@ -86,7 +88,7 @@
             x.sentUs = sentUs;
             x.deadlineUs = deadlineUs;
             await(x);
-            for (Upstreams.Call call : x.attempts) {
+            for (UpstreamCall call : x.attempts) {
                 upstreams.due(call, deadlineUs);
             }
         }
@@ -103,10 +105,13 @@
         }
     }
 
-    /** After a hold-up of the loop: the next one may be as long, and what is held has to be over before it. */
+    /** The loop has been late: it may be as late again, and what is held has to be over before that. */
     void tighten(AnswerDeadlines deadlines) {
         for (Exchange x : open.values()) {
-            hasten(x, deadlines.dueUs(x.request.requestClass(), x.sentUs, x.remainingUs));
+            long dueUs = deadlines.dueUs(x.request.requestClass(), x.sentUs, x.remainingUs);
+            if (x.deadlineUs - dueUs >= LEAST_GAIN_US) {
+                hasten(x, dueUs);
+            }
         }
     }
 
@@ -118,7 +123,7 @@
         x.overdue.cancel(false);
         x.deadlineUs = us;
         await(x);
-        for (Upstreams.Call call : x.attempts) {
+        for (UpstreamCall call : x.attempts) {
             upstreams.due(call, Math.min(call.untilUs(), us));
         }
     }
@@ -137,7 +142,7 @@
         }
         if (flows) {
             x.body.stop();
-            List.copyOf(x.attempts).forEach(Upstreams.Call::cancel);
+            List.copyOf(x.attempts).forEach(UpstreamCall::cancel);
         }
     }
 
@@ -173,15 +178,15 @@
         long until =
                 !x.body.complete() ? now + UPLOAD_US : untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
         String moot = whyMoot(x, number, until <= now);
-        Upstreams.Call call =
-                new Upstreams.Call(upstream, until, false, left -> message(x, number), x.body, new Upstreams.Result() {
+        UpstreamCall call =
+                new UpstreamCall(upstream, until, false, left -> message(x, number), x.body, new CallResult() {
                     @Override
-                    public void ended(Upstreams.Call c, Outcome outcome, LoadReport report, ByteBuf body) {
+                    public void ended(UpstreamCall c, Outcome outcome, LoadReport report, ByteBuf body) {
                         Requests.this.ended(x, number, c, outcome, report, body);
                     }
 
                     @Override
-                    public boolean begins(Upstreams.Call c, long length, Runnable resume) {
+                    public boolean begins(UpstreamCall c, long length, Runnable resume) {
                         return Requests.this.begins(x, number, c, length, resume);
                     }
 
@@ -191,12 +196,12 @@
                     }
 
                     @Override
-                    public boolean mayBegin(Upstreams.Call c) {
+                    public boolean mayBegin(UpstreamCall c) {
                         return Requests.this.mayBegin(x, number, c);
                     }
 
                     @Override
-                    public void sent(Upstreams.Call c) {
+                    public void sent(UpstreamCall c) {
                         if (x.request.partial()) {
                             decisions.call(m -> m.onSent(clock.now(), x.request.id(), number), () -> {});
                         }
@@ -215,7 +220,7 @@
     }
 
     /** Asked just before the first byte, on every way to it: the module, then the guard. */
-    private boolean mayBegin(Exchange x, int number, Upstreams.Call call) {
+    private boolean mayBegin(Exchange x, int number, UpstreamCall call) {
         String why = decisions.ask(m -> m.mayBegin(clock.now(), x.request.id(), number))
                 ? guard.whyNotSend(x, call)
                 : "the module says no";
@@ -262,7 +267,7 @@
     }
 
     /** What lies in the sockets goes first: it may say that this must not be sent any more. */
-    private void begin(Upstreams.Call call) {
+    private void begin(UpstreamCall call) {
         SocketLook.before(loop, () -> {
             if (!call.ended()) {
                 upstreams.start(call);
@@ -273,11 +278,11 @@
     /** Whether its client is still there can't be known: no attempt begins any more. Without one it is over now. */
     void unwatched(Exchange x) {
         x.unwatched = true;
-        List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
+        List.copyOf(x.attempts).forEach(UpstreamCall::withdraw);
         if (x.state.isOver() || !x.noneOut()) {
             return;
         }
-        if (x.attempts.stream().allMatch(Upstreams.Call::neverRan)) {
+        if (x.attempts.stream().allMatch(UpstreamCall::neverRan)) {
             refuse(x.request.id(), 0);
         } else {
             fail(x);
@@ -297,7 +302,7 @@
     }
 
     /** An answer too long to be kept, or of which nobody knows how long it is, has begun to come. */
-    private boolean begins(Exchange x, int number, Upstreams.Call call, long length, Runnable resume) {
+    private boolean begins(Exchange x, int number, UpstreamCall call, long length, Runnable resume) {
         if (x.state.isOver() || !finish(x, RequestState.PASSING_ON)) {
             return false;
         }
@@ -312,7 +317,7 @@
         return true;
     }
 
-    private void ended(Exchange x, int number, Upstreams.Call call, Outcome outcome, LoadReport report, ByteBuf body) {
+    private void ended(Exchange x, int number, UpstreamCall call, Outcome outcome, LoadReport report, ByteBuf body) {
         outcomes.merge(outcome, 1, Integer::sum);
         long tookUs = upstreams.tookUs(call);
         RequestLog.outcome(x.request.id(), number, call.upstream, outcome, tookUs);
@@ -438,7 +443,7 @@
         }
         // A connection may still be coming up for one: whoever has gone, or has been answered, is sent nothing more
         // for.
-        List.copyOf(x.attempts).forEach(Upstreams.Call::withdraw);
+        List.copyOf(x.attempts).forEach(UpstreamCall::withdraw);
         forgetIfSettled(x);
         return true;
     }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
@@ -36,9 +35,11 @@
     private final Config config;
     private final ServerSocketChannel inherited;
     private final Module module;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, SocketLook.handlers());
-    private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
+    private final LoopDelay loopDelay = new LoopDelay();
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, TimedIoHandler.factory(SocketLook.handlers(), clock, loopDelay));
+    private final EventLoop loop = group.next();
     private final Decisions decisions = new Decisions();
     private final Upstreams upstreams;
     private final Invariants invariants = new Invariants();
@@ -63,7 +64,6 @@
     /** Null where no second address is named. */
     private InetSocketAddress administered;
 
-    private final LoopDelay loopDelay = new LoopDelay();
     private final AnswerDeadlines deadlines;
     private long worstLagUs;
     /** At the last line of the log; null where the kernel does not tell. */
@@ -87,9 +87,10 @@
         // Those who only come to stay are on the clients' side. What that does not use upstreams may have.
         int free = Math.max(2 * LEAST_PER_SIDE, config.sockets() - OWN_DESCRIPTORS);
         int ofClients = free - Math.max(LEAST_PER_SIDE, free / 4);
+        RunningTime time = new RunningTime(clock, loopDelay);
         upstreams = new Upstreams(
                 loop,
-                new RunningTime(clock, loopDelay),
+                time,
                 settings.limits().connIdleUs(),
                 Upstreams.REST_US,
                 config.dialTimeoutUs(),
@@ -97,7 +98,7 @@
                 budget);
         guard = new RequestGuard(clock, settings.classes(), invariants);
         requests = new Requests(
-                loop, clock, decisions, upstreams, guard, settings.limits().maxAttempts());
+                loop, time, decisions, upstreams, guard, settings.limits().maxAttempts());
         starts = new StartTimes(clock, System::currentTimeMillis);
         known = starts.known(config.known());
         discovery = new Discovery(
@@ -151,19 +152,15 @@
             return 2;
         }
         Log.style(config.log());
+        TcpInfo.load();
         Sidecar sidecar;
         try {
-            ServerSocketChannel inherited = null;
-            if (config.inherits()) {
-                inherited = System.inheritedChannel() instanceof ServerSocketChannel socket ? socket : null;
-                if (inherited == null) {
-                    throw new IOException("descriptor 0 is no listening socket");
-                }
-            }
+            ServerSocketChannel inherited = config.inherits() ? InheritedListener.open() : null;
             sidecar = new Sidecar(
                     config, inherited, (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
             // Before anybody can ask.
             sidecar.clients.notReady();
+            LoopWatch.begin(sidecar.loop, Sidecar::endWithoutLoop);
             sidecar.start();
         } catch (Exception e) {
             Log.event(Log.Level.ERROR, "can't start: " + e);
@@ -180,6 +177,16 @@
         return 0;
     }
 
+    /** Whoever supervises the process starts another. */
+    private static void endWithoutLoop() {
+        try {
+            Log.event(Log.Level.ERROR, "the event loop has ended, and the process with it");
+            Log.writeLastLines();
+        } finally {
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
     /** The configuration file was replaced. */
     void reload(Map<String, String> environment) {
         reload.begin(environment);
@@ -234,11 +241,14 @@
         long now = clock.now();
         long behindUs = loopDelay.behindUs(now);
         worstLagUs = Math.max(worstLagUs, behindUs);
+        // The turn that this beat is part of is told only when it is over.
         loopDelay.delayed(now, behindUs);
+        if (loopDelay.recentUs() >= Requests.LEAST_GAIN_US) {
+            requests.tighten(deadlines);
+        }
         if (behindUs < LoopDelay.LATE_US) {
             loopDelay.beat(now);
         } else {
-            requests.tighten(deadlines);
             // What lay in the sockets meanwhile is read only now, and is as old as the hold-up.
             loop.schedule(() -> loopDelay.beat(clock.now()), LoopDelay.LOOK_MS, TimeUnit.MILLISECONDS);
         }
@@ -420,7 +430,7 @@
 
         @Override
         public void probe(String upstream) {
-            upstreams.start(new Upstreams.Call(
+            upstreams.start(new UpstreamCall(
                     upstream,
                     clock.now() + PROBE_US,
                     true,
--- a/src/main/java/rushproxy/sidecar/TcpInfo.java
+++ b/src/main/java/rushproxy/sidecar/TcpInfo.java
@@ -17,7 +17,23 @@
     /** The kernel does not tell. */
     static final long UNKNOWN = -1;
 
-    private static final TcpInfo KERNEL = find();
+    /** Null where a part is missing. */
+    private static final TcpInfo KERNEL;
+    /** Why nothing is known; null where it is. */
+    private static final String MISSING;
+
+    static {
+        TcpInfo found = null;
+        String missing = null;
+        try {
+            found = find();
+        } catch (ReflectiveOperationException | RuntimeException | LinkageError e) {
+            missing = rootOf(e).toString();
+        }
+        KERNEL = found;
+        MISSING = missing;
+    }
+
     private static final long US_A_MS = 1_000;
 
     private final Field descriptor;
@@ -31,22 +47,30 @@
         this.read = read;
     }
 
-    /** Null where a part is missing. */
-    private static TcpInfo find() {
-        try {
-            if (!Epoll.isAvailable()) {
-                return null;
-            }
-            Class<?> linuxSocket = Class.forName("io.netty.channel.epoll.LinuxSocket");
-            Field descriptor = Class.forName("sun.nio.ch.SocketChannelImpl").getDeclaredField("fdVal");
-            Constructor<?> socket = linuxSocket.getDeclaredConstructor(int.class);
-            Method read = linuxSocket.getDeclaredMethod("getTcpInfo", EpollTcpInfo.class);
-            for (AccessibleObject part : new AccessibleObject[] {descriptor, socket, read}) {
-                part.setAccessible(true);
-            }
-            return new TcpInfo(descriptor, socket, read);
-        } catch (ReflectiveOperationException | RuntimeException | LinkageError e) {
-            return null;
+    private static TcpInfo find() throws ReflectiveOperationException {
+        Epoll.ensureAvailability();
+        Class<?> linuxSocket = Class.forName("io.netty.channel.epoll.LinuxSocket");
+        Field descriptor = Class.forName("sun.nio.ch.SocketChannelImpl").getDeclaredField("fdVal");
+        Constructor<?> socket = linuxSocket.getDeclaredConstructor(int.class);
+        Method read = linuxSocket.getDeclaredMethod("getTcpInfo", EpollTcpInfo.class);
+        for (AccessibleObject part : new AccessibleObject[] {descriptor, socket, read}) {
+            part.setAccessible(true);
+        }
+        return new TcpInfo(descriptor, socket, read);
+    }
+
+    private static Throwable rootOf(Throwable e) {
+        Throwable root = e;
+        while (root.getCause() != null) {
+            root = root.getCause();
+        }
+        return root;
+    }
+
+    /** Loads all that the call takes, which reads files and may unpack one: not for the event loop. What is missing is told once. */
+    static void load() {
+        if (MISSING != null) {
+            Log.warn("the kernel's figures for connections are unknown: " + MISSING);
         }
     }
 
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -5,7 +5,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
@@ -20,10 +20,11 @@
 /** Connections and the list: everything here happens on one event loop, as in the program. */
 @Timeout(60)
 class UpstreamsTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
     private final LoopDelay loopDelay = new LoopDelay();
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, TimedIoHandler.factory(SocketLook.handlers(), clock, loopDelay));
+    private final EventLoop loop = group.next();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
 
     @AfterEach
@@ -55,12 +56,12 @@
         return UpstreamList.of(Json.parse(Rig.list(1, whole, entries).getBytes(StandardCharsets.UTF_8)));
     }
 
-    private Upstreams.Call call(String upstream) {
+    private UpstreamCall call(String upstream) {
         return call(upstream, 20_000_000);
     }
 
-    private Upstreams.Call call(String upstream, long withinUs) {
-        return new Upstreams.Call(
+    private UpstreamCall call(String upstream, long withinUs) {
+        return new UpstreamCall(
                 upstream,
                 clock.now() + withinUs,
                 false,
@@ -101,6 +102,49 @@
         }
     }
 
+    /** Guards against a repeat that a process, held up between its last look at the clock and the write, sends after its window. */
+    @Test
+    void whatMayNotBeginAnyMoreAtItsFirstByteIsNotSent() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = upstreams(15_000_000, 100);
+            java.util.concurrent.atomic.AtomicLong closesUs =
+                    new java.util.concurrent.atomic.AtomicLong(Long.MAX_VALUE);
+            UpstreamCall late = new UpstreamCall(
+                    "u",
+                    clock.now() + 20_000_000,
+                    false,
+                    left -> {
+                        closesUs.set(clock.now() + 5_000);
+                        while (clock.now() < closesUs.get()) {
+                            Thread.onSpinWait();
+                        }
+                        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
+                    },
+                    null,
+                    new CallResult() {
+                        @Override
+                        public boolean mayBegin(UpstreamCall c) {
+                            return clock.now() < closesUs.get();
+                        }
+
+                        @Override
+                        public void ended(
+                                UpstreamCall c,
+                                rushproxy.Balancer.Outcome outcome,
+                                rushproxy.Balancer.LoadReport report,
+                                io.netty.buffer.ByteBuf body) {
+                            outcomes.add("u " + outcome);
+                        }
+                    });
+            loop.execute(() -> {
+                upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0)));
+                upstreams.start(late);
+            });
+            assertEquals("u NOT_SENT", outcome());
+            assertTrue(up.messages.isEmpty(), "its first byte left after its window");
+        }
+    }
+
     /** The same upstream named again, as in every whole list, is no change: its connections stay. */
     @Test
     void aListThatSaysTheSameKeepsTheConnections() throws Exception {
@@ -157,7 +201,7 @@
                 Body body = new Body(() -> {}, -1);
                 loop.execute(() -> {
                     body.add(io.netty.buffer.Unpooled.wrappedBuffer(new byte[100]));
-                    upstreams.start(new Upstreams.Call(
+                    upstreams.start(new UpstreamCall(
                             "u",
                             clock.now() + 20_000_000,
                             false,
@@ -296,8 +340,8 @@
      * Starts the call while the loop handles a socket, and holds the loop up there: its timers run next, and only then does it ask
      * which sockets are ready.
      */
-    private void startAndHoldUp(Upstreams upstreams, Upstreams.Call call) {
-        loop.execute(() -> upstreams.start(new Upstreams.Call(
+    private void startAndHoldUp(Upstreams upstreams, UpstreamCall call) {
+        loop.execute(() -> upstreams.start(new UpstreamCall(
                 "u",
                 clock.now() + 20_000_000,
                 false,
@@ -319,6 +363,23 @@
         }
     }
 
+    /** Guards against a time-out that runs behind a look which passed over its socket, whose registration was being made anew. */
+    @Test
+    void anAnswerBehindAWithdrawnRegistrationIsTaken() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = used(up);
+            UpstreamCall call = call("u", DIAL_US);
+            loop.execute(() -> {
+                upstreams.start(call);
+                loop.execute(() -> {
+                    ((TcpConnection) call.channel).withdrawInterest();
+                    holdUp();
+                });
+            });
+            assertEquals("u OK", outcome());
+        }
+    }
+
     /** It is up, but its call's time was used up here. */
     @Test
     void aCallWhoseTimeEndsInAHoldUpIsNoFailureOfItsUpstream() throws Exception {
@@ -358,7 +419,7 @@
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = used(up);
             up.script = (m, line) -> {};
-            Upstreams.Call call = call("u", DIAL_US);
+            UpstreamCall call = call("u", DIAL_US);
             loop.execute(() -> {
                 loopDelay.beat(clock.now());
                 upstreams.start(call);
@@ -400,4 +461,20 @@
         }
         return full;
     }
+
+    /** A late loop took another turn for a look at the sockets that it had looked at since, and was as late again. */
+    @Test
+    void aTimeOutThatComesLateTakesNoFurtherTurn() throws Exception {
+        BlockingQueue<String> order = new LinkedBlockingQueue<>();
+        TimeOuts timeOuts = new TimeOuts(loop, new RunningTime(clock, loopDelay));
+        loop.execute(() -> {
+            timeOuts.at(clock.now(), () -> true, () -> order.add("time-out"));
+            Runnable turnEnds = () -> order.add("end of the turn");
+            loop.schedule(
+                    () -> ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(turnEnds),
+                    0,
+                    TimeUnit.MILLISECONDS);
+        });
+        assertEquals("time-out", order.poll(20, TimeUnit.SECONDS));
+    }
 }
