Tests: LateLoopTest judges by when an answer is due in the end, not at its taking

Cause: the test was wrong. It took the due time at which the request was taken; the loop's delay had grown since and the deadline had been moved (tighten). It compared the loop's delay with a time that did not hold any more. Change: the due time is asked of Requests as the time-out ends. The bound is as it was.

--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -64,6 +64,11 @@
         return open.containsKey(id);
     }
 
+    /** By when a request that is held is to be answered, as it stands now. */
+    long dueUs(String id) {
+        return open.get(id).deadlineUs;
+    }
+
     /** Its body may still be coming: {@link #complete} tells when it is not. */
     void take(Exchange x) {
         taken++;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -364,6 +364,10 @@
         return clients;
     }
 
+    Requests requests() {
+        return requests;
+    }
+
     Invariants invariants() {
         return invariants;
     }
--- a/src/test/java/rushproxy/sidecar/LateLoopTest.java
+++ b/src/test/java/rushproxy/sidecar/LateLoopTest.java
@@ -87,13 +87,15 @@
             rig.onRequest = (now, r, out) -> {
                 Course course = new Course();
                 course.takenUs = nowUs();
-                course.dueUs = course.takenUs + r.remainingUs();
                 course.busyBeforeUs = busyUs;
                 courses.put(r.id(), course);
                 out.send(r.id(), "u0", 0);
             };
             rig.onOutcome = (id, outcome, done, out) -> {
-                courses.get(id).ranUs = nowUs();
+                Course course = courses.get(id);
+                course.ranUs = nowUs();
+                // As it stands in the end: it may have been moved since the request was taken.
+                course.dueUs = course.ranUs + rig.sidecar.requests().dueUs(id) - new Clock().now();
                 out.fail(id);
             };
             rig.start();
