Tests: a request that is not held any more has no due time to ask for

What was seen: "the module failed: NullPointerException" in LateLoopTest, whose stand-in for the module asked for the due time of a request that was over (1 ms of patience, answered before its attempt ended). The test held; its first requests ended by the failure's way. Change: the due time is empty there, and the one at the taking stays. LateLoopTest 2 of 2, no such line.

--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 
@@ -64,9 +65,9 @@
         return open.containsKey(id);
     }
 
-    /** By when a request that is held is to be answered, as it stands now. */
-    long dueUs(String id) {
-        return open.get(id).deadlineUs;
+    /** By when a request is to be answered, as it stands now; empty where it is not held. */
+    OptionalLong dueUs(String id) {
+        return open.containsKey(id) ? OptionalLong.of(open.get(id).deadlineUs) : OptionalLong.empty();
     }
 
     /** Its body may still be coming: {@link #complete} tells when it is not. */
--- a/src/test/java/rushproxy/sidecar/LateLoopTest.java
+++ b/src/test/java/rushproxy/sidecar/LateLoopTest.java
@@ -87,6 +87,7 @@
             rig.onRequest = (now, r, out) -> {
                 Course course = new Course();
                 course.takenUs = nowUs();
+                course.dueUs = course.takenUs + r.remainingUs();
                 course.busyBeforeUs = busyUs;
                 courses.put(r.id(), course);
                 out.send(r.id(), "u0", 0);
@@ -95,7 +96,10 @@
                 Course course = courses.get(id);
                 course.ranUs = nowUs();
                 // As it stands in the end: it may have been moved since the request was taken.
-                course.dueUs = course.ranUs + rig.sidecar.requests().dueUs(id) - new Clock().now();
+                rig.sidecar
+                        .requests()
+                        .dueUs(id)
+                        .ifPresent(due -> course.dueUs = course.ranUs + due - new Clock().now());
                 out.fail(id);
             };
             rig.start();
