Clients: connections give way until a place is free, and none is lost for good

Cause: only an accept asked for room, and while there is none nothing is accepted. Three orders of events left a sidecar full with no look for room due: a listener reads several connections in a turn, and the one look that followed for all of them closed one; a dial took the last place that clients had left free; an error while a connection was set up left it among those open.

Evidence: a trial told the state of each connection while the listener was not read. 52 times in a row: 156 open, limit 156, none busy, none lingering, quiet for up to 470 s, no look due; 158 of 156 before it. By tests that force each of the orders the same was found apart from that trace.

A dial leaves a place for the next client. A connection is taken off the list by its close whatever becomes of its set-up. The line of the log tells the limit.

--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/ClientPlaces.java
@@ -0,0 +1,126 @@
+package rushproxy.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+
+/**
+ * The connections of clients that are open, and the limit on how many may be. Where all places are taken, connections that nobody
+ * waits on give way until one is free: what listens may stand still until then, so that no further client would ask for it.
+ */
+final class ClientPlaces {
+    /** So many quiet connections are read once more, in search of one that brings nothing. */
+    private static final int MOST_LOOKED_AT = 3;
+    /** At most this part of the connections may be waiting for their clients' end. */
+    private static final int LINGERING_PART = 8;
+
+    private static final long LOOK_AGAIN_MS = 20;
+
+    private final EventLoop loop;
+    /** As many may be open now: it follows what upstreams take. */
+    private final IntSupplier limit;
+
+    private final Set<ClientConnection> connections = new HashSet<>();
+    /** Those of them whose output has ended, the oldest first. */
+    private final ArrayDeque<ClientConnection> lingering = new ArrayDeque<>();
+    /** A further look for a place is due. */
+    private boolean looksAgain;
+
+    ClientPlaces(EventLoop loop, IntSupplier limit) {
+        this.loop = loop;
+        this.limit = limit;
+    }
+
+    void add(ClientConnection connection) {
+        connections.add(connection);
+    }
+
+    void remove(ClientConnection connection) {
+        connections.remove(connection);
+        lingering.remove(connection);
+    }
+
+    /** Those that are open now, in no order. */
+    Set<ClientConnection> all() {
+        return Set.copyOf(connections);
+    }
+
+    int open() {
+        return connections.size();
+    }
+
+    int limit() {
+        return limit.getAsInt();
+    }
+
+    boolean isAnyFree() {
+        return open() < limit();
+    }
+
+    boolean isAnyLingering() {
+        return !lingering.isEmpty();
+    }
+
+    /** Its output has ended. No more than a few wait so at once, and none where its descriptor is wanted. */
+    void lingers(ClientConnection connection) {
+        lingering.add(connection);
+        int most = isAnyFree() ? Math.max(1, limit() / LINGERING_PART) : 0;
+        while (lingering.size() > most) {
+            lingering.poll().close(CloseReason.ROOM_NEEDED);
+        }
+    }
+
+    /** Ends connections until a place is free. Where too few can end now they are looked at again soon, for as long as none is. */
+    void keepOneFree() {
+        while (!isAnyFree()) {
+            if (!freeOne()) {
+                lookAgain();
+                return;
+            }
+        }
+    }
+
+    private void lookAgain() {
+        if (!looksAgain) {
+            looksAgain = true;
+            loop.schedule(
+                    () -> {
+                        looksAgain = false;
+                        keepOneFree();
+                    },
+                    LOOK_AGAIN_MS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /**
+     * One that only waits for its client's end goes, else one between requests: its client opens another where it needs one. One that
+     * has just come may be about to bring its first request.
+     */
+    private boolean freeOne() {
+        int before = open();
+        ClientConnection lingers = lingering.poll();
+        if (lingers != null) {
+            lingers.close(CloseReason.ROOM_NEEDED);
+        }
+        for (int looks = 0; open() >= before && looks < MOST_LOOKED_AT; looks++) {
+            Optional<ClientConnection> quietest = quietest();
+            if (quietest.isEmpty()) {
+                break;
+            }
+            quietest.get().closeUnlessItBrings(CloseReason.ROOM_NEEDED);
+        }
+        return open() < before;
+    }
+
+    private Optional<ClientConnection> quietest() {
+        return connections.stream()
+                .filter(connection -> connection.quiet() && !connection.isYoung())
+                .min(Comparator.comparingLong(ClientConnection::activeUs));
+    }
+}
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -12,16 +12,11 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.util.ArrayDeque;
-import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
 
@@ -63,10 +58,6 @@
 
     private static final long DRAIN_DUE_US = 3_700_000;
     private static final long DRAIN_CLOSED_US = 3_900_000;
-    /** So many quiet connections are read once more, in search of one that brings nothing. */
-    private static final int MOST_LOOKED_AT = 3;
-    /** At most this part of the clients' connections may be waiting for their clients' end. */
-    private static final int LINGERING_PART = 8;
 
     /** A peer that has sent nothing, or not the rest of a request, for this long gets a close: due within 3 s. */
     private static final long PATIENCE_US = 2_500_000;
@@ -82,8 +73,6 @@
     private final Clock clock;
     private final Set<String> classes;
     private final BooleanSupplier canServe;
-    /** As many may be open now: it follows what upstreams take. */
-    private final IntSupplier maxConnections;
 
     private final Budget budget;
     private final LoopDelay loopDelay;
@@ -92,10 +81,7 @@
     /** No client waits longer than this for an answer. */
     private final long longestUs;
 
-    private final Set<ClientConnection> connections = new HashSet<>();
-    /** Those of them whose output has ended, the oldest first. */
-    private final ArrayDeque<ClientConnection> lingering = new ArrayDeque<>();
-
+    private final ClientPlaces places;
     private final UnansweredConnections unanswered = new UnansweredConnections();
     private Channel listener;
     /** The listener is another's too: leaving it is not closing it. */
@@ -119,8 +105,6 @@
     private long drainAtUs;
 
     private boolean drainLooked;
-    /** All places are taken and none could be freed: that is tried again soon. */
-    private boolean roomWanted;
 
     ClientServer(
             EventLoop loop,
@@ -128,7 +112,7 @@
             Requests requests,
             List<RequestClass> classes,
             BooleanSupplier canServe,
-            IntSupplier maxConnections,
+            ClientPlaces places,
             Budget budget,
             LoopDelay loopDelay,
             AnswerDeadlines deadlines,
@@ -139,7 +123,7 @@
         this.classes = classes.stream().map(RequestClass::name).collect(Collectors.toSet());
         longestUs = classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
         this.canServe = canServe;
-        this.maxConnections = maxConnections;
+        this.places = places;
         this.budget = budget;
         this.loopDelay = loopDelay;
         this.deadlines = deadlines;
@@ -214,71 +198,19 @@
         acceptedUs = clock.now();
         ClientConnection connection =
                 new ClientConnection(channel, clock, classes, this, budget, loopDelay, deadlines, guard);
-        connections.add(connection);
-        if (connections.size() >= maxConnections.getAsInt()) {
-            makeRoom();
-        }
-        // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
         // The listener as the connection knows it: the first one may come before the bind has been told here.
         ChannelConfig accepting = channel.parent().config();
-        accepting.setAutoRead(hasRoom());
+        places.add(connection);
         channel.closeFuture().addListener(f -> {
-            connections.remove(connection);
-            lingering.remove(connection);
+            places.remove(connection);
             accepting.setAutoRead(hasRoom());
         });
+        places.keepOneFree();
+        // Beyond the limit they wait in the backlog: descriptors are needed for upstreams too.
+        accepting.setAutoRead(hasRoom());
         channel.pipeline().addLast(connection.input(), new RequestDecoder(), new HttpResponseEncoder(), connection);
     }
 
-    /**
-     * One that only waits for its client's end goes, else one between requests: its client opens another where it needs one. One that
-     * has just come may be about to bring its first request. Where none can go they are looked at again soon.
-     */
-    private void makeRoom() {
-        ClientConnection lingers = lingering.poll();
-        if (lingers != null) {
-            lingers.close(CloseReason.ROOM_NEEDED);
-            return;
-        }
-        for (int i = 0; i < MOST_LOOKED_AT; i++) {
-            Optional<ClientConnection> quietest = quietest();
-            if (quietest.isEmpty()) {
-                break;
-            }
-            if (quietest.get().closeUnlessItBrings(CloseReason.ROOM_NEEDED)) {
-                return;
-            }
-        }
-        if (!roomWanted) {
-            roomWanted = true;
-            loop.schedule(this::makeRoomIfWanted, LOOK_MS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void makeRoomIfWanted() {
-        roomWanted = false;
-        if (connections.size() >= maxConnections.getAsInt()) {
-            makeRoom();
-        }
-    }
-
-    private Optional<ClientConnection> quietest() {
-        return connections.stream()
-                .filter(c -> c.quiet() && !c.isYoung())
-                .min(Comparator.comparingLong(ClientConnection::activeUs));
-    }
-
-    /** Its output has ended. No more than a few wait so at once, and none where its descriptor is wanted. */
-    void lingers(ClientConnection connection) {
-        lingering.add(connection);
-        int most = connections.size() >= maxConnections.getAsInt()
-                ? 0
-                : Math.max(1, maxConnections.getAsInt() / LINGERING_PART);
-        while (lingering.size() > most) {
-            lingering.poll().close(CloseReason.ROOM_NEEDED);
-        }
-    }
-
     /** When every connection has to be closed, whatever is still waited for. */
     long openUntilUs() {
         if (stopAtUs > 0) {
@@ -288,14 +220,15 @@
     }
 
     private boolean hasRoom() {
-        return connections.size() < maxConnections.getAsInt() && !endedInputs;
+        return places.isAnyFree() && !endedInputs;
     }
 
     private void closeUnfinished() {
         long now = clock.now();
-        // Upstreams may have given back what clients can use.
+        // The limit follows what upstreams take: by now it may leave no place, or one.
+        places.keepOneFree();
         listener.config().setAutoRead(hasRoom());
-        for (ClientConnection c : List.copyOf(connections)) {
+        for (ClientConnection c : places.all()) {
             c.closeIfUnfinished(now, PATIENCE_US, FIRST_PATIENCE_US);
         }
     }
@@ -332,11 +265,21 @@
 
     /** Those that are open now, in no order. */
     Set<ClientConnection> connections() {
-        return Set.copyOf(connections);
+        return places.all();
     }
 
     int open() {
-        return connections.size();
+        return places.open();
+    }
+
+    /** As many may be open now. */
+    int limit() {
+        return places.limit();
+    }
+
+    /** Its output has ended, and its client's end is waited for. */
+    void lingers(ClientConnection connection) {
+        places.lingers(connection);
     }
 
     boolean ready() {
@@ -385,7 +328,7 @@
         long age = now - drainAtUs;
         if (age >= DRAIN_ON_US) {
             long quietUs = age < DRAIN_ALL_US ? DRAIN_QUIET_US : 0;
-            for (ClientConnection c : Set.copyOf(connections)) {
+            for (ClientConnection c : places.all()) {
                 boolean due = age >= DRAIN_DUE_US;
                 c.closeIfQuiet(now - quietUs, due ? now : 0, !due, CloseReason.DRAINING);
             }
@@ -412,7 +355,7 @@
      */
     private void endInputs() {
         stopTaking();
-        for (ClientConnection c : Set.copyOf(connections)) {
+        for (ClientConnection c : places.all()) {
             c.endUnlessItBrings(CloseReason.STOPPING);
         }
     }
@@ -433,18 +376,19 @@
 
     /** Clients that have not ended their side yet are waited for up to the last moment: the process's end may reset them. */
     private boolean mayGo(long leftUs) {
-        return connections.stream().noneMatch(ClientConnection::owes) && (lingering.isEmpty() || leftUs < LAST_LOOK_US);
+        return places.all().stream().noneMatch(ClientConnection::owes)
+                && (!places.isAnyLingering() || leftUs < LAST_LOOK_US);
     }
 
     private void look(Runnable stopped) {
         long now = clock.now();
         long left = killedAtUs - now;
-        if (connections.isEmpty() && now - nobodyCameSinceUs() >= SERVE_ON_US && now - closedUs >= CROSSED_US) {
+        if (places.open() == 0 && now - nobodyCameSinceUs() >= SERVE_ON_US && now - closedUs >= CROSSED_US) {
             SocketLook.before(loop, () -> leaveUnlessSomebodyCame(stopped));
             return;
         }
         if (shared ? now - stopAtUs >= SERVE_ON_US : left < GOODBYE_US) {
-            for (ClientConnection c : Set.copyOf(connections)) {
+            for (ClientConnection c : places.all()) {
                 boolean lastCall = left < LAST_CALL_US;
                 if (c.closeIfQuiet(
                         lastCall ? now : now - QUIET_US,
@@ -468,7 +412,7 @@
     }
 
     private void leaveUnlessSomebodyCame(Runnable stopped) {
-        if (connections.isEmpty()) {
+        if (places.open() == 0) {
             leave(stopped);
         } else {
             look(stopped);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -94,7 +94,8 @@
                 settings.limits().connIdleUs(),
                 Upstreams.REST_US,
                 config.dialTimeoutUs(),
-                () -> free - Math.min(ofClients, clients().open()),
+                // A place for the next client is none of those that clients do not use.
+                () -> free - Math.min(ofClients, clients().open() + 1),
                 budget);
         guard = new RequestGuard(clock, settings.classes(), invariants);
         requests = new Requests(
@@ -130,7 +131,7 @@
                 requests,
                 settings.classes(),
                 upstreams::anyReady,
-                () -> Math.min(ofClients, free - upstreams.open()),
+                new ClientPlaces(loop, () -> Math.min(ofClients, free - upstreams.open())),
                 budget,
                 loopDelay,
                 deadlines,
@@ -377,7 +378,8 @@
     }
 
     private String held() {
-        return clients.open() + " connections of clients, " + upstreams.open() + " to upstreams";
+        return clients.open() + " of " + clients.limit() + " connections of clients, " + upstreams.open()
+                + " to upstreams";
     }
 
     /** The operators have called upstreams out or back, here or at the other process of an upgrade. */
