A silent server is tried by a new connection, not taken for a dropped idle one

Callers saw: while a server stayed silent, the word "silent" of the sidecars that share came and lapsed two or three times in 8 s, and requests went to the server anew.

Cause: the module counts a connection's idle time from the last outcome. A time-out ends its connection, so after an ejection the next request goes by a new one, yet it counted as idle for as long as the ejection had lasted. Its time-out was told as "drops idle", did not count as a failure of the server, and took the place of the own word "silent", since a sidecar has one word on a server.

Evidence: eight sidecars, one server silent for 8 s, no load, each outcome traced. All four witnesses told "drops idle" 0.4 to 0.7 s after their first ejection, with an idle time of 410 to 677 ms; at 8 s two of the eight held "one witness alone".

Fix: the first request after an ejection closes what idle connections are left and goes by a new one, so that its end speaks of the server. Where connections have no price, idle time is not looked at, as before.

A dropped idle connection is still found (PolicyTest).

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -844,7 +844,8 @@
         slowStart.sent(now, s, r.work);
         boolean others = s.own > (a.running ? 1 : 0);
         a.idle = others || now - s.usedAt > cfg.limits().connIdleUs() ? 0 : now - s.usedAt;
-        if (a.idle >= idleLimit) {
+        // What is tried after an ejection goes by a new connection: its end speaks of the server alone.
+        if (a.idle >= idleLimit || subset && s.ejections > 0) {
             out.close(s.id);
             a.idle = 0;
         }
