A silent server is not told to be slow or cold while its silence lasts

Callers saw: beside load one sidecar of eight held "slow" against a server that was silent, where "silent" was asked, and without load the same word came from two of them.

Cause: time-outs teach a server's slowness too, and after three of them the module told "slow" (of a server just started: "cold"). A sidecar has one word on a server, the latest, so "silent" was gone, and with it a witness, until the next ejection.

Fix: slowness and age are told only of a server that has answered since its last ejection.

Test: the rows SLOW of SilentServerTest, four of four failed before.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -380,8 +380,10 @@
         return told ? Math.max(1, Math.min(cfg.balancers(), fleet.here())) : cfg.balancers();
     }
 
-    /** What only own answers and the list show, told on while it is fresh. */
+    /** What only own answers and the list show, told on while it is fresh; not of a server that was ejected and
+     * has not answered since, of which the failure is the word. */
     private void tellOf(long now, Server s) {
+        if (s.ejections > 0) return;
         boolean slow = s.apart > APART && now - s.heardAt < TELL_US, cold = warmth(s, now) < 1;
         if (!slow && !cold || now - s.toldAt < HEARD_US) return;
         s.toldAt = now;
--- a/src/test/java/rushproxy/SilentServerTest.java
+++ b/src/test/java/rushproxy/SilentServerTest.java
@@ -118,7 +118,11 @@
         "DROPS_IDLE, 1, 40000",
         "DROPS_IDLE, 1, 1000000",
         "DROPS_IDLE, 8, 40000",
-        "DROPS_IDLE, 8, 1000000"
+        "DROPS_IDLE, 8, 1000000",
+        "SLOW, 1, 40000",
+        "SLOW, 1, 1000000",
+        "SLOW, 8, 40000",
+        "SLOW, 8, 1000000"
     })
     void nothingElseIsToldOfAServerThatStaysSilent(Evidence other, int sidecars, long everyUs) {
         play(sidecars, everyUs);
