Each failure of a server known to be failing is told, not each second one alone

Callers saw: the word of a sidecar whose requests are few was given up while the server was still silent.

Cause: a word counts for 12 s after the last evidence. After an ejection of 8 s evidence was told only at the next one, and that takes two more failures: at one request a second, one in four for this server, up to 14.5 s came between two of them.

Fix: from the first ejection until an answer each failure is told. The first ejection still takes two failures.

Test: one sidecar, a server silent for 60 s; with one request a second the gap was 14.5 s before.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -380,8 +380,8 @@
         return told ? Math.max(1, Math.min(cfg.balancers(), fleet.here())) : cfg.balancers();
     }
 
-    /** What only own answers and the list show, told on while it is fresh; not of a server that was ejected and
-     * has not answered since, of which the failure is the word. */
+    /** What only own answers and the list show, told on while it is fresh; not of a server that was ejected
+     * and has not answered since, of which the failure is the word. */
     private void tellOf(long now, Server s) {
         if (s.ejections > 0) return;
         boolean slow = s.apart > APART && now - s.heardAt < TELL_US, cold = warmth(s, now) < 1;
@@ -1022,9 +1022,14 @@
 
     private void failed(long now, Server s, int weight, Evidence kind) {
         s.failures += weight;
-        if (s.failures < EJECT_AFTER || now < s.ejectedUntil) return;
-        s.failedAt = now;
-        out.evidence(s.id, kind, s.failures);
+        if (now < s.ejectedUntil) return;
+        boolean ejected = s.failures >= EJECT_AFTER;
+        // Once it is known to fail, each further failure tells that it still does.
+        if (ejected || weight > 0 && s.failedAt >= 0) {
+            s.failedAt = now;
+            out.evidence(s.id, kind, s.failures);
+        }
+        if (!ejected) return;
         s.failures = 0;
         s.ejectedUntil = now + Math.min(EJECT_MOST_US, EJECT_US << Math.min(s.ejections, 10));
         s.ejections++;
--- a/src/test/java/rushproxy/SilentServerTest.java
+++ b/src/test/java/rushproxy/SilentServerTest.java
@@ -20,6 +20,8 @@
     private static final long SILENT_FROM = 10 * S;
     private static final long SILENT_TO = 70 * S;
     private static final long END = 100 * S;
+    /** Own evidence that is older is told no more. */
+    private static final long FRESH = 12 * S;
 
     /** What one sidecar's module has told of the server. */
     private record Told(long us, Evidence kind) {}
@@ -131,4 +133,16 @@
             assertTrue(of.stream().noneMatch(t -> t.kind == other), "n" + m + ": " + of);
         }
     }
+
+    /** Where requests are few, time-outs came too far apart: the word was given up while the silence lasted. */
+    @ParameterizedTest
+    @CsvSource({"40000", "1000000"})
+    void silenceIsToldAgainBeforeTheWordIsTooOld(long everyUs) {
+        play(1, everyUs);
+        List<Told> of = whileSilent(0);
+        for (int i = 0; i < of.size(); i++) {
+            long next = i + 1 < of.size() ? of.get(i + 1).us : SILENT_TO;
+            assertTrue(next - of.get(i).us < FRESH, of.toString());
+        }
+    }
 }
