After an ejection only a connection that was idle for long is replaced

Cause: each request after an ejection closed the connections to its server, also those that had been in use just before, whose failures are the server's anyway (`idleDropped` asks for 0.2 s of idle time). Each took a handshake.

Fix: a connection is replaced where its idle time would be looked at.

SilentServerTest and PolicyTest pass.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -847,7 +847,7 @@
         boolean others = s.own > (a.running ? 1 : 0);
         a.idle = others || now - s.usedAt > cfg.limits().connIdleUs() ? 0 : now - s.usedAt;
         // What is tried after an ejection goes by a new connection: its end speaks of the server alone.
-        if (a.idle >= idleLimit || subset && s.ejections > 0) {
+        if (a.idle >= idleLimit || subset && s.ejections > 0 && a.idle >= IDLE_LEAST_US) {
             out.close(s.id);
             a.idle = 0;
         }
