Witnesses go on trying a silent server, so its verdict does not lapse while it lasts

Callers saw: with a server silent for longer than 12 s the word of all sidecars ended, each sent requests to the server anew and lost them, and the verdict came back some seconds later.

Cause: 5 s after its own last failure a witness was bound by the fleet's word too, which it had given itself. So nobody tried the server, no evidence was renewed, and after 12 s the words were given up. Where requests are few, the draw also took long to come to the server once its ejection had ended.

Fix: a verdict says whether the own word is among its words. Witnesses go by their own ejection, at most 8 s, and the next request with a free core takes the turn then. All others are bound as before.

Test: eight modules, a server silent for 60 s: at each second from 20 s after it fell silent the verdict holds at all, and 18 s after its return at none. Both rates failed before.

--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -196,9 +196,17 @@
     /**
      * Word of the fleet on an upstream. {@code holds}: witnesses enough speak against it, and it is to be believed where the own
      * evidence says nothing fresher; else it is accused only, and whoever knows better says so. {@code factor} is as
-     * {@link Evidence} has it. From {@code untilUs} on it counts as never told.
+     * {@link Evidence} has it. {@code ownWord}: this instance is one of the witnesses. From {@code untilUs} on it counts as
+     * never told.
      */
-    record Verdict(String upstream, Evidence kind, double factor, int witnesses, boolean holds, long untilUs) {}
+    record Verdict(
+            String upstream,
+            Evidence kind,
+            double factor,
+            int witnesses,
+            boolean ownWord,
+            boolean holds,
+            long untilUs) {}
 
     /**
      * The own share of a fleet-wide limit: {@code per} second, or in flight, of all requests, a class or a tenant. From {@code
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -391,16 +391,23 @@
         else out.evidence(s.id, Evidence.COLD, (now - s.startedAt) / 1e6);
     }
 
+    /** Out by words of which one is the own: tried when the ejection ends, so that the word stays true. */
+    private final List<Server> accused = new ArrayList<>();
+
     /** Own fresh evidence goes before any word, and is told where a word says otherwise. What is out by word
-     * is tried again, one request at a time, when the word ends. A word never makes a cold server warmer. */
+     * is tried again, one request at a time, when the word ends; by its witnesses when their own ejection
+     * ends, since a word that nobody renews lapses. A word never makes a cold server warmer. */
     @Override
     public void onVerdicts(long now, List<Verdict> verdicts) {
+        accused.clear();
         for (Verdict v : verdicts) {
             Server s = servers.get(v.upstream());
             if (s == null || now >= v.untilUs()) continue;
             boolean answers = now - s.answeredAt < FRESH_US && s.failures == 0 && s.ejections == 0;
             if (answers && v.kind().out()) out.evidence(s.id, Evidence.GOOD, 1);
-            if (!v.holds() || v.kind().out() && (answers || now - s.failedAt < HEARD_US)) continue;
+            if (v.ownWord() && v.kind().out()) accused.add(s);
+            boolean own = answers || v.ownWord() || now - s.failedAt < HEARD_US;
+            if (!v.holds() || v.kind().out() && own) continue;
             switch (v.kind()) {
                 case SILENT, FAILING, FAILING_FAST -> {
                     s.ejections = Math.max(1, s.ejections);
@@ -570,6 +577,9 @@
         for (Server s : owed) {
             if (turn == null && s.own == 0 && hasRoom(now, r, s, true)) turn = s;
         }
+        for (Server s : accused) {
+            if (turn == null && s.ejections > 0 && s.own == 0 && hasRoom(now, r, s, true)) turn = s;
+        }
         for (int i = 0; i < cold.size() && turn == null; i++) {
             turn = hasRoom(now, r, cold.get(i), true) ? cold.get(i) : null;
         }
--- a/src/main/java/rushproxy/fleet/shared/Verdicts.java
+++ b/src/main/java/rushproxy/fleet/shared/Verdicts.java
@@ -136,7 +136,7 @@
     }
 
     private static Verdict holds(Verdict v, boolean holds) {
-        return new Verdict(v.upstream(), v.kind(), v.factor(), v.witnesses(), holds, v.untilUs());
+        return new Verdict(v.upstream(), v.kind(), v.factor(), v.witnesses(), v.ownWord(), holds, v.untilUs());
     }
 
     /** All words that count, by server, the own ones with them. */
@@ -267,9 +267,10 @@
             String why = holds
                     ? "holds"
                     : !enough ? "one witness alone" : !near ? "seen from one other zone alone" : "others find it good";
+            boolean ownWord = against.stream().anyMatch(w -> w.witness == me);
             cases.add(new Case(
                     server,
-                    new Verdict(server, kind, factor, against.size(), holds, nowUs + COUNTS_US),
+                    new Verdict(server, kind, factor, against.size(), ownWord, holds, nowUs + COUNTS_US),
                     e.getValue(),
                     why));
         }
--- a/src/test/java/rushproxy/SharedFactsTest.java
+++ b/src/test/java/rushproxy/SharedFactsTest.java
@@ -25,7 +25,7 @@
     }
 
     private static void told(Rig rig, String server, Evidence kind, double factor, boolean holds) {
-        rig.policy.onVerdicts(rig.now, List.of(new Verdict(server, kind, factor, 2, holds, rig.now + 2 * S)));
+        rig.policy.onVerdicts(rig.now, List.of(new Verdict(server, kind, factor, 2, false, holds, rig.now + 2 * S)));
     }
 
     /** Answers each at once, so that all servers are free. */
--- a/src/test/java/rushproxy/SilentServerTest.java
+++ b/src/test/java/rushproxy/SilentServerTest.java
@@ -1,5 +1,6 @@
 package rushproxy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -20,6 +21,10 @@
     private static final long SILENT_FROM = 10 * S;
     private static final long SILENT_TO = 70 * S;
     private static final long END = 100 * S;
+    /** After these all must say that it is silent, and that it is not any more. */
+    private static final long FOUND = 20 * S;
+
+    private static final long FOUND_BACK = 18 * S;
     /** Own evidence that is older is told no more. */
     private static final long FRESH = 12 * S;
 
@@ -30,6 +35,8 @@
     private final List<Rig> rigs = new ArrayList<>();
     private final List<List<Told>> told = new ArrayList<>();
     private final Map<String, Integer> attempts = new HashMap<>();
+    private final List<String> wrong = new ArrayList<>();
+    private boolean back;
     private SharedSim sim;
 
     private void play(int sidecars, long everyUs) {
@@ -68,6 +75,13 @@
         rig(m).policy.onVerdicts(
                         rigs.get(m).now, cases.stream().map(Verdicts.Case::verdict).toList());
         act(m);
+        boolean out = cases.stream()
+                .map(Verdicts.Case::verdict)
+                .anyMatch(v -> v.upstream().equals("s0") && v.kind() == Evidence.SILENT && v.holds());
+        boolean due = sim.us() > SILENT_FROM + FOUND && sim.us() < SILENT_TO;
+        if (due && !out || sim.us() > SILENT_TO + FOUND_BACK && out) {
+            wrong.add("n" + m + " at " + sim.us() / S + " s: " + cases);
+        }
         sim.later(S, () -> hear(m));
     }
 
@@ -99,6 +113,7 @@
     private void answer(int m, String request, String server) {
         int attempt = attempts.merge(m + request, 1, Integer::sum) - 1;
         boolean silent = server.equals("s0") && sim.us() >= SILENT_FROM && sim.us() < SILENT_TO;
+        back |= server.equals("s0") && sim.us() > SILENT_TO + FOUND_BACK;
         long us = silent ? 400_000 : 15_000 + random.nextLong(10_000);
         sim.later(us, () -> {
             rig(m).outcome(request, attempt, server, silent ? Outcome.TIMEOUT : Outcome.OK, us);
@@ -145,4 +160,13 @@
             assertTrue(next - of.get(i).us < FRESH, of.toString());
         }
     }
+
+    /** All were bound by the verdict, so nobody tried, it lapsed, and all lost requests to the server anew. */
+    @ParameterizedTest
+    @CsvSource({"40000", "1000000"})
+    void aVerdictOfSilenceHoldsUntilTheServerAnswersAgain(long everyUs) {
+        play(8, everyUs);
+        assertEquals(List.of(), wrong);
+        assertTrue(back);
+    }
 }
