Of a server's time-outs in a row one alone is laid to a long idle connection

Callers saw: a server that is tried less than once in 5 s was never ejected nor called silent by its sidecar.

Cause: a time-out on a connection idle for longer than any that has answered of late does not count against the server. The idle time learned so is forgotten after 5 s. With more time than that between two requests each time-out was the first again, and was laid to the connection.

Fix: until the server has answered again, a second time-out counts against it. A reset is judged as before, and a server that loses idle connections answers on the new one that follows.

Test: a server tried each 6 s; the three time-outs told "drops idle" twice and never "silent" before.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -966,8 +966,11 @@
         }
         // A time-out alone may be a crowd; not so where none as long idle has answered of late.
         boolean kept = now - idleKeptAt < FORGET_US && a.idle * 3 / 4 <= idleKept;
-        boolean suspect = outcome == Outcome.RESET || outcome == Outcome.TIMEOUT && !kept;
+        // Nor where one was laid to the connection already, and no answer has come since.
+        boolean laid = a.server.idleBlamed;
+        boolean suspect = outcome == Outcome.RESET || outcome == Outcome.TIMEOUT && !kept && !laid;
         if (!subset || !suspect || a.idle < IDLE_LEAST_US) return false;
+        a.server.idleBlamed = true;
         idleOwnAt = now;
         out.evidence(a.server.id, Evidence.DROPS_IDLE, a.idle * 3 / 4e3);
         limitIdle(now, a.idle * 3 / 4);
@@ -986,6 +989,7 @@
                 if (s.ejections > 0) out.evidence(s.id, Evidence.GOOD, 1);
                 s.failures = s.ejections = s.refusals = 0;
                 s.failedAt = Long.MIN_VALUE / 2;
+                s.idleBlamed = false;
                 s.answeredAt = now;
                 owed.remove(s);
                 learn(s, a, latencyUs, true, now);
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -60,6 +60,8 @@
         final int zone;
         /** Last send or outcome; 0: no connection was used yet. */
         long usedAt;
+        /** A failure was laid to a connection long idle, and it has not answered since. */
+        boolean idleBlamed;
         /** Time of a probe without an answer yet. */
         long askedAt;
         /** Own work sent in the last slot of the cold server's budget. */
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -530,6 +530,18 @@
         assertEquals(1, rig.take("close a").size(), "hardly idle: kept");
     }
 
+    /** A silent server that is tried more rarely than the idle time is remembered: each time-out was laid to the connection. */
+    @Test
+    void aServerTriedRarelyIsFoundSilent() {
+        Rig rig = new Rig();
+        rig.connectionPrice = 0.05;
+        rig.start().list(A).request("r").after(75_000).outcome("r", 0, "a", Outcome.OK, 75_000);
+        for (int i = 0; i < 3; i++) {
+            rig.after(6_000_000).request("r" + i).after(800_000).outcome("r" + i, 0, "a", Outcome.TIMEOUT, 800_000);
+        }
+        assertEquals(List.of("evidence a DROPS_IDLE", "evidence a SILENT"), rig.take("evidence"));
+    }
+
     /** Answers that take far longer than the best speak of others' requests: shed before servers tip over. */
     @Test
     void whereNoLoadIsToldACrowdShowsInTheAnswersAndRequestsAreShed() {
