Time-outs of a server known to be silent teach neither slowness nor a crowd

Callers saw: a server back after a minute's silence had hardly any requests from sidecars of few requests, and where many sidecars are told no load they shed requests that the other servers had room for.

Cause: each time-out counted as an answer as slow as the time waited. Each trial after an ejection so made the server slower by a fifth, up to ten times its kind at one request a second, and raised the measure of crowding for all. Neither says anything of a server that does not answer.

Fix: a time-out of a server that has not answered since its last ejection teaches nothing. Those before the first ejection teach as they did, and so does a time-out of a server that answers others.

Test: after its return nobody calls the server slow; failed before.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -995,9 +995,10 @@
                 learn(s, a, latencyUs, true, now);
             }
             case TIMEOUT, CANCELLED -> {
-                learn(s, a, latencyUs, false, now);
                 // A server that has answered others meanwhile is slow; only silence is a fault.
                 boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt < a.sentAt;
+                // Where that is known already it tells nothing of speed or of a crowd.
+                if (!silent || s.ejections == 0) learn(s, a, latencyUs, false, now);
                 failed(now, s, silent ? 1 : 0, Evidence.SILENT);
             }
             case ERROR -> {
--- a/src/test/java/rushproxy/SilentServerTest.java
+++ b/src/test/java/rushproxy/SilentServerTest.java
@@ -169,4 +169,14 @@
         assertEquals(List.of(), wrong);
         assertTrue(back);
     }
+
+    /** The time-outs of its silence counted as slowness, and kept requests from it long after. */
+    @ParameterizedTest
+    @CsvSource({"1, 40000", "1, 1000000", "8, 40000", "8, 1000000"})
+    void aServerThatIsBackIsNotTakenForASlowOne(int sidecars, long everyUs) {
+        play(sidecars, everyUs);
+        for (List<Told> of : told) {
+            assertTrue(of.stream().noneMatch(t -> t.kind == Evidence.SLOW && t.us > SILENT_TO), of.toString());
+        }
+    }
 }
