Laboratory: its look at a node's address lets no client's connection come up

Cause: before each start the laboratory looks whether the node's address is free. The look listened there, with a queue of one. A client that connected within it had its connection brought up by the kernel, sent its request, and was reset when the look ended. No sidecar ran there: the order to start it comes after the look. Where the look is short the client learns of the reset while it connects, and nothing is counted; where the looking thread is held up between listen and close the request counts as sent and lost. A third client's handshake was dropped, and it timed out after 1 s.

Change: the look binds the address and does not listen. Who connects meanwhile is refused, as by an address where nobody is; a listener of somebody else is found as before (LabIT.aPortTakenBySomebodyElseIsNamed passed). No check is changed: the rule had found a fault of the laboratory.

--- a/src/main/java/rushproxy/lab/node/Node.java
+++ b/src/main/java/rushproxy/lab/node/Node.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -145,9 +144,8 @@
     }
 
     private void free(InetSocketAddress address, String whose) throws Trouble {
-        try (ServerSocket probe = new ServerSocket()) {
-            probe.setReuseAddress(true);
-            probe.bind(address, 1);
+        try {
+            new AddressProbe(address).close();
         } catch (IOException e) {
             throw new Trouble(name + ": the address for its " + whose + ", " + Addresses.text(address)
                     + ", is taken by somebody else");
--- /dev/null
+++ b/src/test/java/rushproxy/lab/node/AddressProbeTest.java
@@ -0,0 +1,28 @@
+package rushproxy.lab.node;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+import rushproxy.lab.world.Addresses;
+
+class AddressProbeTest {
+    /** Guards against a look that lets a client's connection come up and resets it at its end, which counts as a sidecar's loss. */
+    @Test
+    void whoConnectsMeanwhileIsRefused() throws Exception {
+        try (Addresses own = Addresses.take()) {
+            InetSocketAddress address = own.listen(0);
+            try (AddressProbe probe = new AddressProbe(address);
+                    Socket client = new Socket()) {
+                assertThrows(ConnectException.class, () -> client.connect(address));
+            }
+            try (ServerSocket other = new ServerSocket(address.getPort(), 1, address.getAddress())) {
+                assertThrows(IOException.class, () -> new AddressProbe(address), other + " listens there");
+            }
+        }
+    }
+}
