Time-outs of a server that is out teach its slowness as before, but no crowd

Callers: none saw it.

Fix: the measure of crowding passes over failures of a server that is out; slowness follows them as it did.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -321,7 +321,10 @@
             s.kind.cores = Math.max(1, s.kind.cores * (1 - step));
             gain *= 1 - part;
         }
-        crowding += SPEED_GAIN * (Math.min(2 * TAIL, relative / s.kind.least) - crowding);
+        // Of a server that is out, one more time-out tells nothing of a crowd.
+        if (success || s.ejections == 0) {
+            crowding += SPEED_GAIN * (Math.min(2 * TAIL, relative / s.kind.least) - crowding);
+        }
         s.heardAt = now;
         s.kind.heardAt = now;
         if (success && !apart(s)) {
@@ -997,8 +1000,7 @@
             case TIMEOUT, CANCELLED -> {
                 // A server that has answered others meanwhile is slow; only silence is a fault.
                 boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt < a.sentAt;
-                // Where that is known already it tells nothing of speed or of a crowd.
-                if (!silent || s.ejections == 0) learn(s, a, latencyUs, false, now);
+                learn(s, a, latencyUs, false, now);
                 failed(now, s, silent ? 1 : 0, Evidence.SILENT);
             }
             case ERROR -> {
