The log says the own word on a server and each change of it

Each word that a sidecar writes is logged once, with the word before where there was one, and so is that it says nothing any more.

--- a/src/main/java/rushproxy/fleet/shared/Verdicts.java
+++ b/src/main/java/rushproxy/fleet/shared/Verdicts.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -58,6 +59,8 @@
         private long atUs;
         private long writtenUs = Long.MIN_VALUE / 2;
         private boolean written;
+        /** What the log has of it last, null where that it was taken back. */
+        private Evidence noted;
     }
 
     private final Store store;
@@ -213,6 +216,8 @@
             if (!wanted && o.written) {
                 store.drop(nowUs, Table.VERDICTS, key);
                 o.written = false;
+                o.noted = null;
+                host.note("this sidecar says nothing of " + e.getKey() + " any more");
             } else if (wanted && nowUs - o.writtenUs >= RENEW_US) {
                 ByteBuffer b = ByteBuffer.allocate(BYTES)
                         .put((byte) o.kind.ordinal())
@@ -222,6 +227,11 @@
                 store.put(nowUs, Table.VERDICTS, key, b.array());
                 o.written = true;
                 o.writtenUs = nowUs;
+                if (o.noted != o.kind) {
+                    String before = o.noted == null ? "" : ", before: " + name(o.noted);
+                    o.noted = o.kind;
+                    host.note("this sidecar says that " + e.getKey() + " is " + name(o.kind) + before);
+                }
             }
         }
     }
@@ -277,14 +287,17 @@
         return cases;
     }
 
+    private static String name(Evidence kind) {
+        return kind.name().toLowerCase(Locale.ROOT);
+    }
+
     private void tell(List<Case> cases) {
         Set<String> now = new HashSet<>();
         for (Case c : cases) {
             if (c.verdict.holds()) {
                 now.add(c.server);
                 if (!held.contains(c.server)) {
-                    host.note(c.server + " is " + c.verdict.kind().name().toLowerCase(java.util.Locale.ROOT)
-                            + " by word of "
+                    host.note(c.server + " is " + name(c.verdict.kind()) + " by word of "
                             + String.join(
                                     ", ",
                                     c.words.stream()
--- a/src/test/java/rushproxy/fleet/shared/VerdictsTest.java
+++ b/src/test/java/rushproxy/fleet/shared/VerdictsTest.java
@@ -125,6 +125,25 @@
         assertTrue(whereHolds("s3").isEmpty());
     }
 
+    /** A verdict that lapsed, and nothing in the log said whose word had changed to what. */
+    @Test
+    void theOwnWordAndItsChangesAreLoggedOnceEach() {
+        sees("s3", Evidence.SILENT, 1, 5 * S, 0, 1);
+        sim.until(6 * S);
+        sees("s3", Evidence.SLOW, 2, 7 * S, 0);
+        sim.until(40 * S);
+        List<String> own = sim.node(0).notes.stream()
+                .filter(n -> n.contains("this sidecar says"))
+                .map(n -> n.substring(n.indexOf("this")))
+                .toList();
+        assertEquals(
+                List.of(
+                        "this sidecar says that s3 is silent",
+                        "this sidecar says that s3 is slow, before: silent",
+                        "this sidecar says nothing of s3 any more"),
+                own);
+    }
+
     @Test
     void slownessIsToldWithTheLeastFactorAndDoesNotPutOut() {
         sees("s3", Evidence.SLOW, 4, 20 * S, 0);
