Stop: the last look before the end sees who waits behind a withdrawn registration

Seen: beside six processes on one core HandOverTest's client of the last moment was not served in 4 of 78 runs (read timed out after 20 s): the leaving process left it in the queue of the shared socket, where only a next process would find it.

Cause: a listener's registration is made anew 15, 45, 105, 225, 465 and 945 ms after it was taken up, and is withdrawn for 1 ms and more each time. The look at the sockets before the end passes over it meanwhile. The three failures that were traced by the clock have one order: the client connected while the loop was held up, the loop looked at its sockets after it without an accept (open 0, auto-read on), the stop's look found nobody, the process left 2 to 24 ms later.

Fix: before it leaves, the process accepts from the listener itself, as reads of connections already do where a registration may be withdrawn.

Tests: a sidecar's clock and its loop's timers can be stopped and moved (MovableTime). The new test withdraws the registration and lets the time of the end pass while the loop is held up: it failed before the fix. The test of the last moment now forces its order too, in place of a sleep of 0.7 s that the process's own end could overtake.

--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -339,6 +339,10 @@
         return connections.size();
     }
 
+    TcpListener listener() {
+        return (TcpListener) listener;
+    }
+
     boolean ready() {
         return stopAtUs == 0 && drainAtUs == 0 && !notReady && canServe.getAsBoolean();
     }
@@ -468,6 +472,8 @@
     }
 
     private void leaveUnlessSomebodyCame(Runnable stopped) {
+        // The look at the sockets passes over a listener whose registration is being made anew.
+        listener().acceptNow();
         if (connections.isEmpty()) {
             leave(stopped);
         } else {
--- a/src/main/java/rushproxy/sidecar/Clock.java
+++ b/src/main/java/rushproxy/sidecar/Clock.java
@@ -1,7 +1,7 @@
 package rushproxy.sidecar;
 
 /** Module time: microseconds that only move forward, whatever becomes of the wall clock. They begin near Unix time, for people. */
-final class Clock {
+class Clock {
     private final long unixUs = System.currentTimeMillis() * 1000;
     private final long nanos = System.nanoTime();
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -1,6 +1,8 @@
 package rushproxy.sidecar;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -12,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
@@ -35,11 +38,10 @@
     private final Config config;
     private final ServerSocketChannel inherited;
     private final Module module;
-    private final Clock clock = new Clock();
+    private final Clock clock;
     private final LoopDelay loopDelay = new LoopDelay();
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, TimedIoHandler.factory(SocketLook.handlers(), clock, loopDelay));
-    private final EventLoop loop = group.next();
+    private final EventLoopGroup group;
+    private final EventLoop loop;
     private final Decisions decisions = new Decisions();
     private final Upstreams upstreams;
     private final Invariants invariants = new Invariants();
@@ -79,6 +81,19 @@
 
     /** {@code inherited} listens for clients already; null where the sidecar is to listen itself. */
     Sidecar(Config config, ServerSocketChannel inherited, Module module) {
+        this(config, inherited, module, new Clock(), handlers -> new MultiThreadIoEventLoopGroup(1, handlers));
+    }
+
+    /** {@code loops} makes a group of one loop, whose timers go by {@code clock}. */
+    Sidecar(
+            Config config,
+            ServerSocketChannel inherited,
+            Module module,
+            Clock clock,
+            Function<IoHandlerFactory, EventLoopGroup> loops) {
+        this.clock = clock;
+        group = loops.apply(TimedIoHandler.factory(SocketLook.handlers(), clock, loopDelay));
+        loop = group.next();
         this.config = config;
         this.inherited = inherited;
         this.module = module;
--- a/src/main/java/rushproxy/sidecar/TcpListener.java
+++ b/src/main/java/rushproxy/sidecar/TcpListener.java
@@ -44,6 +44,13 @@
         }
     }
 
+    /** Takes who waits in the queue by now, without waiting to be told of it. */
+    void acceptNow() {
+        if (isActive() && isRegistered()) {
+            unsafe().read();
+        }
+    }
+
     private int add(List<Object> accepted, SocketChannel socket) {
         for (int tries = 1; ; tries++) {
             try {
--- a/src/test/java/rushproxy/sidecar/HandOverTest.java
+++ b/src/test/java/rushproxy/sidecar/HandOverTest.java
@@ -212,22 +212,52 @@
         }
     }
 
+    /** Stops the old process and lets a client come, behind whose back the time passes at which the process would leave. */
+    private static void theLastIsServed(Rig old, ServerSocketChannel socket, Rig.Meanwhile before) throws Exception {
+        InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
+        old.start();
+        old.sidecar.warmUp();
+        // Those of the warm-up go one by one.
+        while (old.sidecar.loop().submit(old.sidecar.clients()::open).get() > 0) {
+            Thread.sleep(1);
+        }
+        old.time.stop();
+        before.happens();
+        CountDownLatch stopped = new CountDownLatch(1);
+        List<Peer.Client> last = new ArrayList<>();
+        old.holdUp(() -> {
+            // Behind the hold-up, and so before the next look at the sockets.
+            old.sidecar.stop(stopped::countDown);
+            last.add(new Peer.Client(address).send(Rig.get("last", 20_000)));
+            old.time.move(700);
+        });
+        assertEquals("last", last.get(0).answer().body());
+        old.time.goOn();
+        assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        last.get(0).close();
+    }
+
     /** Guards against an end that is decided by a timer while a client lies in the queue. */
     @Test
     void whoComesInTheLastMomentBeforeTheEndIsServed() throws Exception {
         try (ServerSocketChannel socket = socket();
                 Rig old = rig(socket)) {
-            InetSocketAddress address = (InetSocketAddress) socket.getLocalAddress();
-            old.start();
-            old.sidecar.warmUp();
-            CountDownLatch stopped = new CountDownLatch(1);
-            old.sidecar.stop(stopped::countDown);
-            List<Peer.Client> last = new ArrayList<>();
-            // The hold-up ends after the time at which the process would leave.
-            old.holdUp(700, () -> last.add(new Peer.Client(address).send(Rig.get("last", 20_000))));
-            assertEquals("last", last.get(0).answer().body());
-            assertTrue(stopped.await(20, TimeUnit.SECONDS));
-            last.get(0).close();
+            theLastIsServed(old, socket, () -> {});
+        }
+    }
+
+    /** Guards against an end whose last look passed over the listener, whose registration was being made anew. */
+    @Test
+    void whoLiesBehindAWithdrawnRegistrationAtTheEndIsServed() throws Exception {
+        try (ServerSocketChannel socket = socket();
+                Rig old = rig(socket)) {
+            theLastIsServed(
+                    old,
+                    socket,
+                    () -> old.sidecar
+                            .loop()
+                            .submit(old.sidecar.clients().listener()::withdrawInterest)
+                            .sync());
         }
     }
 
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -62,6 +62,9 @@
     /** Listens for clients already; null where the sidecar is to. */
     java.nio.channels.ServerSocketChannel inherited;
 
+    /** Running, until the test stops it. */
+    final MovableTime time = new MovableTime();
+
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
@@ -123,10 +126,11 @@
                         + "\",\"seed\":\"8c1f30d27a5be964\"," + adminFields + peerFields + "\"known\":" + known()
                         + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}",
                 kept);
-        sidecar = new Sidecar(config, inherited, (c, now, out) -> {
+        Sidecar.Module recorder = (c, now, out) -> {
             actions = out;
             return new Recorder();
-        });
+        };
+        sidecar = new Sidecar(config, inherited, recorder, time, time::loops);
         sidecar.start();
         return this;
     }
@@ -169,6 +173,14 @@
     void holdUp(long ms, Meanwhile meanwhile) throws Exception {
         // Nothing is late before the first beat, and a connection counts as new until the next.
         Thread.sleep(2 * LoopDelay.BEAT_US / 1000);
+        holdUp(() -> {
+            meanwhile.happens();
+            Thread.sleep(ms);
+        });
+    }
+
+    /** Holds the event loop up until {@code meanwhile} has happened. */
+    void holdUp(Meanwhile meanwhile) throws Exception {
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch goOn = new CountDownLatch(1);
         sidecar.loop().execute(() -> {
@@ -182,7 +194,6 @@
         held.await();
         try {
             meanwhile.happens();
-            Thread.sleep(ms);
         } finally {
             goOn.countDown();
         }
