--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -282,6 +282,10 @@
         places.lingers(connection);
     }
 
+    TcpListener listener() {
+        return (TcpListener) listener;
+    }
+
     boolean ready() {
         return stopAtUs == 0 && drainAtUs == 0 && !notReady && canServe.getAsBoolean();
     }
@@ -412,6 +416,8 @@
     }
 
     private void leaveUnlessSomebodyCame(Runnable stopped) {
+        // The look at the sockets passes over a listener whose registration is being made anew.
+        listener().acceptNow();
         if (places.open() == 0) {
             leave(stopped);
         } else {
--- a/src/test/java/rushproxy/SilentServerTest.java
+++ b/src/test/java/rushproxy/SilentServerTest.java
@@ -72,8 +72,10 @@
     /** Each second the module is told what the fleet says. */
     private void hear(int m) {
         List<Verdicts.Case> cases = sim.node(m).cases();
-        rig(m).policy.onVerdicts(
-                        rigs.get(m).now, cases.stream().map(Verdicts.Case::verdict).toList());
+        rig(m).policy
+                .onVerdicts(
+                        rigs.get(m).now,
+                        cases.stream().map(Verdicts.Case::verdict).toList());
         act(m);
         boolean out = cases.stream()
                 .map(Verdicts.Case::verdict)
