Kills: a broken connection is judged by when it was begun and last sent on

What was seen: found beside the failure of LabIT.killsAndStallsBreakNoRuleOfThoseWhoLive, not in it. A request could be called lost by a kill's own break, and a break by the next process could be excused by the kill of the one before.

Cause: a kill excused a broken connection by when its request was first noted as sent. (1) A connection that the killed process had taken is at the client's kernel; the laboratory's loop, held up, finishes the connect and sends after the process's end. The kernel tells no error there, since the end of a process that has read all closes without a reset; the write meets the reset. (2) A request that is sent once more, since a close had crossed it, was noted before the kill, but its second connection was begun after it: whatever the next process did to that was excused.

Change: BROKE tells when its connection was begun for the request. A kill excuses what was begun by the process's end and last sent on before the next one's start. It is wider than before only by (1), and stricter by (2) and by what was sent to a started successor.

OneAnswerTest, two tests, failed before: (1) was called lost, (2) excused.

--- a/src/main/java/rushproxy/lab/check/OneAnswer.java
+++ b/src/main/java/rushproxy/lab/check/OneAnswer.java
@@ -29,6 +29,7 @@
         private final List<Span> kills = new ArrayList<>();
 
         private final List<Long> terms = new ArrayList<>();
+        private final List<Long> starts = new ArrayList<>();
         /** Orders to kill a process whose end has not been heard of yet, by its id. */
         private final Map<Double, Long> killsBegun = new HashMap<>();
         /** Null where it runs. */
@@ -50,7 +51,10 @@
                 case "cont" -> contUs = o.us();
                 case "cont sent" -> goesOn(o.us());
                 // The end of the process before it may be heard of later than this.
-                case "started" -> killed(List.copyOf(killsBegun.keySet()), o.us());
+                case "started" -> {
+                    starts.add(o.us());
+                    killed(List.copyOf(killsBegun.keySet()), o.us());
+                }
                 default -> {
                     if (o.text().startsWith("exit")) {
                         killed(List.of(o.number()), o.us());
@@ -96,11 +100,33 @@
 
         /** Killed between the two, with no word of the stop long before the request. */
         boolean killed(long askedUs, long endUs) {
-            boolean killed = kills.stream().anyMatch(k -> k.untilUs >= askedUs - 1_000 && k.sinceUs <= endUs + 1_000);
-            return killed
-                    && terms.stream()
-                            .noneMatch(t -> t <= askedUs - TERM_US
-                                    && kills.stream().anyMatch(k -> k.sinceUs >= t && k.sinceUs <= endUs + 1_000));
+            return kills.stream().anyMatch(k -> k.within(askedUs, endUs)) && !toldToStopBefore(askedUs, endUs);
+        }
+
+        /** Word of the stop came long before the request, and the kill after it. */
+        private boolean toldToStopBefore(long askedUs, long endUs) {
+            return terms.stream()
+                    .anyMatch(t -> t <= askedUs - TERM_US
+                            && kills.stream().anyMatch(k -> k.sinceUs >= t && k.sinceUs <= endUs + 1_000));
+        }
+
+        /**
+         * The kill broke this connection: it began before the process's end, also where a late laboratory sent on it only after that. What
+         * was sent when the next process had started may be that one's.
+         */
+        boolean brokenByKill(Observation asked, Observation broke) {
+            return kills.stream()
+                            .anyMatch(k -> k.within(broke.beganEarliestUs(), broke.us())
+                                    && broke.sinceUs() <= nextStartUs(k) + 1_000)
+                    && !toldToStopBefore(asked.us(), broke.us());
+        }
+
+        private long nextStartUs(Span kill) {
+            return starts.stream()
+                    .mapToLong(us -> us)
+                    .filter(us -> us >= kill.untilUs)
+                    .min()
+                    .orElse(Long.MAX_VALUE - 1_000);
         }
 
         /**
@@ -110,13 +136,18 @@
         boolean killedAndNobodyThere(Observation asked, long endUs, long deadlineUs, Absences absences) {
             return killed(asked.us(), endUs)
                     && kills.stream()
-                            .filter(k -> k.untilUs >= asked.us() - 1_000 && k.sinceUs <= endUs + 1_000)
+                            .filter(k -> k.within(asked.us(), endUs))
                             .anyMatch(k -> endUs <= k.untilUs + AFTER_KILL_US
                                     || absences.cover(asked.node(), k.untilUs + AFTER_KILL_US, deadlineUs));
         }
     }
 
-    private record Span(long sinceUs, long untilUs) {}
+    private record Span(long sinceUs, long untilUs) {
+        /** A part of it at least lies between the two. */
+        boolean within(long fromUs, long toUs) {
+            return untilUs >= fromUs - 1_000 && sinceUs <= toUs + 1_000;
+        }
+    }
 
     @Override
     public String rule() {
@@ -145,13 +176,12 @@
             }
             long deadlineUs = ask.us() + Math.round(ask.number() * 1e3);
             for (Observation o : e.getValue()) {
-                boolean killed = life.killed(ask.us(), o.us());
                 // A connection that breaks was broken by somebody: neither a stop nor an absence does that.
                 boolean nobodyThere = life.stalled(ask.us(), deadlineUs) || absences.nobodyCouldTake(ask, e.getValue());
                 boolean killedInQueue = life.killedAndNobodyThere(ask, o.us(), deadlineUs, absences);
                 if (o.what() == What.GAVE_UP && o.text() == null && !killedInQueue && !nobodyThere) {
                     found.add(new Violation(rule(), o.us(), e.getKey(), "got no answer in its time"));
-                } else if (o.what() == What.BROKE && !killed) {
+                } else if (o.what() == What.BROKE && !life.brokenByKill(ask, o)) {
                     if ("part".equals(o.text()) && spoilt(e.getValue())) {
                         // What an upstream broke off can't be made whole: its client has seen that, and in its time.
                         continue;
--- a/src/main/java/rushproxy/lab/world/Clients.java
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -385,7 +385,7 @@
                 begin(false);
                 return;
             }
-            seen.see(What.BROKE, node(), null, id, of.arrival.id(), part ? "part" : how, used ? 1 : 0, sentUs);
+            seen.broke(node(), id, of.arrival.id(), part ? "part" : how, used ? 0 : line.connectsUs, sentUs);
             end("failed", 0);
         }
 
@@ -484,6 +484,9 @@
     /** One connection to a sidecar. */
     private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final int node;
+        /** When it was begun. */
+        private final long connectsUs = seen.us();
+
         private Channel channel;
         private Try busy;
         private boolean used;
--- a/src/main/java/rushproxy/lab/world/Observation.java
+++ b/src/main/java/rushproxy/lab/world/Observation.java
@@ -61,7 +61,10 @@
         WRITTEN,
         /** A whole answer has come: its status and body, the wait that it asks for in ms; sinceUs the send. */
         ANSWERED,
-        /** The connection ended before a whole answer: "reset", "closed" or "part"; number 1 on a connection used before. */
+        /**
+         * The connection ended before a whole answer: "reset", "closed" or "part"; number 1 on a connection used before; sinceUs the send,
+         * sinceEarliestUs when the connection was begun for it.
+         */
         BROKE,
         /** No connection was to be had: why. */
         UNREACHED,
--- a/src/main/java/rushproxy/lab/world/Observations.java
+++ b/src/main/java/rushproxy/lab/world/Observations.java
@@ -38,6 +38,14 @@
         }
     }
 
+    /** A connection to a node ended before its answer; {@code connectsUs}: when it was begun for this request, 0 where it was used before. */
+    void broke(String node, String id, String first, String how, long connectsUs, long sentUs) {
+        synchronized (this) {
+            note(new Observation(
+                    us(), What.BROKE, node, null, id, first, how, connectsUs == 0 ? 1 : 0, sentUs, connectsUs, 0));
+        }
+    }
+
     /** A server has got a request whole, whose first byte came at {@code first}; it was told to answer within {@code toldMs}, 0 for none. */
     void got(String node, String server, String id, String key, double workMs, ArrivalTime first, long toldMs) {
         synchronized (this) {
--- a/src/test/java/rushproxy/lab/check/OneAnswerTest.java
+++ b/src/test/java/rushproxy/lab/check/OneAnswerTest.java
@@ -44,6 +44,33 @@
         assertEquals(1, lost(8_000_000, 8_100_000));
     }
 
+    /** The first request of a connection, asked for, sent for the last time and broken at these times, where a process is killed by 3.06 s. */
+    private static int lostOfNew(long askedUs, long connectsUs, long sentUs, long brokeUs) throws Exception {
+        List<Observation> all = new java.util.ArrayList<>(List.of(
+                node(3_000_000, "kill"),
+                node(3_060_000, "exit 137"),
+                node(4_000_000, "started"),
+                new Observation(askedUs, What.ASKED, "n0", null, "a", "a", "read", 800, askedUs),
+                new Observation(brokeUs, What.BROKE, "n0", null, "a", null, "reset", 0, sentUs, connectsUs, 0)));
+        return new OneAnswer()
+                .check(new Run(ScenarioReader.read("demo", java.util.Map.of()), all))
+                .size();
+    }
+
+    /** Guards against blaming a node for a connection to the killed process on which a late laboratory sent only after its end. */
+    @Test
+    void aConnectionOfTheKilledProcessIsItsOwnHoweverLateItIsSentOn() throws Exception {
+        assertEquals(0, lostOfNew(3_080_000, 3_050_000, 3_080_000, 3_082_000));
+        assertEquals(1, lostOfNew(3_080_000, 3_070_000, 3_080_000, 3_082_000));
+    }
+
+    /** Guards against excusing what the next process broke: on a connection made after the kill, or sent when it had started. */
+    @Test
+    void whatTheNextProcessBreaksIsNotExcusedByAKill() throws Exception {
+        assertEquals(1, lostOfNew(2_990_000, 4_700_000, 4_700_000, 4_710_000));
+        assertEquals(1, lostOfNew(4_050_000, 3_050_000, 4_050_000, 4_060_000));
+    }
+
     /** Its end was heard of after the next process had started: what that one is asked is its own to answer. */
     @Test
     void anEndThatIsHeardOfLateExcusesNothingOfTheNextProcess() throws Exception {
