Budget: who takes a wish for memory back lets those behind it through

Callers saw: a request with a body that waits for memory behind one that asks for more is refused (503) after a second although there is room for it, and meanwhile every other one is refused memory too: nobody gets any past a queue.

Cause: wishes are granted in turn, by `give` alone. Where the first in the queue takes its wish back (its client left, or its second was over) nothing looked at those behind it until somebody gave memory back, which may not come while what is held is held long.

The wish that is taken back now lets the queue go on as `give` does. Granting may run within another's grant, as before: the loop looks at the queue anew each time.

Seen: the test fails on the code before ([] granted where [b] fits) and passes.

--- a/src/main/java/rushproxy/sidecar/Budget.java
+++ b/src/main/java/rushproxy/sidecar/Budget.java
@@ -30,11 +30,20 @@
         }
         Asker asker = new Asker(bytes, granted);
         asking.add(asker);
-        return () -> asking.remove(asker);
+        return () -> {
+            // It may have been the first, and there may be room for those behind it.
+            if (asking.remove(asker)) {
+                grant();
+            }
+        };
     }
 
     void give(int bytes) {
         free += bytes;
+        grant();
+    }
+
+    private void grant() {
         while (!asking.isEmpty() && asking.peek().bytes <= free) {
             Asker next = asking.poll();
             free -= next.bytes;
--- a/src/test/java/rushproxy/sidecar/CrowdTest.java
+++ b/src/test/java/rushproxy/sidecar/CrowdTest.java
@@ -257,4 +257,21 @@
         budget.give(50);
         assertTrue(budget.take(60));
     }
+
+    /** Guards against refusing, for want of room that there is, those behind one that waited for more and left. */
+    @Test
+    void whoLeavesTheQueueForRoomLetsThoseBehindItThrough() {
+        Budget budget = new Budget(100);
+        List<String> granted = new ArrayList<>();
+        assertTrue(budget.take(60));
+        Runnable leaves = budget.ask(50, () -> granted.add("a"));
+        budget.ask(30, () -> granted.add("b"));
+        budget.ask(20, () -> granted.add("c"));
+        leaves.run();
+        assertEquals(List.of("b"), granted);
+        // What has left already changes nothing, and c waits for its turn.
+        leaves.run();
+        budget.give(10);
+        assertEquals(List.of("b", "c"), granted);
+    }
 }
