LogWriter: the log goes on where memory lacks for the line on lost lines too

Operators would see: after want of memory the log says nothing any more, for as long as the process lives.

Cause: a line that can't be written for want of memory is counted as dropped, and the next thing written is the line that tells that number. It alone was written outside the handler that keeps the thread alive, at the moment at which memory is shortest: an error there ended the thread, and with it the log.

The number is now taken off only once its line is written; where that fails it is tried again 0.1 s later, or with the next line.

Seen: with two writes in a row that fail by OutOfMemoryError the test's next line never came before (20 s, the thread had ended with the error); LogTest passes.

--- a/src/main/java/rushproxy/sidecar/LogWriter.java
+++ b/src/main/java/rushproxy/sidecar/LogWriter.java
@@ -17,6 +17,7 @@
     static final int MOST_WAITING = 512 * 1024;
 
     private static final long FLUSH_LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long TELL_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final PrintStream to;
     private final Queue<String> lines = new ConcurrentLinkedQueue<>();
@@ -60,8 +61,7 @@
                 tryToPrint(line);
                 waiting.addAndGet(-line.length());
             } else if (dropped.get() > 0) {
-                print("rushproxy: " + dropped.getAndSet(0)
-                        + " lines of the log were dropped: nobody read it, or there was no memory\n");
+                tellDropped();
             } else {
                 LockSupport.park(this);
             }
@@ -77,6 +77,17 @@
         }
     }
 
+    /** Memory may lack for this line too: then it is tried again later. */
+    private void tellDropped() {
+        int told = dropped.get();
+        try {
+            print("rushproxy: " + told + " lines of the log were dropped: nobody read it, or there was no memory\n");
+            dropped.addAndGet(-told);
+        } catch (RuntimeException | Error e) {
+            LockSupport.parkNanos(this, TELL_AGAIN_NANOS);
+        }
+    }
+
     private void print(String line) {
         byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
         to.write(bytes, 0, bytes.length);
--- a/src/test/java/rushproxy/sidecar/LogTest.java
+++ b/src/test/java/rushproxy/sidecar/LogTest.java
@@ -5,7 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import rushproxy.sidecar.Log.Form;
 import rushproxy.sidecar.Log.Level;
@@ -77,4 +84,25 @@
                     bad);
         }
     }
+
+    /** Guards against a log that is silent for good where memory lacks for the line that tells of a lost one. */
+    @Test
+    void aLogThatLostALineGoesOn() throws Exception {
+        AtomicInteger fails = new AtomicInteger(2);
+        BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+        LogWriter writer = new LogWriter(new PrintStream(OutputStream.nullOutputStream()) {
+            @Override
+            public void write(byte[] bytes, int from, int length) {
+                if (fails.getAndDecrement() > 0) {
+                    throw new OutOfMemoryError("as the test wants");
+                }
+                lines.add(new String(bytes, from, length, StandardCharsets.UTF_8));
+            }
+        });
+        writer.write("lost\n");
+        String told = lines.poll(20, TimeUnit.SECONDS);
+        assertTrue(told != null && told.contains("1 lines of the log were dropped"), told);
+        writer.write("next\n");
+        assertEquals("next\n", lines.poll(20, TimeUnit.SECONDS));
+    }
 }
