RegistrationRetry: listeners and the peers' socket retry until they are heard

Callers would see: a sidecar that lets nobody in, hears no operator or no peer any more, for good, though its listener is open and wants to be read.

Cause: the runtime drops the errors of epoll_ctl, so an interest is withdrawn and restored some times, and no more after 0.95 s. Each retry is a registration that may fail as well, also where the one before had worked, and the last one counts: where it fails the channel hears nothing until its interest changes, which for a listener that nobody can reach never comes. Connections are bounded by time-outs of their own; these three are not.

They are now a way in (`isWayIn`): retried at the last distance, 0.48 s, until readiness proves the registration. Others are retried six times, as before.

Seen: without the condition the test's eighth registration never comes (30 s); RegistrationRetryTest passes, 4 of 4. By reading alone: no run in which epoll_ctl fails for a second; IdleLoopIT and the fault library's tests were not run.

--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -127,6 +127,11 @@
         public void restoreInterest(int ops) {
             socket.config().setAutoRead(true);
         }
+
+        @Override
+        public boolean isWayIn() {
+            return true;
+        }
     }
 
     private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
--- a/src/main/java/rushproxy/sidecar/RegistrationRetry.java
+++ b/src/main/java/rushproxy/sidecar/RegistrationRetry.java
@@ -8,12 +8,13 @@
 /**
  * Registers a channel's interest with the selector anew some times after each change of it. The runtime drops the error where the
  * system can't register a descriptor for a moment ({@code epoll_ctl}: ENOMEM, ENOSPC): the channel then stays open, and nobody is told
- * what comes on it. Readiness that is told proves the registration, and ends this.
+ * what comes on it. Readiness that is told proves the registration, and ends this; so does the number of retries, but for a way in: the
+ * last retry may be the one that fails.
  */
 final class RegistrationRetry {
     /** The first retry comes after this, each further one after twice the time before. */
     private static final long FIRST_MS = 15;
-    /** Half a second and more of retries. */
+    /** Half a second and more of retries; then a way in is retried at the last one's distance. */
     private static final int MOST_RETRIES = 6;
     /** The selector has to see the interest gone before it comes back. */
     private static final long GONE_MS = 1;
@@ -29,6 +30,11 @@
 
         /** What is still wanted of this interest. */
         void restoreInterest(int ops);
+
+        /** Whether others come by it, whom nobody would miss: no time-out of theirs ends it where it hears nothing. */
+        default boolean isWayIn() {
+            return false;
+        }
     }
 
     private final Registered channel;
@@ -64,7 +70,8 @@
 
     private void schedule() {
         proven();
-        next = channel.eventLoop().schedule(this::retry, FIRST_MS << retries, TimeUnit.MILLISECONDS);
+        next = channel.eventLoop().schedule(
+                this::retry, FIRST_MS << Math.min(retries, MOST_RETRIES - 1), TimeUnit.MILLISECONDS);
     }
 
     private void retry() {
@@ -75,7 +82,7 @@
         }
         quietly(channel::withdrawInterest);
         channel.eventLoop().schedule(() -> quietly(() -> channel.restoreInterest(ops)), GONE_MS, TimeUnit.MILLISECONDS);
-        if (++retries < MOST_RETRIES) {
+        if (++retries < MOST_RETRIES || channel.isWayIn()) {
             schedule();
         }
     }
--- a/src/main/java/rushproxy/sidecar/TcpListener.java
+++ b/src/main/java/rushproxy/sidecar/TcpListener.java
@@ -122,4 +122,9 @@
             addAndSubmit(NioIoOps.ACCEPT);
         }
     }
+
+    @Override
+    public boolean isWayIn() {
+        return true;
+    }
 }
--- a/src/test/java/rushproxy/sidecar/RegistrationRetryTest.java
+++ b/src/test/java/rushproxy/sidecar/RegistrationRetryTest.java
@@ -27,6 +27,7 @@
     private final class Channel implements RegistrationRetry.Registered {
         private final CountDownLatch restored;
         private final RegistrationRetry retry = new RegistrationRetry(this);
+        private boolean wayIn;
         private int ops;
         private int withdrawn;
         private int restores;
@@ -63,6 +64,11 @@
             interested(now);
             restored.countDown();
         }
+
+        @Override
+        public boolean isWayIn() {
+            return wayIn;
+        }
     }
 
     @Test
@@ -103,4 +109,21 @@
         loop.schedule(() -> {}, 60, TimeUnit.MILLISECONDS).sync();
         loop.submit(() -> assertEquals(0, channel.withdrawn)).sync();
     }
+
+    /** Guards against a listener that hears nobody any more where the registration of the last retry failed. */
+    @Test
+    void aWayInIsRegisteredAnewUntilItIsProven() throws Exception {
+        Channel channel = new Channel(8);
+        channel.wayIn = true;
+        loop.execute(() -> channel.interested(READ));
+        assertTrue(channel.restored.await(30, TimeUnit.SECONDS));
+        int restores = loop.submit(() -> {
+                    channel.retry.proven();
+                    return channel.restores;
+                })
+                .sync()
+                .getNow();
+        loop.schedule(() -> {}, 600, TimeUnit.MILLISECONDS).sync();
+        loop.submit(() -> assertEquals(restores, channel.restores)).sync();
+    }
 }
