--- a/src/main/java/rushproxy/sidecar/TcpListener.java
+++ b/src/main/java/rushproxy/sidecar/TcpListener.java
@@ -129,4 +129,9 @@
             addAndSubmit(NioIoOps.ACCEPT);
         }
     }
+
+    @Override
+    public boolean isWayIn() {
+        return true;
+    }
 }
