Requests: after a hold-up an attempt's time-out runs before its request's own

With the time stopped until the answer has stopped the test showed a fault: the outcome was told as "TIMEOUT true", the request being over already.

Cause: a loop that was late brings the deadlines of all requests it holds forward. Where the new deadline is past, both time-outs are due at once and run in the order in which they were set: the request's own ("overdue", 2 ms after the attempt's by design) came first. The client was answered 502 as overdue and the module was told that its request had expired, before it heard of the attempt that timed out.

Fix: the attempts' time-outs are set first.

Test: it moves the time of the clock and of the loop's timers itself (20 s in place of 0.5 s, which no age told by the kernel reaches; it takes no longer).

--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -128,10 +128,11 @@
         }
         x.overdue.cancel(false);
         x.deadlineUs = us;
-        await(x);
+        // Before the request's own time-out, also where both are due already.
         for (UpstreamCall call : x.attempts) {
             upstreams.due(call, Math.min(call.untilUs(), us));
         }
+        await(x);
     }
 
     /** The client has left: nothing is owed any more, and what is out ends by itself, but for what flows. */
--- a/src/test/java/rushproxy/sidecar/BulkTest.java
+++ b/src/test/java/rushproxy/sidecar/BulkTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -250,13 +251,25 @@
     @Test
     void aShortAnswerThatStopsIsAnsweredAsFailed() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n"));
+            Semaphore stopped = new Semaphore(0);
+            rig.upstream((m, line) -> {
+                line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
+                stopped.release();
+            });
+            // The requests' time passes once their answers have stopped, however late that is. The kernel's ages still
+            // run: the time is
+            // longer than any of them.
+            rig.time.stop();
             rig.start();
             try (Peer.Client c = rig.client()) {
-                c.send(Rig.get("a1", 500));
+                c.send(Rig.get("a1", 20_000));
+                stopped.acquire();
+                rig.time.move(20_000);
                 assertEquals(502, c.status());
                 assertEquals("outcome a1 0 TIMEOUT false -", rig.await("outcome a1"));
-                c.send(Rig.get("a2", 500));
+                c.send(Rig.get("a2", 20_000));
+                stopped.acquire();
+                rig.time.move(20_000);
                 assertEquals(502, c.status());
             }
         }
