Policy: a kind of which one faster server has all requests is tried again

What callers saw: a sidecar with little traffic sent nearly all requests to one server for good after the others of its kind had been slower for a while, although all were equally fast again; the others, a restarted one among them, had no share until the load rose. Its answers do not teach the kind, but counted as word of the kind (Kind.heardAt), so that the kind's estimate was never forgotten. Evidence: a play of the module with an injected clock shows the state: the others' own factor is 1.0, their share 0 for 37 s, the kind's slowness unchanged. Change: when no server inside the kind has answered for FORGET_US while a faster one is apart, the kind's estimate leans to that server's by the step that other forgotten estimates use, until the others are tried; their answers then tell what they can do.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -328,6 +328,7 @@
             // Towards what was seen: steps that only add up drift. Few answers tell of the kind alone.
             double first = gain * Math.max(0.25, 1 / SPEED_GAIN / (++s.kind.answers + 1));
             s.kind.slow *= 1 + first * (Math.min(TAIL, relative / s.kind.slow) - 1);
+            s.kind.taughtAt = now;
         }
         s.apart *= 1 + gain * (Math.min(TAIL, relative / s.slow()) - 1);
         if (success && a.req.request.costHintUs() <= 0) {
@@ -526,6 +527,7 @@
         }
         for (Server s : members) {
             tellOf(now, s);
+            if (s.apart * APART < 1 && now - s.kind.taughtAt > FORGET_US) leanKindTo(s);
             if (now - s.heardAt > FORGET_US) s.apart += 0.02 * (1 - s.apart);
             Object group = apart(s) || warmth(s, now) < 1 ? s : s.kind;
             byKind.computeIfAbsent(group, x -> new ArrayList<>()).add(s);
@@ -553,6 +555,14 @@
         }
     }
 
+    /** A faster server has all requests of its kind, so nothing tells what the others can do by now: they are
+     * thought nearer to it until they are tried again. Its own estimate stays. */
+    private static void leanKindTo(Server fast) {
+        double slow = fast.slow();
+        fast.kind.slow += 0.02 * (slow - fast.kind.slow);
+        fast.apart = slow / fast.kind.slow;
+    }
+
     // ---- pick -----------------------------------------------------------------------------------
     /** The drawn-from servers with their cumulated shares; the own zone's where crossing has a price. */
     private final Table all = new Table(), near = new Table(), far = new Table();
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -18,6 +18,8 @@
 
         int answers;
         long heardAt;
+        /** Last answer by a server that is no group of its own. */
+        long taughtAt;
 
         Kind(double cores) {
             this.cores = cores;
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -707,6 +707,33 @@
         assertTrue(cores / slow > 6.5 && cores / slow < 9.5, cores + " cores, slowness " + slow);
     }
 
+    /** The one that was faster for a while kept all requests of a quiet sidecar for good: nothing told that the others had caught up. */
+    @Test
+    void serversThatHaveCaughtUpAreUsedAgain() {
+        Rig rig = new Rig();
+        rig.reports = Balancer.Reports.NONE;
+        rig.start().list(A, B, Rig.up("c", "za", 1), Rig.up("d", "za", 1));
+        int inARow = 0;
+        for (int i = 0; inARow < 50 && i < 5_000; i++) {
+            inARow = goesToTheFirst(rig, 50_000) ? inARow + 1 : 0;
+        }
+        assertEquals(50, inARow, "while the others are slow");
+        int ofFirst = 0;
+        for (int i = 0; i < 2_000; i++) {
+            ofFirst += goesToTheFirst(rig, 10_000) && i >= 1_000 ? 1 : 0;
+        }
+        assertTrue(ofFirst < 500, "one of four servers has " + ofFirst + " of 1000 requests");
+    }
+
+    /** One request and its answer, every 20 ms at most; whether "a" got it, which takes 10 ms. */
+    private static boolean goesToTheFirst(Rig rig, long othersUs) {
+        rig.actions.clear();
+        String server = rig.request("r").sentTo("r", 0);
+        long tookUs = server.equals("a") ? 10_000 : othersUs;
+        rig.after(tookUs).outcome("r", 0, server, Outcome.OK, tookUs).after(Math.max(0, 20_000 - tookUs));
+        return server.equals("a");
+    }
+
     /** A drain that the list has not told yet shows as refusals by a server that holds little. */
     @Test
     void refusalsByAnIdleServerLeaveItAlone() {
