--- a/src/main/java/rushproxy/sidecar/RegistrationRetry.java
+++ b/src/main/java/rushproxy/sidecar/RegistrationRetry.java
@@ -70,8 +70,8 @@
 
     private void schedule() {
         proven();
-        next = channel.eventLoop().schedule(
-                this::retry, FIRST_MS << Math.min(retries, MOST_RETRIES - 1), TimeUnit.MILLISECONDS);
+        next = channel.eventLoop()
+                .schedule(this::retry, FIRST_MS << Math.min(retries, MOST_RETRIES - 1), TimeUnit.MILLISECONDS);
     }
 
     private void retry() {
