ClientInput: a client that can't be watched is told of for as long as it can't

Callers would see: an attempt that begins, and may run, for a client that ended its connection long before, behind more than 64 KB of requests sent ahead.

Cause: where no more of what a client sends may be kept its socket is not read, so its end can't be seen; 80 ms later `unwatched` says so, once for each time that it became full. Its listener can do nothing while a body waits for memory, or while the request in hand has flowed to an upstream, and returns. When that is over the next request comes out of what is kept and is taken; the input is full all the while, nobody looks again, and the request may wait for its attempt for as long as it has, unwatched.

It is now told every 80 ms until the input is full no more or is stopped, so the next request is refused, or fails, as one whose client can't be watched.

Seen: the test fails before (told once, not twice) and passes. The order of events on a whole sidecar follows from reading and was not run.

--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -31,7 +31,7 @@
         /** Bytes come that may have lain there since {@code sentUs}. */
         void arrived(long sentUs);
 
-        /** For 80 ms nothing could be read: whether the client is still there can't be known. */
+        /** For another 80 ms nothing could be read: whether the client is still there can't be known. */
         void unwatched();
     }
 
@@ -62,7 +62,7 @@
     private boolean paused;
     /** No more may be kept until the decoder has taken what is. */
     private boolean full;
-    /** Counts the times at which it became full, for the look that follows each. */
+    /** Counts the times at which it became full, for the looks that follow each. */
     private int fills;
 
     private boolean passing;
@@ -170,20 +170,25 @@
         keptBytes += granted ? bytes.capacity() : 0;
         if (!granted || keptBytes >= MOST_KEPT) {
             full = true;
-            int fill = ++fills;
-            context.executor()
-                    .schedule(
-                            () -> {
-                                if (full && fill == fills && context.channel().isActive()) {
-                                    listener.unwatched();
-                                }
-                            },
-                            UNWATCHED_MS,
-                            TimeUnit.MILLISECONDS);
+            tellIfStillFull(++fills);
             look();
         }
     }
 
+    /** Again and again: what the listener could do nothing about at one time it may at the next, for another request. */
+    private void tellIfStillFull(int fill) {
+        context.executor()
+                .schedule(
+                        () -> {
+                            if (full && fill == fills && !stopped && context.channel().isActive()) {
+                                tellIfStillFull(fill);
+                                listener.unwatched();
+                            }
+                        },
+                        UNWATCHED_MS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     private void pass(Kept next) {
         passing = true;
         try {
--- a/src/test/java/rushproxy/sidecar/UnreadAgeTest.java
+++ b/src/test/java/rushproxy/sidecar/UnreadAgeTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -20,6 +22,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -181,4 +184,34 @@
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
         }
     }
+
+    /** Guards against an attempt for a client that can't be watched, since that was told only while the request before it flowed. */
+    @Test
+    void whatCanNotBeReadIsToldUntilItCan() {
+        AtomicInteger told = new AtomicInteger();
+        ClientInput input =
+                new ClientInput(new Clock(), new LoopDelay(), new Budget(1 << 20), new ClientInput.Listener() {
+                    @Override
+                    public void arrived(long sentUs) {}
+
+                    @Override
+                    public void unwatched() {
+                        told.incrementAndGet();
+                    }
+                });
+        EmbeddedChannel channel = new EmbeddedChannel(input);
+        channel.freezeTime();
+        input.regulate(true, false);
+        channel.writeInbound(Unpooled.wrappedBuffer(new byte[ClientInput.MOST_KEPT]));
+        for (int times = 1; times <= 3; times++) {
+            channel.advanceTimeBy(ClientInput.UNWATCHED_MS, TimeUnit.MILLISECONDS);
+            channel.runScheduledPendingTasks();
+            assertEquals(times, told.get());
+        }
+        input.regulate(false, false);
+        channel.advanceTimeBy(ClientInput.UNWATCHED_MS, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertEquals(3, told.get());
+        channel.finishAndReleaseAll();
+    }
 }
