Clients get back the places that idle connections to upstreams hold

With more servers than upstreams have places of their own, a few clients are let in and all others wait in the accept queue, while the sidecar holds connections that rest.

Cause: upstreams may have what clients do not use, and nothing gave it back. A dial at the upstreams' limit replaces an idle connection by a new one, so their number stays, and the clients' limit stays at one more than were open then. Where the clients' connections are busy none of them can give way either.

Fix: where no place is free and clients have less than their part, the oldest idle connection to an upstream is closed first, then clients' connections that rest, as before. No request is on such a connection. It ends: each step takes one off the idle ones, or one client off the open ones.

--- a/src/main/java/rushproxy/sidecar/ClientPlaces.java
+++ b/src/main/java/rushproxy/sidecar/ClientPlaces.java
@@ -7,11 +7,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 
 /**
  * The connections of clients that are open, and the limit on how many may be. Where all places are taken, connections that nobody
- * waits on give way until one is free: what listens may stand still until then, so that no further client would ask for it.
+ * waits on give way until one is free, those to upstreams first, which only borrow what clients do not use: what listens may stand
+ * still until then, so that no further client would ask for it.
  */
 final class ClientPlaces {
     /** So many quiet connections are read once more, in search of one that brings nothing. */
@@ -24,6 +26,8 @@
     private final EventLoop loop;
     /** As many may be open now: it follows what upstreams take. */
     private final IntSupplier limit;
+    /** Raises the limit by a place that upstreams have borrowed and do not use now; false where there is none. */
+    private final BooleanSupplier takeBack;
 
     private final Set<ClientConnection> connections = new HashSet<>();
     /** Those of them whose output has ended, the oldest first. */
@@ -31,9 +35,10 @@
     /** A further look for a place is due. */
     private boolean looksAgain;
 
-    ClientPlaces(EventLoop loop, IntSupplier limit) {
+    ClientPlaces(EventLoop loop, IntSupplier limit, BooleanSupplier takeBack) {
         this.loop = loop;
         this.limit = limit;
+        this.takeBack = takeBack;
     }
 
     void add(ClientConnection connection) {
@@ -78,7 +83,7 @@
     /** Ends connections until a place is free. Where too few can end now they are looked at again soon, for as long as none is. */
     void keepOneFree() {
         while (!isAnyFree()) {
-            if (!freeOne()) {
+            if (!takeBack.getAsBoolean() && !freeOne()) {
                 lookAgain();
                 return;
             }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -146,7 +146,10 @@
                 requests,
                 settings.classes(),
                 upstreams::anyReady,
-                new ClientPlaces(loop, () -> Math.min(ofClients, free - upstreams.open())),
+                new ClientPlaces(
+                        loop,
+                        () -> Math.min(ofClients, free - upstreams.open()),
+                        () -> clients().open() < ofClients && upstreams.closeOldestIdle()),
                 budget,
                 loopDelay,
                 deadlines,
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -282,7 +282,7 @@
     }
 
     private void connect(UpstreamCall call) {
-        if (connections >= maxConnections.getAsInt() && !dropOldestIdle()) {
+        if (connections >= maxConnections.getAsInt() && !closeOldestIdle()) {
             call.end(Outcome.NOT_SENT, null, null);
             return;
         }
@@ -342,7 +342,8 @@
         }
     }
 
-    private boolean dropOldestIdle() {
+    /** False where no connection is idle. */
+    boolean closeOldestIdle() {
         UpstreamTarget oldest = null;
         for (UpstreamTarget t : targets.values()) {
             if (!t.idle.isEmpty() && (oldest == null || t.idle.oldestSinceUs() < oldest.idle.oldestSinceUs())) {
--- a/src/test/java/rushproxy/sidecar/ClientRoomTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientRoomTest.java
@@ -125,6 +125,36 @@
         }
     }
 
+    /** Guards against connections to many upstreams that rest while clients who could use their places wait outside. */
+    @Test
+    void connectionsToUpstreamsThatRestGiveWayToClients() throws Exception {
+        CountDownLatch asking = new CountDownLatch(PLACES - 1);
+        try (Rig rig = rig()) {
+            rig.upstream((m, line) -> {
+                asking.countDown();
+                awaitUnchecked(asking);
+                line.answer("200 OK", "", "fine");
+            });
+            for (int i = 1; i < 2 * PLACES; i++) {
+                rig.upstream((m, line) -> line.answer("200 OK", "", "fine"));
+            }
+            rig.onRequest = (now, r, out) -> out.send(r.id(), r.id().startsWith("u") ? r.id() : "u0", 0);
+            rig.start();
+            Peer.Client first = comes(rig.address());
+            for (int i = 1; i < 2 * PLACES; i++) {
+                assertEquals(200, first.send(Rig.get("u" + i, 40_000)).status());
+            }
+            List<Peer.Client> all = new ArrayList<>();
+            for (int i = 0; i < PLACES - 1; i++) {
+                all.add(comes(rig.address()).send(Rig.get("busy" + i, 40_000)));
+                rig.await("request busy" + i);
+            }
+            for (Peer.Client c : all) {
+                assertEquals(200, c.status());
+            }
+        }
+    }
+
     /** Guards against a place that is lost for good, and looked at for ever, where taking a client in fails by an exception. */
     @Test
     void aClientThatCouldNotBeTakenInHoldsNoPlace() throws Exception {
@@ -136,12 +166,15 @@
                     rig.sidecar.requests(),
                     List.of(),
                     () -> true,
-                    new ClientPlaces(rig.sidecar.loop(), () -> {
-                        if (places.get() == 0) {
-                            throw new IllegalStateException("as the test wants");
-                        }
-                        return places.get();
-                    }),
+                    new ClientPlaces(
+                            rig.sidecar.loop(),
+                            () -> {
+                                if (places.get() == 0) {
+                                    throw new IllegalStateException("as the test wants");
+                                }
+                                return places.get();
+                            },
+                            () -> false),
                     new Budget(1 << 20),
                     new LoopDelay(),
                     new AnswerDeadlines(List.of(), new LoopDelay()),
