Discovery: the watch goes on where a list that has come could not be taken over

Callers would see: requests sent to servers that left, and none to new ones, for as long as the process lives; the log has one line of the runtime's at most.

Cause: the next call of the watch was the last thing done with an answer. An error on the way there (want of memory while a list of thousands is taken over; of the module's own only exceptions are caught) left no call out, none due, and no timer: the connection's end, which follows, belongs to no call. The version of the list was noted before, so that a later call would not have brought it again either.

The next call now follows whatever happens, and asks for the whole list where the one before was not taken over.

--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -264,11 +264,24 @@
         doubt = false;
         watching = true;
         failures = senseless = 0;
-        generation = told.generation();
         if (!HttpUtil.isKeepAlive(response)) {
             channel.close();
             channel = null;
         }
+        boolean takenOver = false;
+        try {
+            takeOver(told);
+            takenOver = true;
+        } finally {
+            // Where it failed, as for want of memory, the watch goes on and brings the whole list again.
+            doubt |= !takenOver;
+            goOn();
+            over();
+        }
+    }
+
+    private void takeOver(UpstreamList told) {
+        generation = told.generation();
         UpstreamList list = starts.told(told);
         upstreams.update(list);
         if (asked || list.whole() || !list.entries().isEmpty()) {
@@ -278,8 +291,6 @@
             decisions.call(
                     m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries), () -> {});
         }
-        goOn();
-        over();
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpResponse> {
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -36,6 +36,30 @@
         }
     }
 
+    /** Guards against a watch that ends for good, and unsaid, where memory lacks for a list that has come. */
+    @Test
+    void theWatchGoesOnWhereAListCouldNotBeTakenOver() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = new Rig((m, line) -> {
+            if (calls.incrementAndGet() <= 2) {
+                line.answer("200 OK", "", Rig.list(41 + calls.get(), true, UP));
+            }
+        })) {
+            AtomicInteger lists = new AtomicInteger();
+            rig.onWholeList = () -> {
+                if (lists.incrementAndGet() == 1) {
+                    throw new OutOfMemoryError("as the test wants");
+                }
+            };
+            rig.upstream((m, line) -> {});
+            rig.start();
+            assertEquals("list FULL u0=READY", rig.await("list FULL"));
+            assertEquals("list FULL u0=READY", rig.await("list FULL"));
+            rig.discovery.next();
+            assertEquals("/registry/instances", rig.discovery.next().path());
+        }
+    }
+
     /** A bad answer is a failed call; taken for an empty list it would end all service. */
     @Test
     void aBadAnswerIsAFailedCallAndThenTheWholeListIsAskedFor() throws Exception {
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -44,6 +44,8 @@
             out.fail(id);
         }
     };
+    /** Runs when the module is told a whole list. */
+    volatile Runnable onWholeList = () -> {};
     /** What the module says when a connection is up at last. */
     volatile boolean mayBegin = true;
 
@@ -216,6 +218,9 @@
                     + String.join(
                             ",",
                             entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
+            if (kind == ListKind.FULL) {
+                onWholeList.run();
+            }
             if (asks && (kind == ListKind.CACHED || kind == ListKind.FAILED && !asksOnce)) {
                 actions.subscribe();
             }
