UpstreamsTest: a call of 2 ms has 2 ms, however late its loop is

Cause, by reading: a connection that had 20 ms and more to come up is judged by it, as it should be; the loop of a cold process ran the time-out of 2 ms that late. The test's own timing.

Change: the time of the clock and of the loop's timers stands, and passes by the call's 2 ms alone. The same claim.

--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -20,10 +20,11 @@
 /** Connections and the list: everything here happens on one event loop, as in the program. */
 @Timeout(60)
 class UpstreamsTest {
-    private final Clock clock = new Clock();
+    /** Running, until a test stops it. */
+    private final MovableTime clock = new MovableTime();
+
     private final LoopDelay loopDelay = new LoopDelay();
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, TimedIoHandler.factory(SocketLook.handlers(), clock, loopDelay));
+    private final EventLoopGroup group = clock.loops(TimedIoHandler.factory(SocketLook.handlers(), clock, loopDelay));
     private final EventLoop loop = group.next();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
 
@@ -399,7 +400,12 @@
             loop.submit(() -> upstreams.update(
                             list(true, Rig.entry("u", "127.0.0.1:" + full.getLocalPort(), "Ready", 0))))
                     .get();
-            loop.execute(() -> upstreams.start(call("u", 2_000)));
+            // However late the loop is, no more than the call's time passes.
+            clock.stop();
+            loop.execute(() -> {
+                upstreams.start(call("u", 2_000));
+                clock.move(2);
+            });
             assertEquals("u NOT_SENT", outcome());
         }
     }
