--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -180,7 +180,10 @@
         context.executor()
                 .schedule(
                         () -> {
-                            if (full && fill == fills && !stopped && context.channel().isActive()) {
+                            if (full
+                                    && fill == fills
+                                    && !stopped
+                                    && context.channel().isActive()) {
                                 tellIfStillFull(fill);
                                 listener.unwatched();
                             }
