A request tries one server that is out at most, and only one that may be repeated

What callers saw: none reported it; found by reading. A request that had failed at one server known to refuse connections was sent to the next such server while 38 others were free, and a request of an unsafe class was the one that tried it.

Cause: the turn of a server that is out by words of which one is the own goes to whatever request comes next: also to the second attempt of one that has just failed at another such server, and to those that nobody may repeat.

Fix: a turn is taken by the first attempt of a request of a class that may be repeated. Others come to such a server by the draw alone, as before the turns. Where all requests are unsafe no turn is taken.

Tests: aRequestTriesOneServerThatIsOutAtMost and whatMayNotBeRepeatedTriesNoServerThatIsOut failed before, pass now.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -580,7 +580,7 @@
         for (Server s : owed) {
             if (turn == null && s.own == 0 && hasRoom(now, r, s, true)) turn = s;
         }
-        for (Server s : accused) {
+        for (Server s : mayTry(r) ? accused : List.<Server>of()) {
             if (turn == null && s.ejections > 0 && s.own == 0 && hasRoom(now, r, s, true)) turn = s;
         }
         for (int i = 0; i < cold.size() && turn == null; i++) {
@@ -593,6 +593,11 @@
         return s != null ? s : pair(now, r, all, false);
     }
 
+    /** What tries a server that is out may well be lost: no request twice, and none that nobody may repeat. */
+    private static boolean mayTry(Req r) {
+        return r.attempts.isEmpty() && r.spec.semantics() != Semantics.UNSAFE;
+    }
+
     private Server pair(long now, Req r, Table table, boolean freeCore) {
         Server first = draw(now, r, table, freeCore, null);
         Server second = first == null ? null : draw(now, r, table, freeCore, first);
--- a/src/test/java/rushproxy/SharedFactsTest.java
+++ b/src/test/java/rushproxy/SharedFactsTest.java
@@ -2,15 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import rushproxy.Balancer.Evidence;
+import rushproxy.Balancer.Group;
 import rushproxy.Balancer.Outcome;
+import rushproxy.Balancer.RequestClass;
 import rushproxy.Balancer.Scope;
+import rushproxy.Balancer.Semantics;
 import rushproxy.Balancer.Share;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Balancer.UpstreamState;
@@ -221,4 +226,50 @@
         long many = sent(without, "s1", 600);
         assertTrue(4 * few < many, few + " and " + many);
     }
+
+    /** Two of many servers refuse connections; this sidecar is a witness against both, and their ejections are over. */
+    private static Rig witness() {
+        Rig rig = new Rig();
+        rig.otherClasses =
+                List.of(new RequestClass("unsafe", Semantics.UNSAFE, Group.ALL, 0, 300_000, 0, 800_000, 3, 0, false));
+        Upstream[] all = new Upstream[40];
+        Arrays.setAll(all, i -> Rig.up("s" + i, "za", i));
+        rig.start().list(all);
+        for (int i = 0;
+                rig.take("evidence s0 ").isEmpty() || rig.take("evidence s1 ").isEmpty();
+                i++) {
+            String to = rig.after(1_000).request("w" + i).sentTo("w" + i, 0);
+            boolean down = to.equals("s0") || to.equals("s1");
+            rig.outcome("w" + i, 0, to, down ? Outcome.CONNECT_FAILED : Outcome.OK, 20_000);
+            if (down) {
+                rig.outcome("w" + i, 1, rig.sentTo("w" + i, 1), Outcome.OK, 20_000);
+            }
+        }
+        rig.after(S);
+        rig.policy.onVerdicts(
+                rig.now,
+                List.of(
+                        new Verdict("s0", Evidence.SILENT, 1, 2, true, true, rig.now + 2 * S),
+                        new Verdict("s1", Evidence.SILENT, 1, 2, true, true, rig.now + 2 * S)));
+        return rig;
+    }
+
+    /** Guards against a request that fails at one server known to be out and is then used to try the next such one. */
+    @Test
+    void aRequestTriesOneServerThatIsOutAtMost() {
+        Rig rig = witness().request("a");
+        assertEquals("s0", rig.sentTo("a", 0));
+        rig.outcome("a", 0, "s0", Outcome.CONNECT_FAILED, 1_000);
+        assertNotEquals("s1", rig.sentTo("a", 1));
+        assertEquals("s1", rig.request("b").sentTo("b", 0));
+    }
+
+    /** Guards against a server known to be out that is tried by a request which nobody may send again. */
+    @Test
+    void whatMayNotBeRepeatedTriesNoServerThatIsOut() {
+        Rig rig = witness();
+        rig.policy.onRequest(rig.now, new Balancer.Request("a", -1, false, true, 0, 800_000, null, "unsafe", false));
+        assertFalse(List.of("s0", "s1").contains(rig.sentTo("a", 0)));
+        assertEquals("s0", rig.request("b").sentTo("b", 0));
+    }
 }
