A new process of a server is not accused for the failures of the one before

What callers saw: none reported it; found by reading. A server that had been ejected and was started anew was told to be silent at its first time-out, though the sidecar itself ejects it only after two.

Cause: each failure of a server known to be failing is told, and whether it is known follows the time of the last failure told, which a new start did not clear. Nor did it clear that a time-out had been laid to an idle connection.

Fix: both are cleared with the counts of failures at a new start.

Test: aProcessThatIsNewIsNotAccusedForTheOneBefore failed before, passes now.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -168,6 +168,8 @@
         s.apart = 1;
         s.failures = s.ejections = s.refusals = 0;
         s.ejectedUntil = s.fullUntil = s.usedAt = 0;
+        s.failedAt = Long.MIN_VALUE / 2;
+        s.idleBlamed = false;
     }
 
     /** What the operators leave out, and when they had the others back; ids need not be listed. */
--- a/src/test/java/rushproxy/SharedFactsTest.java
+++ b/src/test/java/rushproxy/SharedFactsTest.java
@@ -272,4 +272,16 @@
         assertFalse(List.of("s0", "s1").contains(rig.sentTo("a", 0)));
         assertEquals("s0", rig.request("b").sentTo("b", 0));
     }
+
+    /** Guards against a first failure of a new process that is told as one more of the process before it. */
+    @Test
+    void aProcessThatIsNewIsNotAccusedForTheOneBefore() {
+        Rig rig = witness();
+        rig.list(new Upstream("s0", "za", "k", 0, rig.now - 100 * S, 1, UpstreamState.READY));
+        rig.actions.clear();
+        for (int i = 0; rig.take("send a" + (i - 1) + " s0 ").isEmpty(); i++) {
+            rig.after(1_000).request("a" + i).outcome("a" + i, 0, rig.sentTo("a" + i, 0), Outcome.TIMEOUT, 800_000);
+        }
+        assertEquals(List.of(), rig.take("evidence s0 "));
+    }
 }
