A trial of a server that stays silent loses one request, not two

What callers saw: none reported it; found by measuring. A witness of one request a second lost more requests to a silent server than without any word on it.

Cause: after an ejection it took two time-outs to eject the server again, and the turn of an accused server gives it the next two requests in a row.

Fix: a time-out of a server that has not answered since its last ejection ejects it again at once, as a refused connection does. The first ejection still takes two. Other failures are counted as before.

Test: aTrialOfAServerThatStaysSilentLosesOneRequest failed before, passes now.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -595,7 +595,7 @@
         return s != null ? s : pair(now, r, all, false);
     }
 
-    /** What tries a server that is out may well be lost: no request twice, and none that nobody may repeat. */
+    /** What tries a server that is out may well be lost: no request twice, and none of an unsafe class. */
     private static boolean mayTry(Req r) {
         return r.attempts.isEmpty() && r.spec.semantics() != Semantics.UNSAFE;
     }
@@ -1008,7 +1008,9 @@
                 // A server that has answered others meanwhile is slow; only silence is a fault.
                 boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt < a.sentAt;
                 learn(s, a, latencyUs, false, now);
-                failed(now, s, silent ? 1 : 0, Evidence.SILENT);
+                // One that was out and is still silent needs no second request lost to it.
+                int weight = s.ejections > 0 ? EJECT_AFTER : 1;
+                failed(now, s, silent ? weight : 0, Evidence.SILENT);
             }
             case ERROR -> {
                 boolean fast = latencyUs < a.expected / FAST;
--- a/src/test/java/rushproxy/SharedFactsTest.java
+++ b/src/test/java/rushproxy/SharedFactsTest.java
@@ -284,4 +284,13 @@
         }
         assertEquals(List.of(), rig.take("evidence s0 "));
     }
+
+    /** Guards against a second request that is lost to a silent server each time that it is tried. */
+    @Test
+    void aTrialOfAServerThatStaysSilentLosesOneRequest() {
+        Rig rig = witness().request("a");
+        assertEquals("s0", rig.sentTo("a", 0));
+        rig.after(800_000).outcome("a", 0, "s0", Outcome.TIMEOUT, 800_000);
+        assertEquals("s1", rig.request("b").sentTo("b", 0));
+    }
 }
