--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -168,6 +168,8 @@
         s.apart = 1;
         s.failures = s.ejections = s.refusals = 0;
         s.ejectedUntil = s.fullUntil = s.usedAt = 0;
+        s.failedAt = Long.MIN_VALUE / 2;
+        s.idleBlamed = false;
     }
 
     /** What the operators leave out, and when they had the others back; ids need not be listed. */
@@ -590,7 +592,7 @@
         for (Server s : owed) {
             if (turn == null && s.own == 0 && hasRoom(now, r, s, true)) turn = s;
         }
-        for (Server s : accused) {
+        for (Server s : mayTry(r) ? accused : List.<Server>of()) {
             if (turn == null && s.ejections > 0 && s.own == 0 && hasRoom(now, r, s, true)) turn = s;
         }
         for (int i = 0; i < cold.size() && turn == null; i++) {
@@ -603,6 +605,11 @@
         return s != null ? s : pair(now, r, all, false);
     }
 
+    /** What tries a server that is out may well be lost: no request twice, and none of an unsafe class. */
+    private static boolean mayTry(Req r) {
+        return r.attempts.isEmpty() && r.spec.semantics() != Semantics.UNSAFE;
+    }
+
     private Server pair(long now, Req r, Table table, boolean freeCore) {
         Server first = draw(now, r, table, freeCore, null);
         Server second = first == null ? null : draw(now, r, table, freeCore, first);
@@ -1011,7 +1018,9 @@
                 // A server that has answered others meanwhile is slow; only silence is a fault.
                 boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt < a.sentAt;
                 learn(s, a, latencyUs, false, now);
-                failed(now, s, silent ? 1 : 0, Evidence.SILENT);
+                // One that was out and is still silent needs no second request lost to it.
+                int weight = s.ejections > 0 ? EJECT_AFTER : 1;
+                failed(now, s, silent ? weight : 0, Evidence.SILENT);
             }
             case ERROR -> {
                 boolean fast = latencyUs < a.expected / FAST;
