A trial for a verdict's sake loses one request, other trials two as before

Callers: none saw it.

Cause: it held for all servers that were ever out, also for those that answer late and soon are back: they were out for longer after one late answer.

Fix: it holds for the servers that a verdict accuses with this sidecar's word, which are given trials out of turn; those were what the commit was for.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -1018,8 +1018,8 @@
                 // A server that has answered others meanwhile is slow; only silence is a fault.
                 boolean silent = outcome == Outcome.TIMEOUT && s.answeredAt < a.sentAt;
                 learn(s, a, latencyUs, false, now);
-                // One that was out and is still silent needs no second request lost to it.
-                int weight = s.ejections > 0 ? EJECT_AFTER : 1;
+                // One that is tried for its verdict's sake needs no second request lost to it.
+                int weight = s.ejections > 0 && accused.contains(s) ? EJECT_AFTER : 1;
                 failed(now, s, silent ? weight : 0, Evidence.SILENT);
             }
             case ERROR -> {
