--- a/review/rig/Upstream.java
+++ b/review/rig/Upstream.java
@@ -2,6 +2,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** A sound upstream: serves each request once, after its work, with an answer that names the request. */
@@ -10,6 +12,7 @@
     private final ServerSocket server = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
     private final int minWorkMs;
     private final int maxWorkMs;
+    private final Set<Rig.Conn> open = ConcurrentHashMap.newKeySet();
 
     Upstream(String name, int minWorkMs, int maxWorkMs) throws IOException {
         this.name = name;
@@ -35,7 +38,18 @@
         return this;
     }
 
+    /** The process ends: its connections are reset and new ones are refused. */
+    void end() throws IOException {
+        Rig.say(name + " ends");
+        server.close();
+        for (Rig.Conn c : open) {
+            c.socket.setSoLinger(true, 0);
+            c.close();
+        }
+    }
+
     private void serve(Rig.Conn c) {
+        open.add(c);
         try (c) {
             for (Rig.Message request; (request = c.read()) != null; ) {
                 String id = request.headers.get("x-txn");
@@ -50,6 +64,8 @@
             }
         } catch (IOException e) {
             Rig.say(name + ": a connection ended: " + e.getMessage());
+        } finally {
+            open.remove(c);
         }
     }
 
