--- a/review/rig/Rig.java
+++ b/review/Rig.java
@@ -254,6 +254,8 @@
     static final class Message {
         String first = "";
         int status;
+        /** When the first byte was read, in the record's seconds. */
+        double beganAt;
         final Map<String, String> headers = new HashMap<>();
         String body = "";
     }
@@ -302,10 +304,12 @@
         /** The next message; null at the end of the connection between two messages. */
         Message read() throws IOException {
             Message message = new Message();
-            message.first = line();
-            if (message.first == null) {
+            int firstByte = in.read();
+            if (firstByte < 0) {
                 return null;
             }
+            message.beganAt = seconds();
+            message.first = (char) firstByte + need(line());
             if (message.first.startsWith("HTTP/")) {
                 message.status = Integer.parseInt(message.first.split(" ")[1]);
             }
--- a/review/rig/Upstream.java
+++ b/review/Upstream.java
@@ -57,7 +57,7 @@
                     c.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
                     continue;
                 }
-                onRequest(id);
+                onRequest(id, request.beganAt);
                 Rig.say(name + " got " + id + " on connection " + c.socket.getPort());
                 Rig.sleep(ThreadLocalRandom.current().nextInt(minWorkMs, maxWorkMs + 1));
                 answer(c, id);
@@ -69,8 +69,8 @@
         }
     }
 
-    /** Called when the last byte of a request has arrived. */
-    void onRequest(String id) {}
+    /** Called when the last byte of a request has arrived; its first byte came at {@code beganAt}. */
+    void onRequest(String id, double beganAt) {}
 
     /** What this upstream answers to the request; also what its client has to get. */
     static String body(String upstream, String id) {
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins and the checks of all cases; needs the JDK alone.
+# Builds the stand-ins and the check of each case into its folder; needs the JDK alone.
 set -eu
 cd "$(dirname "$0")"
-rm -rf build
-mkdir build
-find rig [0-9]* -name '*.java' > build/sources
-javac -nowarn -d build @build/sources
+for n in [0-9]; do
+    rm -rf "$n/build"
+    mkdir "$n/build"
+    javac -nowarn -d "$n/build" ./*.java "$n"/*.java
+done
