Log: what holds the clients' slots, and how long no connection was accepted

What could not be told: a sidecar with all slots of clients taken logged "348 of 348 connections of clients" whether it was busy or stood still, and nothing said that its listener was not read. Change: the line of each 5 s counts connections by what they do (idle, within head, within body, served, lingering); a warning tells for how long nobody was accepted and what held the slots as that began.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -618,6 +618,19 @@
         }
     }
 
+    ClientPhase phase() {
+        if (lingering) {
+            return ClientPhase.LINGERING;
+        }
+        if (busy) {
+            return receiving && !responded ? ClientPhase.WITHIN_BODY : ClientPhase.SERVED;
+        }
+        if (!queued.isEmpty()) {
+            return ClientPhase.SERVED;
+        }
+        return readStartUs == 0 ? ClientPhase.IDLE : ClientPhase.WITHIN_HEAD;
+    }
+
     /** Whether a request is in progress, from its head to the end of its response. */
     boolean isBusy() {
         return busy;
--- a/src/main/java/rushproxy/sidecar/ClientConnectionLimiter.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnectionLimiter.java
@@ -3,7 +3,9 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -63,6 +65,13 @@
         return limit.getAsInt();
     }
 
+    /** How many connections are in each phase; phases of none are left out. */
+    Map<ClientPhase, Integer> countByPhase() {
+        Map<ClientPhase, Integer> counts = new EnumMap<>(ClientPhase.class);
+        connections.forEach(connection -> counts.merge(connection.phase(), 1, Integer::sum));
+        return counts;
+    }
+
     boolean hasFreeSlot() {
         return openCount() < limit();
     }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -97,6 +97,7 @@
 
     private final ClientConnectionLimiter limiter;
     private final UnansweredConnectionStats unansweredStats = new UnansweredConnectionStats();
+    private final AcceptPauseStats acceptPauses;
     private Channel listener;
     /** Whether other processes share the listening socket. It is then left open. */
     private boolean sharedListener;
@@ -143,6 +144,7 @@
         this.loopDelay = loopDelay;
         this.deadlines = deadlines;
         this.guard = guard;
+        acceptPauses = new AcceptPauseStats(clock, limiter::countByPhase);
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
@@ -203,8 +205,8 @@
      * wait in the backlog.
      */
     private void onAcceptFailed(Channel from, Throwable cause) {
-        from.config().setAutoRead(false);
-        loop.schedule(() -> from.config().setAutoRead(canAccept()), ACCEPT_RETRY_MS, TimeUnit.MILLISECONDS);
+        setAccepting(from.config(), false);
+        loop.schedule(() -> setAccepting(from.config(), canAccept()), ACCEPT_RETRY_MS, TimeUnit.MILLISECONDS);
         if (!acceptFailing) {
             acceptFailing = true;
             Log.warn("accepting a client connection failed: " + cause.getMessage());
@@ -221,11 +223,11 @@
         limiter.add(connection);
         channel.closeFuture().addListener(f -> {
             limiter.remove(connection);
-            listenerConfig.setAutoRead(canAccept());
+            setAccepting(listenerConfig, canAccept());
         });
         limiter.evictUntilSlotFree();
         // Beyond the limit clients wait in the backlog, since upstream connections need descriptors too.
-        listenerConfig.setAutoRead(canAccept());
+        setAccepting(listenerConfig, canAccept());
         channel.pipeline().addLast(connection.input(), new RequestDecoder(), new HttpResponseEncoder(), connection);
     }
 
@@ -237,6 +239,11 @@
         return drainRequestedUs > 0 ? Math.max(clock.nowUs(), drainRequestedUs + DRAIN_CLOSED_BY_US) : Long.MAX_VALUE;
     }
 
+    private void setAccepting(ChannelConfig listenerConfig, boolean accepting) {
+        listenerConfig.setAutoRead(accepting);
+        acceptPauses.setAccepting(accepting);
+    }
+
     private boolean canAccept() {
         return limiter.hasFreeSlot() && !inputEnded;
     }
@@ -245,7 +252,7 @@
         long now = clock.nowUs();
         // The limit depends on the number of upstream connections and may have changed since the last check.
         limiter.evictUntilSlotFree();
-        listener.config().setAutoRead(canAccept());
+        setAccepting(listener.config(), canAccept());
         for (ClientConnection connection : limiter.all()) {
             connection.closeIfTimedOut(now, REQUEST_TIMEOUT_US, FIRST_REQUEST_TIMEOUT_US);
         }
@@ -281,6 +288,16 @@
         return unansweredStats.takeCounts();
     }
 
+    /** Since the last call, for how long no connection was accepted, and by what the slots were taken. */
+    AcceptPauseStats.Report takeAcceptPauses() {
+        return acceptPauses.take();
+    }
+
+    /** How many connections are in each phase; phases of none are left out. */
+    Map<ClientPhase, Integer> countByPhase() {
+        return limiter.countByPhase();
+    }
+
     /** The open connections, in no particular order. */
     Set<ClientConnection> connections() {
         return limiter.all();
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
@@ -35,6 +36,8 @@
     /** Lag from which a warning is logged: the smallest margin kept between a response and its deadline. */
     private static final long MIN_REPORTED_LAG_US = 15_000;
 
+    private static final long MIN_REPORTED_ACCEPT_PAUSE_MS = 20;
+
     private final Config config;
     private final ServerSocketChannel inheritedListener;
     private final BalancerFactory balancerFactory;
@@ -285,6 +288,7 @@
         }
         if (++heartbeats % HEARTBEATS_PER_REPORT == 0) {
             reportUnansweredConnections();
+            reportAcceptPauses();
             requests.reportStats((summary, fields) -> Log.event(
                     Log.Level.INFO,
                     "in " + HEARTBEATS_PER_REPORT * HEARTBEAT_INTERVAL_MS / 1000 + " s " + summary + "; "
@@ -412,8 +416,29 @@
     }
 
     private String describeConnections() {
-        return clients.openCount() + " of " + clients.limit() + " connections of clients, "
-                + upstreams.openConnections() + " to upstreams";
+        return clients.openCount() + " of " + clients.limit() + " connections of clients"
+                + describe(clients.countByPhase()) + ", " + upstreams.openConnections() + " to upstreams";
+    }
+
+    private static String describe(Map<ClientPhase, Integer> phases) {
+        String text = phases.entrySet().stream()
+                .map(entry -> entry.getValue() + " " + entry.getKey().text())
+                .collect(Collectors.joining(", "));
+        return text.isEmpty() ? "" : " (" + text + ")";
+    }
+
+    private void reportAcceptPauses() {
+        AcceptPauseStats.Report pauses = clients.takeAcceptPauses();
+        long pausedMs = pauses.totalUs() / 1000;
+        if (pausedMs >= MIN_REPORTED_ACCEPT_PAUSE_MS) {
+            Log.event(
+                    Log.Level.WARN,
+                    "in " + HEARTBEATS_PER_REPORT * HEARTBEAT_INTERVAL_MS / 1000
+                            + " s no client connection was accepted for " + pausedMs + " ms"
+                            + describe(pauses.phases()),
+                    "accept_pause_ms",
+                    pausedMs);
+        }
     }
 
     /** Applies cordons set or lifted by operators, here or at the other process during an upgrade. */
