Log: the accept pause needs no class that is first loaded once descriptors are out

Its first use is in a report; the test takes all descriptors before, and from a folder of classes none can be loaded then, now or later, so each report failed half way. Fix: no type for the report; the figures are asked for one by one, and the phases' class is loaded with the statistics, at the start.

--- a/src/main/java/rushproxy/sidecar/AcceptPauseStats.java
+++ b/src/main/java/rushproxy/sidecar/AcceptPauseStats.java
@@ -1,5 +1,7 @@
 package rushproxy.sidecar;
 
+import java.util.Collections;
+import java.util.EnumMap;
 import java.util.Map;
 import java.util.function.Supplier;
 
@@ -8,8 +10,8 @@
  * connections are doing that hold the slots meanwhile.
  */
 final class AcceptPauseStats {
-    /** All pauses of a period; {@code phases}: the connections at the start of its first pause. */
-    record Report(long totalUs, Map<ClientPhase, Integer> phases) {}
+    /** Also loads the class of the keys at the start, since no file can be opened for it once all descriptors are in use. */
+    private static final Map<ClientPhase, Integer> NONE = Collections.unmodifiableMap(new EnumMap<>(ClientPhase.class));
 
     private final Clock clock;
     private final Supplier<Map<ClientPhase, Integer>> countByPhase;
@@ -17,7 +19,8 @@
     private long pausedSinceUs;
 
     private long totalUs;
-    private Map<ClientPhase, Integer> phases = Map.of();
+    /** The connections at the start of the first pause that was not reported yet. */
+    private Map<ClientPhase, Integer> phases = NONE;
 
     AcceptPauseStats(Clock clock, Supplier<Map<ClientPhase, Integer>> countByPhase) {
         this.clock = clock;
@@ -26,7 +29,7 @@
 
     void setAccepting(boolean accepting) {
         if (accepting) {
-            addCurrentPause();
+            totalUs = totalUs();
             pausedSinceUs = 0;
         } else if (pausedSinceUs == 0) {
             pausedSinceUs = clock.nowUs();
@@ -36,20 +39,21 @@
         }
     }
 
-    private void addCurrentPause() {
-        if (pausedSinceUs > 0) {
-            totalUs += clock.nowUs() - pausedSinceUs;
-        }
+    /** The time of all pauses since the last call of {@link #reset}, including the current one. */
+    long totalUs() {
+        return totalUs + (pausedSinceUs > 0 ? clock.nowUs() - pausedSinceUs : 0);
+    }
+
+    /** How many connections were in each phase when the first of these pauses began; empty if there was none. */
+    Map<ClientPhase, Integer> phases() {
+        return phases;
     }
 
-    /** Reports what was paused since the last call, including the current pause up to now. */
-    Report take() {
-        addCurrentPause();
+    /** Starts counting anew; a pause that lasts counts from now on. */
+    void reset() {
         boolean paused = pausedSinceUs > 0;
-        Report report = new Report(totalUs, phases);
         pausedSinceUs = paused ? clock.nowUs() : 0;
-        phases = paused ? countByPhase.get() : Map.of();
+        phases = paused ? countByPhase.get() : NONE;
         totalUs = 0;
-        return report;
     }
 }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -288,9 +288,9 @@
         return unansweredStats.takeCounts();
     }
 
-    /** Since the last call, for how long no connection was accepted, and by what the slots were taken. */
-    AcceptPauseStats.Report takeAcceptPauses() {
-        return acceptPauses.take();
+    /** For how long no connection was accepted, and by what the slots were taken. */
+    AcceptPauseStats acceptPauses() {
+        return acceptPauses;
     }
 
     /** How many connections are in each phase; phases of none are left out. */
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -428,7 +428,7 @@
     }
 
     private void reportAcceptPauses() {
-        AcceptPauseStats.Report pauses = clients.takeAcceptPauses();
+        AcceptPauseStats pauses = clients.acceptPauses();
         long pausedMs = pauses.totalUs() / 1000;
         if (pausedMs >= MIN_REPORTED_ACCEPT_PAUSE_MS) {
             Log.event(
@@ -439,6 +439,7 @@
                     "accept_pause_ms",
                     pausedMs);
         }
+        pauses.reset();
     }
 
     /** Applies cordons set or lifted by operators, here or at the other process during an upgrade. */
--- a/src/test/java/rushproxy/sidecar/AcceptPauseStatsTest.java
+++ b/src/test/java/rushproxy/sidecar/AcceptPauseStatsTest.java
@@ -18,11 +18,16 @@
         clock.advance(20);
         pauses.setAccepting(false);
         clock.advance(30);
-        assertEquals(new AcceptPauseStats.Report(50_000, phases), pauses.take());
+        assertEquals(50_000, pauses.totalUs());
+        assertEquals(phases, pauses.phases());
+        pauses.reset();
         clock.advance(5);
         pauses.setAccepting(true);
         clock.advance(40);
-        assertEquals(new AcceptPauseStats.Report(5_000, phases), pauses.take());
-        assertEquals(new AcceptPauseStats.Report(0, Map.of()), pauses.take());
+        assertEquals(5_000, pauses.totalUs());
+        assertEquals(phases, pauses.phases());
+        pauses.reset();
+        assertEquals(0, pauses.totalUs());
+        assertEquals(Map.of(), pauses.phases());
     }
 }
