ClientConnection: times of the client and progress of a body into classes of their own

Change: ClientActivity (accept, first bytes, current request, last activity) and BodyProgress (pause and rate of a body) hold them; behaviour is as before.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -36,12 +36,6 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientInput.Listener {
     /** Parts of pipelined requests that are queued before reading stops. */
     private static final int MAX_QUEUED_PARTS = 32;
-    /** Time before the minimum rate applies to a body. The rate is half that of a client on a poor link. */
-    private static final long BODY_START_GRACE_US = 2_200_000;
-
-    private static final long MIN_BODY_BYTES_PER_S = 32_000;
-    /** Longest pause within a body; a client may take up to 2 s to write a request. */
-    private static final long MAX_BODY_PAUSE_US = 2_200_000;
     /** After this time without accepting any of a body an upstream counts as stalled. */
     private static final long MAX_UPSTREAM_BLOCKED_US = 10_000_000;
     /** Longest wait for body memory. The refusal that follows tells the client that nothing was sent upstream. */
@@ -50,8 +44,6 @@
     private static final long MAX_UNREAD_RESPONSE_US = 20_000_000;
     /** The default of SO_LINGER: close returns at once, and the kernel still sends what was written. */
     private static final int LINGER_DISABLED = -1;
-    /** A connection is new for this long; clients send their first request right after connecting. */
-    private static final long NEW_CONNECTION_US = 200_000;
     /** Longest wait for the client to read what was written of a response that has broken off. */
     private static final long MAX_ABORT_FLUSH_US = 1_000_000;
 
@@ -67,19 +59,12 @@
     private final RequestGuard guard;
     private final ClientInput input;
     private final ArrayDeque<QueuedPart> queued = new ArrayDeque<>();
-    /** When the first byte of the request that is being read arrived; 0 between requests. */
-    private long readStartUs;
     /** When the first byte of the most recently decoded head arrived. */
     private long headStartUs;
 
-    private long lastActiveUs;
-    private final long openedUs;
-    /** When the kernel received the first bytes, at most the time of the accept; 0 before they are read. */
-    private long firstReceivedUs;
+    private final ClientActivity activity;
     /** Earliest time at which the client may have sent the bytes read last. */
     private long sentUs;
-    /** Whether a complete request has arrived. Such a client may be idle without a limit. */
-    private boolean hasSentRequest;
 
     // ---- the current request, from its head to the end of its response
     private boolean busy;
@@ -106,9 +91,7 @@
     /** When the first byte of the current request was read. */
     private long firstByteUs;
 
-    private long bodyStartUs;
-    private long lastPartUs;
-    private long bodyBytesSinceStart;
+    private final BodyProgress bodyProgress = new BodyProgress();
     private long bodyBytes;
     private int reservedBytes;
     /** Withdraws a pending memory reservation; null if none is pending. */
@@ -139,7 +122,7 @@
         this.deadlines = deadlines;
         this.guard = guard;
         input = new ClientInput(clock, loopDelay, memoryBudget, this);
-        lastActiveUs = openedUs = clock.nowUs();
+        activity = new ClientActivity(channel, clock);
     }
 
     TcpConnection channel() {
@@ -154,15 +137,8 @@
     /** Counts any input as activity, even a part of a request. */
     @Override
     public void onBytes(long sinceUs) {
-        lastActiveUs = clock.nowUs();
+        activity.recordBytes();
         sentUs = sinceUs;
-        if (firstReceivedUs == 0) {
-            long agoUs = channel.sinceLastReceiveUs();
-            firstReceivedUs = agoUs == TcpInfo.UNKNOWN ? openedUs : Math.min(openedUs, lastActiveUs - agoUs);
-        }
-        if (readStartUs == 0) {
-            readStartUs = lastActiveUs;
-        }
     }
 
     /**
@@ -196,11 +172,10 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         HttpObject part = (HttpObject) message;
         if (part instanceof HttpRequest) {
-            headStartUs = readStartUs == 0 ? lastActiveUs : readStartUs;
+            headStartUs = activity.requestStartUs();
         }
         if (part instanceof LastHttpContent) {
-            readStartUs = 0;
-            hasSentRequest |= part.decoderResult().isSuccess();
+            activity.recordRequestEnd(part.decoderResult().isSuccess());
         }
         if (busy && !receiving || !queued.isEmpty()) {
             queued.add(new QueuedPart(part, sentUs));
@@ -246,10 +221,10 @@
         responded = flushed = false;
         head = message;
         body = null;
-        bodyStartUs = lastPartUs = clock.nowUs();
+        bodyProgress.restart(clock.nowUs());
         firstByteUs = headStartUs;
         unreadSinceUs = 0;
-        bodyBytesSinceStart = bodyBytes = 0;
+        bodyBytes = 0;
         closeAfterResponse = !HttpUtil.isKeepAlive(message);
         coordinator = server.coordinatorFor(message);
         if (!message.decoderResult().isSuccess() || !RequestDecoder.hasUnambiguousFraming(message)) {
@@ -300,7 +275,7 @@
         cancelReservation = memoryBudget.reserve(body.maxKeptBytes(), () -> {
             cancelReservation = null;
             reservedBytes = body.maxKeptBytes();
-            bodyStartUs = lastPartUs = clock.nowUs();
+            bodyProgress.restart(clock.nowUs());
             if (!HttpUtil.is100ContinueExpected(message)) {
                 input.setUnreadSince(unreadSinceUs);
             } else {
@@ -362,8 +337,7 @@
     }
 
     private void receivePart(ByteBuf part, boolean isLast, long partSentUs) {
-        lastPartUs = clock.nowUs();
-        bodyBytesSinceStart += part.readableBytes();
+        bodyProgress.recordPart(clock.nowUs(), part.readableBytes());
         bodyBytes += part.readableBytes();
         if (bodyBytes > Headers.MAX_BODY_BYTES) {
             abandonExchange();
@@ -402,7 +376,7 @@
                 requestHead.requestClass(),
                 !body.isComplete());
         RequestTimestamps timestamps = new RequestTimestamps(
-                openedUs,
+                activity.acceptedUs(),
                 firstByteUs,
                 body.isComplete() ? clock.nowUs() : 0,
                 partSentUs,
@@ -574,7 +548,7 @@
         }
         exchange = null;
         responded = true;
-        lastActiveUs = clock.nowUs();
+        activity.recordResponse();
         written.addListener(f -> {
             this.flushed = true;
             if (closeAfterResponse) {
@@ -628,7 +602,7 @@
         if (!queued.isEmpty()) {
             return ClientPhase.SERVED;
         }
-        return readStartUs == 0 ? ClientPhase.IDLE : ClientPhase.WITHIN_HEAD;
+        return activity.isWithinRequest() ? ClientPhase.WITHIN_HEAD : ClientPhase.IDLE;
     }
 
     /** Whether a request is in progress, from its head to the end of its response. */
@@ -638,12 +612,12 @@
 
     /** Whether the connection is between requests, with no part of the next one received. */
     boolean isIdle() {
-        return !busy && queued.isEmpty() && readStartUs == 0 && !lingering;
+        return !busy && queued.isEmpty() && !activity.isWithinRequest() && !lingering;
     }
 
     /** Whether the connection is so recent that its first request may still be on its way. */
     boolean isNew() {
-        return !hasSentRequest && clock.nowUs() - openedUs < NEW_CONNECTION_US;
+        return activity.isNew();
     }
 
     /** Whether a complete request has arrived whose response was not fully handed to the kernel. */
@@ -652,7 +626,7 @@
     }
 
     long lastActiveUs() {
-        return lastActiveUs;
+        return activity.lastActiveUs();
     }
 
     /**
@@ -674,7 +648,10 @@
 
     private boolean isIdleSince(long sinceUs, long partialSinceUs) {
         boolean notAccepted = !busy || receiving && exchange == null && !responded;
-        return lastActiveUs < (isIdle() ? sinceUs : partialSinceUs) && notAccepted && queued.isEmpty() && !lingering;
+        return activity.lastActiveUs() < (isIdle() ? sinceUs : partialSinceUs)
+                && notAccepted
+                && queued.isEmpty()
+                && !lingering;
     }
 
     /**
@@ -707,26 +684,21 @@
             return;
         }
         if (busy) {
-            if (responded && !flushed && now - lastActiveUs >= MAX_UNREAD_RESPONSE_US) {
+            if (responded && !flushed && now - activity.lastActiveUs() >= MAX_UNREAD_RESPONSE_US) {
                 close(CloseReason.ANSWER_UNREAD);
             } else if (receiving && !responded && body != null) {
                 checkBodyProgress(now);
             }
         } else if (queued.isEmpty()) {
-            boolean late = !hasSentRequest
-                    ? now - requestWaitStartUs() >= firstTimeoutUs && !isNew()
-                    : readStartUs != 0 && now - readStartUs >= timeoutUs;
+            boolean late = !activity.hasSentRequest()
+                    ? now - activity.awaitedSinceUs() >= firstTimeoutUs && !isNew()
+                    : activity.isWithinRequest() && now - activity.awaitedSinceUs() >= timeoutUs;
             if (late) {
                 closeGracefully(CloseReason.REQUEST_UNFINISHED);
             }
         }
     }
 
-    /** When the wait for the first request began. */
-    private long requestWaitStartUs() {
-        return firstReceivedUs == 0 ? openedUs : firstReceivedUs;
-    }
-
     private void checkBodyProgress(long now) {
         if (cancelReservation != null) {
             return;
@@ -734,18 +706,14 @@
         long blockedUs = body.blockedSinceUs(now);
         if (body.isFull() || blockedUs > 0) {
             // Reading is suspended, so this time does not count against the client.
-            bodyStartUs = lastPartUs = now;
-            bodyBytesSinceStart = 0;
+            bodyProgress.restart(now);
             if (blockedUs > 0 && now - blockedUs >= MAX_UPSTREAM_BLOCKED_US) {
                 abandonExchange();
                 reject(HttpResponseStatus.BAD_GATEWAY);
             }
             return;
         }
-        long elapsedUs = now - bodyStartUs;
-        boolean slow = elapsedUs >= BODY_START_GRACE_US
-                && bodyBytesSinceStart < MIN_BODY_BYTES_PER_S * (elapsedUs - BODY_START_GRACE_US) / 1_000_000 + 1;
-        if (slow || now - lastPartUs >= MAX_BODY_PAUSE_US) {
+        if (bodyProgress.isTooSlow(now)) {
             abandonExchange();
             closeGracefully(CloseReason.BODY_TOO_SLOW);
         }
