Crowds: a client that stops within its request gives its slot to one that waits

Cause: with all slots taken the listener is not read, and only lingering and idle connections gave way. A client within a head kept its slot for 2.7 s, one within a body for 2.2 s, on a new connection as on a kept one, while requests lay unread in the accept queue and their time ran. Evidence: "in 5 s no client connection was accepted for 2768 ms (26 idle, 322 within head)", the event loop late by 15 ms at most. Fix: where room is wanted, a client that owes the rest of its request may give way once it has sent nothing for 0.2 s by the kernel's clock (time in the accept queue included), the longest silent first; in a shortage of 0.2 s and more also one that sends now and then, the oldest request first, bodies at their minimum rate apart. Its socket is read before, so what has arrived is served. A connection is new from its connect on, not from its accept. Why it holds: each connection in the queue is, 0.2 s after its connect, either taken in full or one that may give way itself, however many there are and whatever state they stop in. ClientConnectionCloseTest waited for a connection not to be new any more, which is now sooner; its timeout (0.55 of 0.6 s in the queue) no longer rests on that wait.

--- a/src/main/java/rushproxy/sidecar/BodyProgress.java
+++ b/src/main/java/rushproxy/sidecar/BodyProgress.java
@@ -26,11 +26,12 @@
 
     /** Whether its client has to be given up. */
     boolean isTooSlow(long nowUs) {
-        return isBelowMinimumRate(nowUs) || nowUs - lastPartUs >= MAX_PAUSE_US;
+        return isBelowMinimumRate(nowUs, START_GRACE_US) || nowUs - lastPartUs >= MAX_PAUSE_US;
     }
 
-    private boolean isBelowMinimumRate(long nowUs) {
+    /** Whether fewer bytes have arrived than the minimum rate asks for from {@code graceUs} after the start on. */
+    boolean isBelowMinimumRate(long nowUs, long graceUs) {
         long elapsedUs = nowUs - startUs;
-        return elapsedUs >= START_GRACE_US && bytes < MIN_BYTES_PER_S * (elapsedUs - START_GRACE_US) / 1_000_000 + 1;
+        return elapsedUs >= graceUs && bytes < MIN_BYTES_PER_S * (elapsedUs - graceUs) / 1_000_000 + 1;
     }
 }
--- a/src/main/java/rushproxy/sidecar/ClientActivity.java
+++ b/src/main/java/rushproxy/sidecar/ClientActivity.java
@@ -8,8 +8,12 @@
     private final TcpConnection channel;
     private final Clock clock;
     private final long acceptedUs;
+    /** When a connection without any input was established, at most the time of the accept; 0 if not looked up yet. */
+    private long establishedUs;
     /** When the kernel received the first bytes, at most the time of the accept; 0 before they are read. */
     private long firstReceivedUs;
+    /** When the kernel received the bytes read last. */
+    private long lastReceivedUs;
     /** When the first byte of the request that is being read was read; 0 between requests. */
     private long requestStartUs;
 
@@ -20,21 +24,27 @@
     ClientActivity(TcpConnection channel, Clock clock) {
         this.channel = channel;
         this.clock = clock;
-        lastActiveUs = acceptedUs = clock.nowUs();
+        lastActiveUs = lastReceivedUs = acceptedUs = clock.nowUs();
     }
 
     /** Records bytes that were just read, of whatever part of a request. */
     void recordBytes() {
         lastActiveUs = clock.nowUs();
+        long agoUs = channel.sinceLastReceiveUs();
+        lastReceivedUs = agoUs == TcpInfo.UNKNOWN ? lastActiveUs : lastActiveUs - agoUs;
         if (firstReceivedUs == 0) {
-            long agoUs = channel.sinceLastReceiveUs();
-            firstReceivedUs = agoUs == TcpInfo.UNKNOWN ? acceptedUs : Math.min(acceptedUs, lastActiveUs - agoUs);
+            firstReceivedUs = agoUs == TcpInfo.UNKNOWN ? acceptedUs : Math.min(acceptedUs, lastReceivedUs);
         }
         if (requestStartUs == 0) {
             requestStartUs = lastActiveUs;
         }
     }
 
+    /** Records that the client may only now go on sending, because it had to wait for this sidecar. */
+    void recordInvitation() {
+        lastReceivedUs = clock.nowUs();
+    }
+
     void recordRequestEnd(boolean isValid) {
         requestStartUs = 0;
         hasSentRequest |= isValid;
@@ -53,6 +63,11 @@
         return lastActiveUs;
     }
 
+    /** When the kernel last received something from the client, whenever that was read. */
+    long lastReceivedUs() {
+        return lastReceivedUs;
+    }
+
     boolean hasSentRequest() {
         return hasSentRequest;
     }
@@ -69,17 +84,28 @@
 
     /**
      * Since when the request is awaited that is incomplete: from its first byte on, and on a new connection from the first bytes of
-     * all, even if they lay in the accept queue, or the accept if there are none.
+     * all, or the connect if there are none, even if they lay in the accept queue.
      */
     long awaitedSinceUs() {
         if (hasSentRequest) {
             return requestStartUs();
         }
-        return firstReceivedUs == 0 ? acceptedUs : firstReceivedUs;
+        return firstReceivedUs == 0 ? establishedUs() : firstReceivedUs;
     }
 
     /** Whether the connection is so recent that its first request may still be on its way. */
     boolean isNew() {
-        return !hasSentRequest && clock.nowUs() - acceptedUs < NEW_CONNECTION_US;
+        long nowUs = clock.nowUs();
+        return !hasSentRequest
+                && nowUs - acceptedUs < NEW_CONNECTION_US
+                && nowUs - awaitedSinceUs() < NEW_CONNECTION_US;
+    }
+
+    private long establishedUs() {
+        if (establishedUs == 0) {
+            long agoUs = channel.queryDataAgeUs();
+            establishedUs = agoUs == TcpInfo.UNKNOWN ? acceptedUs : Math.min(acceptedUs, clock.nowUs() - agoUs);
+        }
+        return establishedUs;
     }
 }
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -44,6 +44,8 @@
     private static final long MAX_UNREAD_RESPONSE_US = 20_000_000;
     /** The default of SO_LINGER: close returns at once, and the kernel still sends what was written. */
     private static final int LINGER_DISABLED = -1;
+    /** A client that has sent nothing, or not completed its request, for this long may give way to one that waits for its accept. */
+    private static final long KEEPS_SLOT_US = 200_000;
     /** Longest wait for the client to read what was written of a response that has broken off. */
     private static final long MAX_ABORT_FLUSH_US = 1_000_000;
 
@@ -279,6 +281,7 @@
             if (!HttpUtil.is100ContinueExpected(message)) {
                 input.setUnreadSince(unreadSinceUs);
             } else {
+                activity.recordInvitation();
                 channel.writeAndFlush(new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
@@ -620,13 +623,36 @@
         return activity.isNew();
     }
 
+    /** Whether a part of a request has arrived and the rest depends on the client alone, with all that it sent read. */
+    private boolean awaitsRestOfRequest() {
+        if (lingering || !channel.isReading() || !queued.isEmpty() || !input.isEmpty()) {
+            return false;
+        }
+        if (!busy) {
+            return activity.isWithinRequest();
+        }
+        return receiving && !responded && body != null && cancelReservation == null && !body.isFull();
+    }
+
+    /** Whether the client has stopped within a request. */
+    boolean isStalled(long nowUs) {
+        return awaitsRestOfRequest() && nowUs - activity.lastReceivedUs() >= KEEPS_SLOT_US;
+    }
+
+    /** Whether the client takes long for a request, in whatever pieces it sends it; for a body its rate counts. */
+    boolean isSlow(long nowUs) {
+        return awaitsRestOfRequest()
+                && nowUs - activity.awaitedSinceUs() >= KEEPS_SLOT_US
+                && (!busy || bodyProgress.isBelowMinimumRate(nowUs, KEEPS_SLOT_US));
+    }
+
     /** Whether a complete request has arrived whose response was not fully handed to the kernel. */
     boolean owesResponse() {
         return busy && !receiving && !lingering;
     }
 
-    long lastActiveUs() {
-        return activity.lastActiveUs();
+    ClientActivity activity() {
+        return activity;
     }
 
     /**
@@ -655,12 +681,13 @@
     }
 
     /**
-     * Closes at once to free the descriptor, unless the socket holds a request. Returns whether the connection is now
-     * closed.
+     * Closes at once to free the descriptor, unless the socket holds a request or more of one. Returns whether the
+     * connection is now closed.
      */
     boolean closeUnlessRequestArrived(CloseReason reason) {
         channel.readNow();
-        if (channel.isActive() && isIdle()) {
+        long now = clock.nowUs();
+        if (channel.isActive() && (isIdle() || isStalled(now) || isSlow(now))) {
             close(reason);
         }
         return !channel.isOpen();
--- a/src/main/java/rushproxy/sidecar/ClientConnectionLimiter.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnectionLimiter.java
@@ -11,21 +11,27 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Holds the open client connections and limits their number. When all slots are taken it frees one: by taking back a
- * slot that upstream connections borrowed, else by closing an idle connection. It does not wait for another client to
- * ask, since the listener may have stopped accepting.
+ * slot that upstream connections borrowed, else by closing a connection whose client owes the next step. It does not
+ * wait for another client to ask, since the listener may have stopped accepting, and requests that wait in the kernel
+ * to be accepted lose their time unread.
  */
 final class ClientConnectionLimiter {
-    /** How many idle connections are checked for a new request in search of one to close. */
-    private static final int MAX_IDLE_CHECKS = 3;
+    /** How many connections are checked for unread input in search of one to close. */
+    private static final int MAX_CHECKS = 3;
     /** At most 1/8 of the connections may be lingering. */
     private static final int LINGERING_DIVISOR = 8;
 
     private static final long RETRY_INTERVAL_MS = 20;
+    /** Slots that have been short for this long, without a longer relief, are freed of clients that are merely slow. */
+    private static final long SHORTAGE_US = 200_000;
 
     private final EventLoop loop;
+    private final Clock clock;
     /** The current limit, which depends on the number of upstream connections. */
     private final IntSupplier limit;
     /** Raises the limit by one slot that upstreams have borrowed but do not use; false if there is none. */
@@ -36,9 +42,14 @@
     private final ArrayDeque<ClientConnection> lingering = new ArrayDeque<>();
     /** Whether another attempt to free a slot is scheduled. */
     private boolean retryScheduled;
+    /** When the current or last shortage of slots began, and when it was last seen; 0 before the first. */
+    private long shortageStartUs;
 
-    ClientConnectionLimiter(EventLoop loop, IntSupplier limit, BooleanSupplier reclaimUpstreamSlot) {
+    private long shortageSeenUs;
+
+    ClientConnectionLimiter(EventLoop loop, Clock clock, IntSupplier limit, BooleanSupplier reclaimUpstreamSlot) {
         this.loop = loop;
+        this.clock = clock;
         this.limit = limit;
         this.reclaimUpstreamSlot = reclaimUpstreamSlot;
     }
@@ -95,6 +106,7 @@
     /** Takes back or closes connections until a slot is free. If too few can be freed now it retries until one is. */
     void evictUntilSlotFree() {
         while (!hasFreeSlot()) {
+            recordShortage();
             if (!reclaimUpstreamSlot.getAsBoolean() && !evictOne()) {
                 scheduleRetry();
                 return;
@@ -102,6 +114,14 @@
         }
     }
 
+    private void recordShortage() {
+        long now = clock.nowUs();
+        if (now - shortageSeenUs > SHORTAGE_US) {
+            shortageStartUs = now;
+        }
+        shortageSeenUs = now;
+    }
+
     private void scheduleRetry() {
         if (!retryScheduled) {
             retryScheduled = true;
@@ -115,18 +135,15 @@
         }
     }
 
-    /**
-     * Closes a lingering connection, else an idle one, whose client can open another when needed. A new connection is
-     * spared, since its first request may be on its way.
-     */
+    /** Closes a lingering connection, else the one that {@link #nextToClose} chooses. */
     private boolean evictOne() {
         int before = openCount();
         ClientConnection oldestLingering = lingering.poll();
         if (oldestLingering != null) {
             oldestLingering.close(CloseReason.ROOM_NEEDED);
         }
-        for (int checks = 0; openCount() >= before && checks < MAX_IDLE_CHECKS; checks++) {
-            Optional<ClientConnection> candidate = longestIdle();
+        for (int checks = 0; openCount() >= before && checks < MAX_CHECKS; checks++) {
+            Optional<ClientConnection> candidate = nextToClose();
             if (candidate.isEmpty()) {
                 break;
             }
@@ -135,9 +152,25 @@
         return openCount() < before;
     }
 
-    private Optional<ClientConnection> longestIdle() {
+    /**
+     * The client that has been idle for longest, which can open another connection when needed; else the one that has
+     * sent nothing for longest within a request; else, in a lasting shortage, the one whose request has been incomplete
+     * for longest. A new connection is spared, since its first request may be on its way, and so is a request that has
+     * arrived.
+     */
+    private Optional<ClientConnection> nextToClose() {
+        long now = clock.nowUs();
+        return longest(connection -> connection.isIdle() && !connection.isNew(), ClientActivity::lastActiveUs)
+                .or(() -> longest(connection -> connection.isStalled(now), ClientActivity::lastReceivedUs))
+                .or(() -> now - shortageStartUs < SHORTAGE_US
+                        ? Optional.empty()
+                        : longest(connection -> connection.isSlow(now), ClientActivity::awaitedSinceUs));
+    }
+
+    private Optional<ClientConnection> longest(
+            Predicate<ClientConnection> filter, ToLongFunction<ClientActivity> sinceUs) {
         return connections.stream()
-                .filter(connection -> connection.isIdle() && !connection.isNew())
-                .min(Comparator.comparingLong(ClientConnection::lastActiveUs));
+                .filter(filter)
+                .min(Comparator.comparingLong(connection -> sinceUs.applyAsLong(connection.activity())));
     }
 }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -225,7 +225,10 @@
             limiter.remove(connection);
             setAccepting(listenerConfig, canAccept());
         });
-        limiter.evictUntilSlotFree();
+        if (!limiter.hasFreeSlot()) {
+            // Later, since this connection can't be read yet and may have waited long enough to be chosen itself.
+            loop.execute(limiter::evictUntilSlotFree);
+        }
         // Beyond the limit clients wait in the backlog, since upstream connections need descriptors too.
         setAccepting(listenerConfig, canAccept());
         channel.pipeline().addLast(connection.input(), new RequestDecoder(), new HttpResponseEncoder(), connection);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -158,6 +158,7 @@
                 upstreams::hasAvailable,
                 new ClientConnectionLimiter(
                         loop,
+                        clock,
                         () -> Math.min(maxClientSockets, availableSockets - upstreams.openConnections()),
                         () -> clients().openCount() < maxClientSockets && upstreams.closeOldestIdle()),
                 budget,
--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -83,6 +83,11 @@
         return sinceLastReceiveUs;
     }
 
+    /** The same, measured now. */
+    long queryDataAgeUs() {
+        return TcpInfo.sinceLastReceiveUs(javaChannel());
+    }
+
     @Override
     protected int doReadBytes(ByteBuf to) throws Exception {
         // Before the read: data that arrives in between may then be taken for older than it is, but never for younger.
--- a/src/test/java/rushproxy/sidecar/ClientConnectionCloseTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientConnectionCloseTest.java
@@ -121,7 +121,7 @@
         try (SidecarRig rig = new SidecarRig();
                 TestServer.Client client = connectWithPartialRequestQueued(rig.start())) {
             awaitOpen(rig);
-            long timeoutUs = 700_000;
+            long timeoutUs = 550_000;
             boolean isNew = true;
             while (isNew) {
                 TimeUnit.MILLISECONDS.sleep(5);
--- a/src/test/java/rushproxy/sidecar/ClientConnectionLimiterTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientConnectionLimiterTest.java
@@ -170,6 +170,7 @@
                     () -> true,
                     new ClientConnectionLimiter(
                             rig.sidecar.loop(),
+                            new Clock(),
                             () -> {
                                 if (slots.get() == 0) {
                                     throw new IllegalStateException("thrown by the test");
