Bodies: a client that stopped is not kept longer by a wait for memory

Cause: bodies that give way free memory, the next in turn gets it up to a second after its head, and the pause within its body counted from then. Fix: it counts from when the wait began. The client could send meanwhile, up to the kernel's buffer, and what it sent is read when memory comes; one that asked for 100 Continue could not and has its full time. Test: ClientOverloadTest#aClientThatStopsWithinItsBodyIsClosedInTimeAlsoAfterAWaitForMemory, which failed before ("Read timed out").

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -277,10 +277,12 @@
         cancelReservation = memoryBudget.reserve(body.maxKeptBytes(), () -> {
             cancelReservation = null;
             reservedBytes = body.maxKeptBytes();
-            bodyProgress.restart(clock.nowUs());
             if (!HttpUtil.is100ContinueExpected(message)) {
+                // Its client could send while the body waited; the kernel has kept that.
+                bodyProgress.restart(unreadSinceUs == 0 ? clock.nowUs() : unreadSinceUs);
                 input.setUnreadSince(unreadSinceUs);
             } else {
+                bodyProgress.restart(clock.nowUs());
                 activity.recordInvitation();
                 channel.writeAndFlush(new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
--- a/src/test/java/rushproxy/sidecar/ClientOverloadTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientOverloadTest.java
@@ -218,6 +218,47 @@
         }
     }
 
+    /** Guards against a client that stops within its body and is kept longer by the time the body waited for memory. */
+    @Test
+    void aClientThatStopsWithinItsBodyIsClosedInTimeAlsoAfterAWaitForMemory() throws Exception {
+        try (SidecarRig rig = new SidecarRig().start()) {
+            List<TestServer.Client> filling = new ArrayList<>();
+            try {
+                for (int i = 0; i < 192; i++) {
+                    filling.add(rig.client().send(upload("f" + i, 20_000, 65_536)));
+                }
+                awaitBusy(rig, filling.size());
+                rig.clock.freeze();
+                TestServer.Client waiting = rig.client().send(upload("w", 20_000, 65_536) + "part");
+                filling.add(waiting);
+                awaitBusy(rig, filling.size());
+                rig.advanceTime(900);
+                filling.get(0).close();
+                awaitOpen(rig, filling.size() - 1);
+                // Due 2.2 s after its last byte, and looked at each 0.2 s.
+                for (int i = 0; i < 8; i++) {
+                    rig.advanceTime(200);
+                }
+                waiting.socket.setSoTimeout(5_000);
+                assertEquals(-1, waiting.status());
+            } finally {
+                for (TestServer.Client client : filling) {
+                    client.close();
+                }
+            }
+        }
+    }
+
+    private static void awaitOpen(SidecarRig rig, int clients) throws Exception {
+        while (rig.sidecar
+                        .loop()
+                        .submit(() -> rig.sidecar.clients().openCount())
+                        .get(20, TimeUnit.SECONDS)
+                != clients) {
+            Thread.sleep(1);
+        }
+    }
+
     /** Waits until this many clients have sent a head and hold the memory reserved for it. */
     private static void awaitBusy(SidecarRig rig, int clients) throws Exception {
         long busy;
