Bodies: clients that stopped give back memory for which others wait

Fix: BodyMemoryReclaimer. As long as a request waits for memory, the body gives way whose client has sent nothing for longest, 0.2 s at the least, and which holds as much as is short; its socket is read before. The next in turn, if it has stopped too, gives way at once: its time is the kernel's. Test: ClientOverloadTest#clientsThatStopWithinTheirBodiesKeepNoMemoryFromOthers, which fails without it ("no event 'request real '"). Three tests beside it used up the memory with stopped clients, which no longer does; they use it up with complete requests that the module holds, their checks as before.

--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/BodyMemoryReclaimer.java
@@ -0,0 +1,60 @@
+package rushproxy.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Takes back the memory of bodies whose clients have stopped sending, while other requests wait for memory: what their
+ * clients have sent lies unread in the kernel and loses its time. Looks again until nobody waits.
+ */
+final class BodyMemoryReclaimer {
+    private static final long RETRY_INTERVAL_MS = 20;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final MemoryBudget budget;
+    private final ClientConnectionLimiter connections;
+    private boolean scheduled;
+
+    BodyMemoryReclaimer(EventLoop loop, Clock clock, MemoryBudget budget, ClientConnectionLimiter connections) {
+        this.loop = loop;
+        this.clock = clock;
+        this.budget = budget;
+        this.connections = connections;
+    }
+
+    /** To be called when a request starts to wait for memory. */
+    void start() {
+        schedule(0);
+    }
+
+    private void schedule(long delayMs) {
+        if (!scheduled) {
+            scheduled = true;
+            loop.schedule(this::reclaim, delayMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Ends one body at a time, since its memory is released only after this task. */
+    private void reclaim() {
+        scheduled = false;
+        long shortBytes = budget.shortBytes();
+        if (shortBytes == 0) {
+            return;
+        }
+        Optional<ClientConnection> stalled = longestStalled(shortBytes);
+        stalled.ifPresent(connection -> connection.closeUnlessRequestArrived(CloseReason.MEMORY_NEEDED));
+        schedule(stalled.isPresent() ? 0 : RETRY_INTERVAL_MS);
+    }
+
+    /** Only bodies that hold as much as is short, so that none is ended in vain. */
+    private Optional<ClientConnection> longestStalled(long shortBytes) {
+        long now = clock.nowUs();
+        return connections.all().stream()
+                .filter(connection -> connection.reservedBytes() >= shortBytes && connection.isStalled(now))
+                .min(Comparator.comparingLong(
+                        connection -> connection.activity().lastReceivedUs()));
+    }
+}
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -316,6 +316,7 @@
                         },
                         untilUs - clock.nowUs(),
                         TimeUnit.MICROSECONDS);
+        server.reclaimBodyMemory();
     }
 
     private void handleContent(HttpContent content, long partSentUs) {
@@ -653,6 +654,11 @@
         return busy && !receiving && !lingering;
     }
 
+    /** The memory reserved for the body of the current request. */
+    int reservedBytes() {
+        return reservedBytes;
+    }
+
     ClientActivity activity() {
         return activity;
     }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -98,6 +98,7 @@
     private final ClientConnectionLimiter limiter;
     private final UnansweredConnectionStats unansweredStats = new UnansweredConnectionStats();
     private final AcceptPauseStats acceptPauses;
+    private final BodyMemoryReclaimer memoryReclaimer;
     private Channel listener;
     /** Whether other processes share the listening socket. It is then left open. */
     private boolean sharedListener;
@@ -145,6 +146,7 @@
         this.deadlines = deadlines;
         this.guard = guard;
         acceptPauses = new AcceptPauseStats(clock, limiter::countByPhase);
+        memoryReclaimer = new BodyMemoryReclaimer(loop, clock, memoryBudget, limiter);
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
@@ -315,6 +317,11 @@
         return limiter.limit();
     }
 
+    /** Takes memory from clients that have stopped within their bodies as long as a request waits for it. */
+    void reclaimBodyMemory() {
+        memoryReclaimer.start();
+    }
+
     /** Registers a connection whose output is shut down and that waits for its client to close. */
     void addLingering(ClientConnection connection) {
         limiter.addLingering(connection);
--- a/src/main/java/rushproxy/sidecar/CloseReason.java
+++ b/src/main/java/rushproxy/sidecar/CloseReason.java
@@ -13,6 +13,7 @@
     ANSWER_UNREAD,
     ANSWER_BROKEN,
     ROOM_NEEDED,
+    MEMORY_NEEDED,
     STOPPING,
     DRAINING,
     UNWATCHED,
--- a/src/main/java/rushproxy/sidecar/MemoryBudget.java
+++ b/src/main/java/rushproxy/sidecar/MemoryBudget.java
@@ -44,6 +44,11 @@
         };
     }
 
+    /** How much has to be released for the first waiting reservation; 0 if none waits. */
+    long shortBytes() {
+        return waiting.isEmpty() ? 0 : waiting.peek().bytes - freeBytes;
+    }
+
     void release(int bytes) {
         freeBytes += bytes;
         grantWaiting();
--- a/src/test/java/rushproxy/sidecar/ClientOverloadTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientOverloadTest.java
@@ -159,93 +159,110 @@
         }
     }
 
+    /** Memory that nobody takes back: 192 complete bodies, which use it up, are held by the module. */
+    private static SidecarRig rigWithoutMemory(List<TestServer.Client> filling) throws Exception {
+        SidecarRig rig = new SidecarRig();
+        rig.settings = SidecarRig.SETTINGS.replace("\"give_up_us\":800000", "\"give_up_us\":50000000");
+        rig.onRequest = (now, request, actions) -> {
+            if (!request.id().startsWith("f")) {
+                actions.refuse(request.id(), 0);
+            }
+        };
+        rig.start();
+        for (int i = 0; i < 192; i++) {
+            filling.add(rig.client().send(upload("f" + i, 40_000, 65_535) + "x".repeat(65_535)));
+        }
+        for (int i = 0; i < 192; i++) {
+            rig.awaitEvent("request f");
+        }
+        return rig;
+    }
+
+    private static void closeAll(List<TestServer.Client> clients) throws IOException {
+        for (TestServer.Client client : clients) {
+            client.close();
+        }
+    }
+
     /**
      * The body waits in the kernel while its time runs, so the refusal is due before its deadline and not after a
      * second.
      */
     @Test
     void aRequestThatGetsNoMemoryIsRefusedWithinItsTime() throws Exception {
-        try (SidecarRig rig = new SidecarRig()) {
-            rig.addUpstream((message, connection) -> {});
-            rig.start();
-            List<TestServer.Client> filling = new ArrayList<>();
-            try {
-                // 192 bodies of 64 KiB use up the memory budget.
-                for (int i = 0; i < 192; i++) {
-                    filling.add(rig.client().send(upload("f" + i, 20_000, 65_536)));
-                }
-                awaitBusy(rig, filling.size());
-                BlockingQueue<String> statuses = new LinkedBlockingQueue<>();
-                for (int i = 0; i < 4; i++) {
-                    filling.add(sendAndReadStatus(rig, "patient" + i, 20_000, statuses));
-                }
-                filling.add(sendAndReadStatus(rig, "hasty", 300, statuses));
-                assertEquals("hasty 503", statuses.poll(20, TimeUnit.SECONDS));
-            } finally {
-                for (TestServer.Client client : filling) {
-                    client.close();
-                }
+        List<TestServer.Client> filling = new ArrayList<>();
+        try (SidecarRig rig = rigWithoutMemory(filling)) {
+            BlockingQueue<String> statuses = new LinkedBlockingQueue<>();
+            for (int i = 0; i < 4; i++) {
+                filling.add(sendAndReadStatus(rig, "patient" + i, 20_000, statuses));
             }
+            filling.add(sendAndReadStatus(rig, "hasty", 300, statuses));
+            assertEquals("hasty 503", statuses.poll(20, TimeUnit.SECONDS));
+        } finally {
+            closeAll(filling);
         }
     }
 
     /** The time that a body waited unread for memory counts against its deadline. */
     @Test
     void aRequestThatWaitedForMemoryHasLessTimeLeft() throws Exception {
-        try (SidecarRig rig = new SidecarRig()) {
-            rig.onRequest = (now, request, actions) -> actions.refuse(request.id(), 0);
-            rig.start();
-            List<TestServer.Client> filling = new ArrayList<>();
-            try {
-                for (int i = 0; i < 192; i++) {
-                    filling.add(rig.client().send(upload("f" + i, 20_000, 65_536)));
-                }
-                awaitBusy(rig, filling.size());
-                try (TestServer.Client client = rig.client()) {
-                    client.send(upload("a1", 2_000, 60_000) + "x".repeat(60_000));
-                    Thread.sleep(300);
-                    filling.get(0).close();
-                    long remainingUs =
-                            Long.parseLong(rig.awaitEvent("request a1 ").split(" ")[2]);
-                    assertTrue(remainingUs < 1_700_000, remainingUs + " us");
-                    assertEquals(503, client.status());
-                }
-            } finally {
-                for (TestServer.Client client : filling) {
-                    client.close();
-                }
+        List<TestServer.Client> filling = new ArrayList<>();
+        try (SidecarRig rig = rigWithoutMemory(filling);
+                TestServer.Client client = rig.client()) {
+            client.send(upload("a1", 2_000, 60_000) + "x".repeat(60_000));
+            Thread.sleep(300);
+            filling.get(0).close();
+            long remainingUs = Long.parseLong(rig.awaitEvent("request a1 ").split(" ")[2]);
+            assertTrue(remainingUs < 1_700_000, remainingUs + " us");
+            assertEquals(503, client.status());
+        } finally {
+            closeAll(filling);
+        }
+    }
+
+    /** Guards against clients that stop within their bodies and keep the memory from others, which are refused. */
+    @Test
+    void clientsThatStopWithinTheirBodiesKeepNoMemoryFromOthers() throws Exception {
+        List<TestServer.Client> stopped = new ArrayList<>();
+        try (SidecarRig rig = new SidecarRig().start()) {
+            for (int i = 0; i < 192; i++) {
+                stopped.add(rig.client().send(upload("f" + i, 20_000, 65_536) + "part"));
+            }
+            awaitBusy(rig, stopped.size());
+            rig.clock.freeze();
+            for (int i = 0; i < 4; i++) {
+                stopped.add(rig.client().send(upload("g" + i, 20_000, 65_536) + "part"));
+            }
+            stopped.add(rig.client().send(upload("real", 20_000, 60_000) + "x".repeat(60_000)));
+            for (int ms = 0; ms < 500; ms += 20) {
+                rig.advanceTime(20);
             }
+            rig.awaitEvent("request real ");
+        } finally {
+            closeAll(stopped);
         }
     }
 
     /** Guards against a client that stops within its body and is kept longer by the time the body waited for memory. */
     @Test
     void aClientThatStopsWithinItsBodyIsClosedInTimeAlsoAfterAWaitForMemory() throws Exception {
-        try (SidecarRig rig = new SidecarRig().start()) {
-            List<TestServer.Client> filling = new ArrayList<>();
-            try {
-                for (int i = 0; i < 192; i++) {
-                    filling.add(rig.client().send(upload("f" + i, 20_000, 65_536)));
-                }
-                awaitBusy(rig, filling.size());
-                rig.clock.freeze();
-                TestServer.Client waiting = rig.client().send(upload("w", 20_000, 65_536) + "part");
-                filling.add(waiting);
-                awaitBusy(rig, filling.size());
-                rig.advanceTime(900);
-                filling.get(0).close();
-                awaitOpen(rig, filling.size() - 1);
-                // Due 2.2 s after its last byte, and looked at each 0.2 s.
-                for (int i = 0; i < 8; i++) {
-                    rig.advanceTime(200);
-                }
-                waiting.socket.setSoTimeout(5_000);
-                assertEquals(-1, waiting.status());
-            } finally {
-                for (TestServer.Client client : filling) {
-                    client.close();
-                }
+        List<TestServer.Client> filling = new ArrayList<>();
+        try (SidecarRig rig = rigWithoutMemory(filling)) {
+            rig.clock.freeze();
+            TestServer.Client waiting = rig.client().send(upload("w", 20_000, 65_536) + "part");
+            filling.add(waiting);
+            awaitBusy(rig, filling.size());
+            rig.advanceTime(900);
+            filling.get(0).close();
+            awaitOpen(rig, filling.size() - 1);
+            // Due 2.2 s after its last byte, and looked at each 0.2 s.
+            for (int i = 0; i < 8; i++) {
+                rig.advanceTime(200);
             }
+            waiting.socket.setSoTimeout(5_000);
+            assertEquals(-1, waiting.status());
+        } finally {
+            closeAll(filling);
         }
     }
 
