Timeouts: a request that lies unread after a hold-up is read before its client is closed

Fix: the socket is read before, as before each other close, and the timeout is checked again. Test: ClientCrowdTest#aRequestThatArrivedDuringALongDelayIsServed, which failed before ("no event").

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -724,16 +724,24 @@
             } else if (receiving && !responded && body != null) {
                 checkBodyProgress(now);
             }
-        } else if (queued.isEmpty()) {
-            boolean late = !activity.hasSentRequest()
-                    ? now - activity.awaitedSinceUs() >= firstTimeoutUs && !isNew()
-                    : activity.isWithinRequest() && now - activity.awaitedSinceUs() >= timeoutUs;
-            if (late) {
+        } else if (isRequestLate(now, timeoutUs, firstTimeoutUs)) {
+            // The request may lie unread in the socket after a delay of this process.
+            channel.readNow();
+            if (isRequestLate(now, timeoutUs, firstTimeoutUs)) {
                 closeGracefully(CloseReason.REQUEST_UNFINISHED);
             }
         }
     }
 
+    private boolean isRequestLate(long now, long timeoutUs, long firstTimeoutUs) {
+        if (busy || lingering || !queued.isEmpty()) {
+            return false;
+        }
+        return activity.hasSentRequest()
+                ? activity.isWithinRequest() && now - activity.awaitedSinceUs() >= timeoutUs
+                : now - activity.awaitedSinceUs() >= firstTimeoutUs && !isNew();
+    }
+
     private void checkBodyProgress(long now) {
         if (cancelReservation != null) {
             return;
--- a/src/test/java/rushproxy/sidecar/ClientCrowdTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientCrowdTest.java
@@ -208,6 +208,25 @@
         assertServed("whole", client);
     }
 
+    /** Guards against closing clients whose requests lie unread after the process was held up for longer than they may take. */
+    @Test
+    void aRequestThatArrivedDuringALongDelayIsServed() throws Exception {
+        TestServer.Client client = connect();
+        awaitPhase(ClientPhase.IDLE, 1);
+        rig.clock.freeze();
+        rig.stallLoop(() -> {
+            rig.sidecar.loop().execute(() -> {
+                rig.clock.advance(3_000);
+                rig.sidecar
+                        .clients()
+                        .connections()
+                        .forEach(connection -> connection.closeIfTimedOut(rig.clock.nowUs(), 2_500_000, 2_700_000));
+            });
+            client.send(SidecarRig.getRequest("whole", PATIENCE_MS));
+        });
+        assertServed("whole", client);
+    }
+
     /** Guards against closing, unread, the very client that is accepted after a long wait behind a crowd. */
     @Test
     void aClientThatWaitedLongForItsAcceptIsNotClosedUnread() throws Exception {
