--- a/src/main/java/rushproxy/sidecar/TcpInfo.java
+++ b/src/main/java/rushproxy/sidecar/TcpInfo.java
@@ -66,10 +66,12 @@
         return root;
     }
 
-    /** Loads the native library ahead of use, since that reads files and must not block the event loop. Logs if it is unavailable. */
+    /** Loads the native library ahead of use, since that reads files and must not block the event loop. Logs whether it is available. */
     static void loadEagerly() {
-        if (UNAVAILABLE_REASON != null) {
-            Log.warn("TCP_INFO is unavailable: " + UNAVAILABLE_REASON);
+        if (UNAVAILABLE_REASON == null) {
+            Log.info("TCP_INFO is in use: ages of unread data come from the kernel");
+        } else {
+            Log.warn("TCP_INFO is unavailable, ages of unread data are estimated: " + UNAVAILABLE_REASON);
         }
     }
 
