Client input: a read of a body is no longer searched byte by byte for requests

Cause: each read that may be delayed is searched for a second request's first line by ByteBufUtil.indexOf on a slice, several calls for each byte, but only where the kernel told an age. The search makes the loop late, and a late loop has every read searched.

Fix: ByteBuf.indexOf finds the version's first letter eight bytes at a time, and bytes with more than 64 candidates count as several.

--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -1,8 +1,6 @@
 package rushproxy.sidecar;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
@@ -25,9 +23,9 @@
     /** A gap this long between reads means that the kernel's receive buffer was empty in between. */
     private static final long READ_PAUSE_US = 5_000;
     /** Occurs in the first line of every request head. */
-    private static final ByteBuf HTTP_VERSION_PREFIX =
-            Unpooled.unreleasableBuffer(Unpooled.wrappedBuffer("HTTP/1.".getBytes(StandardCharsets.US_ASCII))
-                    .asReadOnly());
+    private static final byte[] HTTP_VERSION_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    /** Bytes with more letters that could begin the version than this are not searched to their end. */
+    private static final int MAX_VERSION_CANDIDATES = 64;
 
     interface Listener {
         /** Called before bytes are passed on; the client may have sent them as early as {@code sentUs}. */
@@ -112,15 +110,34 @@
         return agoUs == TcpInfo.UNKNOWN || mayHoldSeveralRequests(bytes) ? TcpInfo.UNKNOWN : agoUs;
     }
 
-    private static boolean mayHoldSeveralRequests(ByteBuf bytes) {
-        ByteBuf all = bytes.slice();
-        int first = ByteBufUtil.indexOf(HTTP_VERSION_PREFIX, all);
-        if (first < 0) {
+    /**
+     * Whether the bytes may hold the first lines of two requests. Costs little for each byte, since every read of a body passes here
+     * while the loop is late, and would make it later.
+     */
+    static boolean mayHoldSeveralRequests(ByteBuf bytes) {
+        int requests = 0;
+        int candidates = 0;
+        int end = bytes.writerIndex();
+        for (int from = bytes.readerIndex();
+                (from = bytes.indexOf(from, end, HTTP_VERSION_PREFIX[0])) >= 0;
+                from++, candidates++) {
+            if (candidates >= MAX_VERSION_CANDIDATES || startsWithVersion(bytes, from, end) && ++requests > 1) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean startsWithVersion(ByteBuf bytes, int from, int end) {
+        if (end - from < HTTP_VERSION_PREFIX.length) {
             return false;
         }
-        ByteBuf rest =
-                all.skipBytes(first + HTTP_VERSION_PREFIX.readableBytes()).slice();
-        return ByteBufUtil.indexOf(HTTP_VERSION_PREFIX, rest) >= 0;
+        for (int i = 1; i < HTTP_VERSION_PREFIX.length; i++) {
+            if (bytes.getByte(from + i) != HTTP_VERSION_PREFIX[i]) {
+                return false;
+            }
+        }
+        return true;
     }
 
     @Override
