Heads: held in their raw form until they are whole, one request decoded at a time

Cause: nobody counted what heads take. Netty decodes each field as it arrives, and a field of 4 bytes costs some hundreds on the heap, for a head that may never be whole. Up to 32 parts of pipelined requests were decoded ahead as well, each with its fields, and the fields of a request in hand were kept until its response. Incomplete input kept the 2 to 16 KB buffer that it was read into.

Fix: RequestDecoder decodes a head when its empty line is there, and one request at a time; what can't be decoded yet is held in a heap buffer of its size and counted for all clients together (HeadMemory, 3 MB). The fields are dropped once they are read. Pipelined requests take one turn of the loop each.

--- a/src/main/java/rushproxy/sidecar/ClientActivity.java
+++ b/src/main/java/rushproxy/sidecar/ClientActivity.java
@@ -40,6 +40,13 @@
         }
     }
 
+    /** Records that what was read last is the beginning of a request, even if it came behind the end of another. */
+    void recordIncompleteRequest() {
+        if (requestStartUs == 0) {
+            requestStartUs = lastActiveUs;
+        }
+    }
+
     /** Records that the client may only now go on sending, because it had to wait for this sidecar. */
     void recordInvitation() {
         lastReceivedUs = clock.nowUs();
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -23,7 +23,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
-import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -33,9 +32,8 @@
  * A connection from a client. Handles its requests one after the other and gives each exactly one response, which is
  * either complete or recognisably incomplete.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientInput.Listener {
-    /** Parts of pipelined requests that are queued before reading stops. */
-    private static final int MAX_QUEUED_PARTS = 32;
+final class ClientConnection extends ChannelInboundHandlerAdapter
+        implements ClientInput.Listener, RequestDecoder.Listener {
     /** After this time without accepting any of a body an upstream counts as stalled. */
     private static final long MAX_UPSTREAM_BLOCKED_US = 10_000_000;
     /** Longest wait for body memory. The refusal that follows tells the client that nothing was sent upstream. */
@@ -60,7 +58,8 @@
     private final ResponseDeadlines deadlines;
     private final RequestGuard guard;
     private final ClientInput input;
-    private final ArrayDeque<QueuedPart> queued = new ArrayDeque<>();
+    private final RequestDecoder decoder = new RequestDecoder(this);
+    private final HeadMemory headMemory;
     /** When the first byte of the most recently decoded head arrived. */
     private long headStartUs;
 
@@ -74,6 +73,8 @@
     private boolean receiving;
 
     private boolean responded;
+    /** Whether the current request has a body. */
+    private boolean expectsBody;
     /** Whether the last byte of the response was handed to the kernel. */
     private boolean flushed;
     /** Whether the connection closes after the current response. */
@@ -98,6 +99,10 @@
     private int reservedBytes;
     /** Withdraws a pending memory reservation; null if none is pending. */
     private Runnable cancelReservation;
+    /** Withdraws the wait for memory for an incomplete head; null if there is none. */
+    private Runnable cancelHeadWait;
+    /** Earliest time at which the client may have sent what is held behind the current request. */
+    private long heldSentUs;
     /** Since when the body has waited unread in the kernel for memory; 0 if it has not. */
     private long unreadSinceUs;
 
@@ -105,14 +110,12 @@
     /** Resumes reading a streamed response from its upstream; null if none is streamed. */
     private Runnable resumeUpstream;
 
-    private record QueuedPart(HttpObject part, long sentUs) {}
-
     ClientConnection(
             TcpConnection channel,
             Clock clock,
             Set<String> classes,
             ClientServer server,
-            MemoryBudget memoryBudget,
+            ClientMemory memory,
             EventLoopDelay loopDelay,
             ResponseDeadlines deadlines,
             RequestGuard guard) {
@@ -120,7 +123,8 @@
         this.clock = clock;
         this.classes = classes;
         this.server = server;
-        this.memoryBudget = memoryBudget;
+        memoryBudget = memory.bodies();
+        headMemory = new HeadMemory(memory.heads());
         this.deadlines = deadlines;
         this.guard = guard;
         input = new ClientInput(clock, loopDelay, memoryBudget, this);
@@ -136,6 +140,11 @@
         return input;
     }
 
+    /** The handler behind the input. */
+    RequestDecoder decoder() {
+        return decoder;
+    }
+
     /** Counts any input as activity, even a part of a request. */
     @Override
     public void onBytes(long sinceUs) {
@@ -160,14 +169,48 @@
         }
     }
 
+    /** One request is decoded at a time. What the client sends meanwhile is held in its raw form. */
+    @Override
+    public boolean acceptsRequest() {
+        return !busy;
+    }
+
+    @Override
+    public void onHeld(int bytes, boolean incompleteHead) {
+        if (incompleteHead) {
+            activity.recordIncompleteRequest();
+        } else {
+            heldSentUs = sentUs;
+        }
+        headMemory.setHeldBytes(bytes);
+        if (incompleteHead && headMemory.isShort() && cancelHeadWait == null) {
+            awaitHeadMemory();
+        }
+    }
+
+    @Override
+    public void onNoneHeld() {
+        headMemory.setHeldBytes(0);
+    }
+
+    /** Reads no more of an incomplete head until memory is free. */
+    private void awaitHeadMemory() {
+        cancelHeadWait = headMemory.whenFree(() -> {
+            cancelHeadWait = null;
+            updateReading();
+        });
+        updateReading();
+        server.reclaimHeadMemory();
+    }
+
     /**
      * Passes no more to the decoder than can be stored. The socket itself is read as long as possible, so that a
      * disconnect is noticed.
      */
     private void updateReading() {
         input.setFlow(
-                queued.size() >= MAX_QUEUED_PARTS || body != null && body.isFull(),
-                cancelReservation != null || body != null && body.isBlocked());
+                busy && !receiving || body != null && body.isFull(),
+                cancelReservation != null || cancelHeadWait != null || body != null && body.isBlocked());
     }
 
     @Override
@@ -179,25 +222,24 @@
         if (part instanceof LastHttpContent) {
             activity.recordRequestEnd(part.decoderResult().isSuccess());
         }
-        if (busy && !receiving || !queued.isEmpty()) {
-            queued.add(new QueuedPart(part, sentUs));
-            if (queued.size() >= MAX_QUEUED_PARTS) {
-                updateReading();
-            }
-        } else {
-            handle(part, sentUs);
-        }
+        handle(part, sentUs);
     }
 
-    /** Handles queued parts up to the end of the next request. */
-    private void handleQueued() {
-        if (!queued.isEmpty()) {
-            while ((!busy || receiving) && !queued.isEmpty() && channel.isActive()) {
-                QueuedPart next = queued.poll();
-                handle(next.part, next.sentUs);
+    /** Decodes the next of several requests that were sent at once. */
+    private void resumeDecoding() {
+        if (busy || lingering || !channel.isActive()) {
+            return;
+        }
+        if (decoder.heldBytes() > 0) {
+            onBytes(heldSentUs);
+            try {
+                decoder.resume();
+            } catch (Exception e) {
+                channel.pipeline().fireExceptionCaught(e);
             }
-            updateReading();
         }
+        updateReading();
+        closeIfRefusing();
     }
 
     private void handle(HttpObject part, long partSentUs) {
@@ -222,6 +264,9 @@
         busy = receiving = true;
         responded = flushed = false;
         head = message;
+        expectsBody = !message.decoderResult().isSuccess()
+                || HttpUtil.isTransferEncodingChunked(message)
+                || HttpUtil.getContentLength(message, 0L) > 0;
         body = null;
         bodyProgress.restart(clock.nowUs());
         firstByteUs = headStartUs;
@@ -251,6 +296,8 @@
         } else {
             receiveBody(message);
         }
+        // Nothing reads the fields any more, and the request may last.
+        message.headers().clear();
     }
 
     /** Parses the head. Returns false if it is invalid, names an unknown class or repeats the id of an open request. */
@@ -260,6 +307,7 @@
             return false;
         }
         requestHead = parsed;
+        headMemory.setRequestBytes(parsed.textBytes() + message.uri().length());
         return true;
     }
 
@@ -274,10 +322,11 @@
             return;
         }
         // Reading stops until memory is granted; a 100 Continue is sent only then.
+        boolean expectsContinue = HttpUtil.is100ContinueExpected(message);
         cancelReservation = memoryBudget.reserve(body.maxKeptBytes(), () -> {
             cancelReservation = null;
             reservedBytes = body.maxKeptBytes();
-            if (!HttpUtil.is100ContinueExpected(message)) {
+            if (!expectsContinue) {
                 // Its client could send while the body waited; the kernel has kept that.
                 bodyProgress.restart(unreadSinceUs == 0 ? clock.nowUs() : unreadSinceUs);
                 input.setUnreadSince(unreadSinceUs);
@@ -332,13 +381,11 @@
         if (!responded && body != null) {
             receivePart(content.content(), isLast, partSentUs);
         }
+        if (isLast) {
+            updateReading();
+        }
         if (isLast && responded) {
-            // Queued requests may be answered at once; scheduling each on the loop bounds the recursion.
-            if (queued.isEmpty()) {
-                finishRequest();
-            } else {
-                channel.eventLoop().execute(this::finishRequest);
-            }
+            finishRequest();
         }
     }
 
@@ -528,7 +575,7 @@
     private void setConnectionHeader(HttpResponse response) {
         hasSentResponse = true;
         channel.history().recordResponse();
-        closeAfterResponse |= !server.keepsConnectionsOpen() || receiving && expectsBody();
+        closeAfterResponse |= !server.keepsConnectionsOpen() || receiving && expectsBody;
         if (closeAfterResponse) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         } else if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
@@ -536,12 +583,6 @@
         }
     }
 
-    private boolean expectsBody() {
-        return !head.decoderResult().isSuccess()
-                || HttpUtil.isTransferEncodingChunked(head)
-                || HttpUtil.getContentLength(head, 0L) > 0;
-    }
-
     private void log(Exchange logged, String end) {
         logged.timestamps.log(logged.request.id(), end, logged.attempts.size(), clock.nowUs());
     }
@@ -573,8 +614,18 @@
         }
         busy = false;
         body = null;
-        handleQueued();
-        if (refusing && !busy && queued.isEmpty() && input.isEmpty()) {
+        headMemory.setRequestBytes(0);
+        if (decoder.heldBytes() > 0 || !input.isEmpty()) {
+            // One request in a turn of the loop, so that others are not kept waiting by many of one client.
+            SocketPolling.runAfterIteration(channel.eventLoop(), this::resumeDecoding);
+        } else {
+            updateReading();
+            closeIfRefusing();
+        }
+    }
+
+    private void closeIfRefusing() {
+        if (refusing && !busy && input.isEmpty()) {
             closeGracefully(CloseReason.UNWATCHED);
         }
     }
@@ -591,6 +642,15 @@
         }
     }
 
+    private void releaseHead() {
+        decoder.discard();
+        headMemory.release();
+        if (cancelHeadWait != null) {
+            cancelHeadWait.run();
+            cancelHeadWait = null;
+        }
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (resumeUpstream != null && channel.isWritable()) {
@@ -598,6 +658,11 @@
         }
     }
 
+    /** Whether bytes behind the last request are not decoded yet. */
+    private boolean hasPendingInput() {
+        return !input.isEmpty() || decoder.heldBytes() > 0 && !activity.isWithinRequest();
+    }
+
     ClientPhase phase() {
         if (lingering) {
             return ClientPhase.LINGERING;
@@ -605,7 +670,7 @@
         if (busy) {
             return receiving && !responded ? ClientPhase.WITHIN_BODY : ClientPhase.SERVED;
         }
-        if (!queued.isEmpty()) {
+        if (hasPendingInput()) {
             return ClientPhase.SERVED;
         }
         return activity.isWithinRequest() ? ClientPhase.WITHIN_HEAD : ClientPhase.IDLE;
@@ -618,7 +683,7 @@
 
     /** Whether the connection is between requests, with no part of the next one received. */
     boolean isIdle() {
-        return !busy && queued.isEmpty() && !activity.isWithinRequest() && !lingering;
+        return !busy && !hasPendingInput() && !activity.isWithinRequest() && !lingering;
     }
 
     /** Whether the connection is so recent that its first request may still be on its way. */
@@ -628,7 +693,7 @@
 
     /** Whether a part of a request has arrived and the rest depends on the client alone, with all that it sent read. */
     private boolean awaitsRestOfRequest() {
-        if (lingering || !channel.isReading() || !queued.isEmpty() || !input.isEmpty()) {
+        if (lingering || !channel.isReading() || hasPendingInput()) {
             return false;
         }
         if (!busy) {
@@ -654,6 +719,11 @@
         return busy && !receiving && !lingering;
     }
 
+    /** The memory reserved for the head of a request that is not complete, and for bytes behind the current request. */
+    int heldBytes() {
+        return decoder.heldBytes();
+    }
+
     /** The memory reserved for the body of the current request. */
     int reservedBytes() {
         return reservedBytes;
@@ -684,7 +754,7 @@
         boolean notAccepted = !busy || receiving && exchange == null && !responded;
         return activity.lastActiveUs() < (isIdle() ? sinceUs : partialSinceUs)
                 && notAccepted
-                && queued.isEmpty()
+                && !hasPendingInput()
                 && !lingering;
     }
 
@@ -734,7 +804,7 @@
     }
 
     private boolean isRequestLate(long now, long timeoutUs, long firstTimeoutUs) {
-        if (busy || lingering || !queued.isEmpty()) {
+        if (busy || lingering || hasPendingInput()) {
             return false;
         }
         return activity.hasSentRequest()
@@ -774,6 +844,7 @@
         RequestLog.recordClose(channel, reason);
         lingering = true;
         input.discard();
+        releaseHead();
         releaseMemory();
         server.addLingering(this);
         LingeringClose.start(channel, Math.min(LingeringClose.MAX_LINGER_US, server.closeDeadlineUs() - clock.nowUs()));
@@ -823,10 +894,8 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        for (QueuedPart queuedPart; (queuedPart = queued.poll()) != null; ) {
-            ReferenceCountUtil.release(queuedPart.part);
-        }
         resumeUpstream = null;
+        releaseHead();
         releaseMemory();
         abandonExchange();
     }
--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
@@ -196,10 +197,13 @@
     }
 
     private void buffer(ByteBuf bytes) {
-        buffered.add(new BufferedRead(bytes, sentUs));
+        // In a buffer of its size, so that the larger one that it was read into is not kept for it.
+        int size = bytes.readableBytes();
+        buffered.add(new BufferedRead(Unpooled.buffer(size, size).writeBytes(bytes), sentUs));
+        bytes.release();
         // The bytes are stored even if the budget is exhausted, since they have been read already.
-        boolean granted = memoryBudget.tryReserve(bytes.capacity());
-        reservedBytes += granted ? bytes.capacity() : 0;
+        boolean granted = memoryBudget.tryReserve(size);
+        reservedBytes += granted ? size : 0;
         if (!granted || reservedBytes >= MAX_BUFFERED_BYTES) {
             full = true;
             scheduleFullNotice(++fillCount);
@@ -243,8 +247,11 @@
         readPaused = pause;
         if (!passing) {
             passBuffered();
-        } else if (!buffered.isEmpty()) {
-            context.executor().execute(this::passBuffered);
+        } else {
+            if (!buffered.isEmpty()) {
+                context.executor().execute(this::passBuffered);
+            }
+            updateAutoRead();
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -88,7 +88,7 @@
     private final Set<String> classes;
     private final BooleanSupplier canServe;
 
-    private final MemoryBudget memoryBudget;
+    private final ClientMemory memory;
     private final EventLoopDelay loopDelay;
     private final ResponseDeadlines deadlines;
     private final RequestGuard guard;
@@ -98,7 +98,8 @@
     private final ClientConnectionLimiter limiter;
     private final UnansweredConnectionStats unansweredStats = new UnansweredConnectionStats();
     private final AcceptPauseStats acceptPauses;
-    private final BodyMemoryReclaimer memoryReclaimer;
+    private final MemoryReclaimer bodyMemoryReclaimer;
+    private final MemoryReclaimer headMemoryReclaimer;
     private Channel listener;
     /** Whether other processes share the listening socket. It is then left open. */
     private boolean sharedListener;
@@ -129,7 +130,7 @@
             List<RequestClass> classes,
             BooleanSupplier canServe,
             ClientConnectionLimiter limiter,
-            MemoryBudget memoryBudget,
+            ClientMemory memory,
             EventLoopDelay loopDelay,
             ResponseDeadlines deadlines,
             RequestGuard guard) {
@@ -141,12 +142,20 @@
                 classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
         this.canServe = canServe;
         this.limiter = limiter;
-        this.memoryBudget = memoryBudget;
+        this.memory = memory;
         this.loopDelay = loopDelay;
         this.deadlines = deadlines;
         this.guard = guard;
         acceptPauses = new AcceptPauseStats(clock, limiter::countByPhase);
-        memoryReclaimer = new BodyMemoryReclaimer(loop, clock, memoryBudget, limiter);
+        // Only bodies that hold as much as is short, so that none is ended in vain.
+        bodyMemoryReclaimer = new MemoryReclaimer(
+                loop,
+                clock,
+                memory.bodies(),
+                limiter,
+                (connection, shortBytes) -> connection.reservedBytes() >= shortBytes);
+        headMemoryReclaimer = new MemoryReclaimer(
+                loop, clock, memory.heads(), limiter, (connection, shortBytes) -> connection.heldBytes() > 0);
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
@@ -219,7 +228,7 @@
         acceptFailing = false;
         lastAcceptUs = clock.nowUs();
         ClientConnection connection =
-                new ClientConnection(channel, clock, classes, this, memoryBudget, loopDelay, deadlines, guard);
+                new ClientConnection(channel, clock, classes, this, memory, loopDelay, deadlines, guard);
         // The parent channel, since the first connection may be accepted before {@code listener} is set.
         ChannelConfig listenerConfig = channel.parent().config();
         limiter.add(connection);
@@ -233,7 +242,7 @@
         }
         // Beyond the limit clients wait in the backlog, since upstream connections need descriptors too.
         setAccepting(listenerConfig, canAccept());
-        channel.pipeline().addLast(connection.input(), new RequestDecoder(), new HttpResponseEncoder(), connection);
+        channel.pipeline().addLast(connection.input(), connection.decoder(), new HttpResponseEncoder(), connection);
     }
 
     /** When every connection must be closed, even if it is still in use. */
@@ -319,7 +328,12 @@
 
     /** Takes memory from clients that have stopped within their bodies as long as a request waits for it. */
     void reclaimBodyMemory() {
-        memoryReclaimer.start();
+        bodyMemoryReclaimer.start();
+    }
+
+    /** Takes memory from clients that have stopped within their heads as long as others wait for it. */
+    void reclaimHeadMemory() {
+        headMemoryReclaimer.start();
     }
 
     /** Registers a connection whose output is shut down and that waits for its client to close. */
--- a/src/main/java/rushproxy/sidecar/MemoryBudget.java
+++ b/src/main/java/rushproxy/sidecar/MemoryBudget.java
@@ -10,9 +10,11 @@
     private record Waiter(int bytes, Runnable onGranted) {}
 
     private final ArrayDeque<Waiter> waiting = new ArrayDeque<>();
+    private final long limitBytes;
     private long freeBytes;
 
     MemoryBudget(long bytes) {
+        limitBytes = bytes;
         freeBytes = bytes;
     }
 
@@ -25,6 +27,21 @@
         return true;
     }
 
+    /** Reserves bytes that are held already, even beyond the limit; nothing else is granted until as much is released. */
+    void take(int bytes) {
+        freeBytes -= bytes;
+    }
+
+    /** Whether more is reserved than the limit. */
+    boolean isOverdrawn() {
+        return freeBytes < 0;
+    }
+
+    /** How many bytes are reserved. */
+    long reservedBytes() {
+        return limitBytes - freeBytes;
+    }
+
     /**
      * Reserves the bytes now or later; {@code onGranted} runs once they are reserved. The result withdraws a waiting
      * reservation.
--- a/src/main/java/rushproxy/sidecar/BodyMemoryReclaimer.java
+++ b/src/main/java/rushproxy/sidecar/MemoryReclaimer.java
@@ -6,23 +6,31 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Takes back the memory of bodies whose clients have stopped sending, while other requests wait for memory: what their
+ * Takes back the memory of requests whose clients have stopped sending, while other requests wait for memory: what their
  * clients have sent lies unread in the kernel and loses its time. Looks again until nobody waits.
  */
-final class BodyMemoryReclaimer {
+final class MemoryReclaimer {
+    /** Tells which clients hold memory that is worth taking back. */
+    interface Holder {
+        boolean holds(ClientConnection connection, long shortBytes);
+    }
+
     private static final long RETRY_INTERVAL_MS = 20;
 
     private final EventLoop loop;
     private final Clock clock;
     private final MemoryBudget budget;
     private final ClientConnectionLimiter connections;
+    private final Holder holder;
     private boolean scheduled;
 
-    BodyMemoryReclaimer(EventLoop loop, Clock clock, MemoryBudget budget, ClientConnectionLimiter connections) {
+    MemoryReclaimer(
+            EventLoop loop, Clock clock, MemoryBudget budget, ClientConnectionLimiter connections, Holder holder) {
         this.loop = loop;
         this.clock = clock;
         this.budget = budget;
         this.connections = connections;
+        this.holder = holder;
     }
 
     /** To be called when a request starts to wait for memory. */
@@ -37,7 +45,7 @@
         }
     }
 
-    /** Ends one body at a time, since its memory is released only after this task. */
+    /** Ends one request at a time, since its memory is released only after this task. */
     private void reclaim() {
         scheduled = false;
         long shortBytes = budget.shortBytes();
@@ -49,11 +57,10 @@
         schedule(stalled.isPresent() ? 0 : RETRY_INTERVAL_MS);
     }
 
-    /** Only bodies that hold as much as is short, so that none is ended in vain. */
     private Optional<ClientConnection> longestStalled(long shortBytes) {
         long now = clock.nowUs();
         return connections.all().stream()
-                .filter(connection -> connection.reservedBytes() >= shortBytes && connection.isStalled(now))
+                .filter(connection -> holder.holds(connection, shortBytes) && connection.isStalled(now))
                 .min(Comparator.comparingLong(
                         connection -> connection.activity().lastReceivedUs()));
     }
--- a/src/main/java/rushproxy/sidecar/RequestHead.java
+++ b/src/main/java/rushproxy/sidecar/RequestHead.java
@@ -45,6 +45,15 @@
                 headers.get(Headers.IDEMPOTENCY_KEY)));
     }
 
+    /** How many characters its texts have. */
+    int textBytes() {
+        return id.length() + requestClass.length() + lengthOf(tenant) + lengthOf(idempotencyKey);
+    }
+
+    private static int lengthOf(String text) {
+        return text == null ? 0 : text.length();
+    }
+
     /** Parses a non-negative integer of at most nine digits; -1 if there is none. */
     private static long parseDecimal(String text) {
         return text != null && NumberSyntax.isDecimal(text, MAX_DIGITS) ? Long.parseLong(text) : -1;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -28,6 +28,8 @@
     private static final int MIN_SOCKETS_PER_SIDE = 16;
     /** Buffered bodies and responses get 1/16 of the memory limit, since the JVM itself needs more than a third of it. */
     private static final int BUFFER_BUDGET_SHIFT = 4;
+    /** Heads of all clients together. */
+    private static final long HEAD_BUDGET_BYTES = 3 << 20;
     /** A probe response that takes longer no longer reflects the current state of the server. */
     private static final long PROBE_TIMEOUT_US = 50_000;
 
@@ -161,7 +163,7 @@
                         clock,
                         () -> Math.min(maxClientSockets, availableSockets - upstreams.openConnections()),
                         () -> clients().openCount() < maxClientSockets && upstreams.closeOldestIdle()),
-                budget,
+                new ClientMemory(new MemoryBudget(HEAD_BUDGET_BYTES), budget),
                 loopDelay,
                 deadlines,
                 guard);
--- a/src/main/java/rushproxy/sidecar/SocketPolling.java
+++ b/src/main/java/rushproxy/sidecar/SocketPolling.java
@@ -25,6 +25,11 @@
         return RoundingUpIoHandler.wrap(NioIoHandler.newFactory());
     }
 
+    /** Runs {@code work} at the end of this iteration; what it submits in the same way runs after the next poll. */
+    static void runAfterIteration(EventLoop loop, Runnable work) {
+        ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(work);
+    }
+
     /** Runs {@code work} after the next poll. Costs two iterations of the loop, neither of which blocks. */
     static void runAfterNextPoll(EventLoop loop, Runnable work) {
         // A task submitted now may still run in the current iteration; the next iteration polls the sockets. Netty
--- a/src/test/java/rushproxy/sidecar/ClientConnectionLimiterTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientConnectionLimiterTest.java
@@ -178,7 +178,7 @@
                                 return slots.get();
                             },
                             () -> false),
-                    new MemoryBudget(1 << 20),
+                    new ClientMemory(new MemoryBudget(1 << 20), new MemoryBudget(1 << 20)),
                     new EventLoopDelay(),
                     new ResponseDeadlines(List.of(), new EventLoopDelay()),
                     new RequestGuard(new Clock(), List.of(), new Invariants()));
--- a/src/test/java/rushproxy/sidecar/FakeServices.java
+++ b/src/test/java/rushproxy/sidecar/FakeServices.java
@@ -24,7 +24,12 @@
 
     /** Starts a sidecar, which is closed with the services. One started before has to be closed by the caller. */
     SidecarProcess start(Path folder, Map<String, String> environment) throws Exception {
-        sidecar = SidecarProcess.start(folder, discovery, servers, environment);
+        return start(folder, environment, SidecarProcess.DEFAULT_LIMITS);
+    }
+
+    /** As {@link #start(Path, Map)}, with these limits in the configuration. */
+    SidecarProcess start(Path folder, Map<String, String> environment, String limits) throws Exception {
+        sidecar = SidecarProcess.start(folder, discovery, servers, environment, limits);
         return sidecar;
     }
 
--- a/src/test/java/rushproxy/sidecar/MissingNativeLibraryIT.java
+++ b/src/test/java/rushproxy/sidecar/MissingNativeLibraryIT.java
@@ -14,15 +14,19 @@
     @TempDir
     Path folder;
 
+    /** Options that override those of the command line. The work directory can't be created, since its parent is a file. */
+    static Map<String, String> withoutLibrary(Path folder) {
+        return Map.of(
+                "_JAVA_OPTIONS",
+                "-Djava.library.path=" + folder + " -Dio.netty.native.workdir=" + folder.resolve("config.json/none"));
+    }
+
     /** Guards against a startup that fails, or silently does without TCP_INFO, if the library is missing. */
     @Test
     void servesAndLogsTheMissingLibraryOnce() throws Exception {
-        // Override the options of the command line. The work directory can't be created, since its parent is a file.
-        String options =
-                "-Djava.library.path=" + folder + " -Dio.netty.native.workdir=" + folder.resolve("config.json/none");
         try (FakeServices services = new FakeServices()) {
             services.addServers(1, (message, line) -> line.answer("200 OK", "", "served"));
-            SidecarProcess sidecar = services.start(folder, Map.of("_JAVA_OPTIONS", options));
+            SidecarProcess sidecar = services.start(folder, withoutLibrary(folder));
             try (TestServer.Client client = sidecar.client()) {
                 client.send(SidecarProcess.getRequest("a", "safe", 800));
                 assertEquals(200, client.status());
--- a/src/test/java/rushproxy/sidecar/SidecarProcess.java
+++ b/src/test/java/rushproxy/sidecar/SidecarProcess.java
@@ -32,10 +32,13 @@
                        "max_retry_after_us":1000000,"peers":false,"probing":false,"cancelling":true},
              "load_info":{"how":"off","fields":["busy_reqs","pending","cpu_share"]}}""";
 
+    static final String DEFAULT_LIMITS = "{\"sockets\":512}";
+
     /** When SIGKILL may follow SIGTERM: the longest deadline of these settings plus 0.7 s. */
     static final long KILL_AFTER_MS = 1_500;
 
     private static final Pattern READY_LINE = Pattern.compile("serves on /([0-9.]+):([0-9]+)");
+    private static final Pattern PEAK_MEMORY = Pattern.compile("VmHWM:\\s+([0-9]+) kB");
     private static final Pattern VIOLATION_COUNT = Pattern.compile("invariant_violations=([0-9]+)");
 
     final Process process;
@@ -54,10 +57,14 @@
 
     /** {@code environment}: additional variables, such as those of a fault injection library. */
     static SidecarProcess start(
-            Path folder, TestServer discovery, List<TestServer> upstreams, Map<String, String> environment)
+            Path folder,
+            TestServer discovery,
+            List<TestServer> upstreams,
+            Map<String, String> environment,
+            String limits)
             throws Exception {
         return new SidecarProcess(
-                command(folder, discovery, upstreams, environment).start());
+                command(folder, discovery, upstreams, environment, limits).start());
     }
 
     /** Starts a sidecar that inherits {@code socket} as its descriptor 0. */
@@ -68,14 +75,18 @@
             List<TestServer> upstreams,
             Map<String, String> environment)
             throws Exception {
-        ProcessBuilder command = command(folder, discovery, upstreams, environment);
+        ProcessBuilder command = command(folder, discovery, upstreams, environment, DEFAULT_LIMITS);
         command.environment().put("BALANCER_ACCEPT_FD", "0");
         return new SidecarProcess(
                 socket.startInheriting(command.redirectInput(ProcessBuilder.Redirect.INHERIT)::start));
     }
 
     private static ProcessBuilder command(
-            Path folder, TestServer discovery, List<TestServer> upstreams, Map<String, String> environment)
+            Path folder,
+            TestServer discovery,
+            List<TestServer> upstreams,
+            Map<String, String> environment,
+            String limits)
             throws Exception {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < upstreams.size(); i++) {
@@ -87,7 +98,7 @@
                 "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
                         + "\",\"seed\":\"8c1f30d27a5be964\",\"known\":"
                         + SidecarRig.listJson(41, true, entries.toArray(String[]::new))
-                        + ",\"limits\":{\"sockets\":512},\"settings\":" + SETTINGS + "}");
+                        + ",\"limits\":" + limits + ",\"settings\":" + SETTINGS + "}");
         Build build = Build.of(Path.of("").toAbsolutePath());
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", build.command())
                 .directory(build.root().toFile());
@@ -151,6 +162,16 @@
         return sum;
     }
 
+    /** The largest resident set that the process has had, in MB; 0 if it has ended. */
+    long peakMemoryMb() throws IOException {
+        Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+        if (!process.isAlive()) {
+            return 0;
+        }
+        Matcher peak = PEAK_MEMORY.matcher(Files.readString(status));
+        return peak.find() ? Long.parseLong(peak.group(1)) / 1024 : 0;
+    }
+
     @Override
     public void close() throws Exception {
         process.destroyForcibly();
