Memory: one plan from memory_mb, and an owner for what peers make the process keep

With 192 MB it died of its heap all the same.

Cause: the command line's ceilings (heap 72, direct 40, metaspace 40, code 24 MB) added up to more than the limit, and only bodies and whole responses were counted. Not counted: 64 KiB taken for a stated length before memory was granted, a kept buffer that doubled beyond 64 KiB, responses that a client does not read (released when they were written, not when the socket had taken them), up to 48 KB for each message that passes through, and reads of 16 KB kept for a part of them. A body in pieces of 100 bytes cost a write and a system call a piece: the loop was late by 391 ms.

Fix: MemoryPlan divides the limit: 54 MB for the runtime, 34 MB heap, the rest for messages that pass through. Not taken: a heap that follows the limit, since the shell reads the configuration a byte a call (14 ms of a start for 200 upstreams, 190 ms for 3,200), and 3,200 upstreams need 8 MB of heap. Bodies grow as bytes arrive and pass on in one write a read; StreamBuffers divides what passes through by the number of messages; one read a turn of the loop for each connection. The 5 s line tells what is reserved and used.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -67,6 +67,7 @@
     private final ClientInput input;
     private final RequestDecoder decoder = new RequestDecoder(this);
     private final HeadMemory headMemory;
+    private final StreamBuffers streams;
     /** When the first byte of the most recently decoded head arrived. */
     private long headStartUs;
 
@@ -122,7 +123,7 @@
             Clock clock,
             Set<String> classes,
             ClientServer server,
-            ClientMemory memory,
+            ConnectionMemory memory,
             EventLoopDelay loopDelay,
             ResponseDeadlines deadlines,
             RequestGuard guard) {
@@ -132,6 +133,7 @@
         this.server = server;
         memoryBudget = memory.bodies();
         headMemory = new HeadMemory(memory.heads());
+        streams = memory.streams();
         this.deadlines = deadlines;
         this.guard = guard;
         input = new ClientInput(clock, loopDelay, memoryBudget, this);
@@ -515,6 +517,7 @@
             }
             setConnectionHeader(response);
             resumeUpstream = resume;
+            streams.begin(channel);
             channel.writeAndFlush(response);
         }
 
@@ -527,6 +530,7 @@
         @Override
         public void endStream() {
             resumeUpstream = null;
+            streams.end(channel);
             if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
                 channel.options().set(StandardSocketOptions.SO_LINGER, LINGER_DISABLED);
             }
@@ -541,6 +545,7 @@
         @Override
         public void abortStream() {
             resumeUpstream = null;
+            streams.end(channel);
             if (exchange == null) {
                 // The client has disconnected, and its exchange was abandoned.
                 return;
@@ -575,7 +580,14 @@
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
         }
-        awaitFlush(channel.writeAndFlush(response), "answered " + status.code());
+        ChannelFuture written = channel.writeAndFlush(response);
+        if (!written.isDone()) {
+            // Until the socket has taken it. Beyond the limit further responses pass through in parts.
+            int bytes = content.readableBytes();
+            memoryBudget.take(bytes);
+            written.addListener(f -> memoryBudget.release(bytes));
+        }
+        awaitFlush(written, "answered " + status.code());
     }
 
     /** Closes after this response if the client is still sending the body of the request, which may be long. */
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -88,7 +88,7 @@
     private final Set<String> classes;
     private final BooleanSupplier canServe;
 
-    private final ClientMemory memory;
+    private final ConnectionMemory memory;
     private final EventLoopDelay loopDelay;
     private final ResponseDeadlines deadlines;
     private final RequestGuard guard;
@@ -130,7 +130,7 @@
             List<RequestClass> classes,
             BooleanSupplier canServe,
             ClientConnectionLimiter limiter,
-            ClientMemory memory,
+            ConnectionMemory memory,
             EventLoopDelay loopDelay,
             ResponseDeadlines deadlines,
             RequestGuard guard) {
@@ -188,7 +188,7 @@
     }
 
     private ServerBootstrap newBootstrap() {
-        return ConnectionBuffers.configure(new ServerBootstrap())
+        return ConnectionBuffers.configure(new ServerBootstrap(), memory.streams())
                 .group(loop)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .handler(new ChannelInboundHandlerAdapter() {
--- a/src/main/java/rushproxy/sidecar/ConnectionBuffers.java
+++ b/src/main/java/rushproxy/sidecar/ConnectionBuffers.java
@@ -2,32 +2,27 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
 import java.net.StandardSocketOptions;
 
 /** Limits how much data each connection buffers in this process and in the kernel. */
 final class ConnectionBuffers {
-    private static final int MIN_READ_BYTES = 256;
-    private static final int INITIAL_READ_BYTES = 2048;
-    private static final int MAX_READ_BYTES = 16 * 1024;
-    private static final WriteBufferWaterMark WRITE_WATER_MARK =
-            new WriteBufferWaterMark(MAX_READ_BYTES, 2 * MAX_READ_BYTES);
+    private static final WriteBufferWaterMark WRITE_WATER_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
     /** By default the kernel would buffer megabytes, and signal writability only once a third of them is free. */
     private static final int SOCKET_BUFFER_BYTES = 128 * 1024;
 
     private ConnectionBuffers() {}
 
-    static Bootstrap configure(Bootstrap bootstrap) {
+    static Bootstrap configure(Bootstrap bootstrap, StreamBuffers streams) {
         return bootstrap
-                .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBufferAllocator())
+                .option(ChannelOption.RECVBUF_ALLOCATOR, streams.readAllocator())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK);
     }
 
-    static ServerBootstrap configure(ServerBootstrap bootstrap) {
+    static ServerBootstrap configure(ServerBootstrap bootstrap, StreamBuffers streams) {
         return bootstrap
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBufferAllocator())
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, streams.readAllocator())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK);
     }
 
@@ -37,8 +32,4 @@
         connection.options().set(StandardSocketOptions.SO_RCVBUF, SOCKET_BUFFER_BYTES);
         return connection;
     }
-
-    private static AdaptiveRecvByteBufAllocator receiveBufferAllocator() {
-        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
-    }
 }
--- a/src/main/java/rushproxy/sidecar/MemoryBudget.java
+++ b/src/main/java/rushproxy/sidecar/MemoryBudget.java
@@ -12,6 +12,8 @@
     private final ArrayDeque<Waiter> waiting = new ArrayDeque<>();
     private final long limitBytes;
     private long freeBytes;
+    /** Reservations that had to wait since the last {@link #describeUse}. */
+    private int waited;
 
     MemoryBudget(long bytes) {
         limitBytes = bytes;
@@ -37,9 +39,12 @@
         return freeBytes < 0;
     }
 
-    /** How many bytes are reserved. */
-    long reservedBytes() {
-        return limitBytes - freeBytes;
+    /** How much is reserved, and how many reservations had to wait since the last call. */
+    String describeUse() {
+        String text = (limitBytes - freeBytes) / 1024 + " of " + limitBytes / 1024 + " KB"
+                + (waited == 0 ? "" : " (" + waited + " waited)");
+        waited = 0;
+        return text;
     }
 
     /**
@@ -53,6 +58,7 @@
         }
         Waiter waiter = new Waiter(bytes, onGranted);
         waiting.add(waiter);
+        waited++;
         return () -> {
             // If it was the first, those behind it may fit now.
             if (waiting.remove(waiter)) {
--- a/src/main/java/rushproxy/sidecar/OutboundConnector.java
+++ b/src/main/java/rushproxy/sidecar/OutboundConnector.java
@@ -37,11 +37,16 @@
     }
 
     /** As {@link #aggregatingBootstrap}, but the handler receives each part of a response as it arrives. */
-    static Bootstrap streamingBootstrap(EventLoop loop, Supplier<ChannelHandler> handler) {
-        return ConnectionBuffers.configure(bootstrap(
-                        loop,
-                        channel -> channel.pipeline()
-                                .addLast(new HttpRequestEncoder(), new UpstreamResponseDecoder(), handler.get())))
+    static Bootstrap streamingBootstrap(EventLoop loop, StreamBuffers streams, Supplier<ChannelHandler> handler) {
+        return ConnectionBuffers.configure(
+                        bootstrap(
+                                loop,
+                                channel -> channel.pipeline()
+                                        .addLast(
+                                                new HttpRequestEncoder(),
+                                                new UpstreamResponseDecoder(),
+                                                handler.get())),
+                        streams)
                 .channelFactory(() -> ConnectionBuffers.withSocketBuffers(new TcpConnection()));
     }
 
--- a/src/main/java/rushproxy/sidecar/RequestBody.java
+++ b/src/main/java/rushproxy/sidecar/RequestBody.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -13,9 +14,8 @@
  */
 final class RequestBody {
     static final int MAX_KEPT_BYTES = 64 * 1024;
-    /** Initial buffer size for a chunked body. */
-    private static final int INITIAL_BUFFER_BYTES = 512;
-
+    /** Written at once. */
+    private static final int MAX_WRITE_BYTES = 16 * 1024;
     /** The stated length; -1 for a chunked body. */
     final long length;
     /** Runs whenever more or less of the body may be read from the client. */
@@ -26,15 +26,18 @@
     /** The connection that the body is streamed to; null if it is not. */
     private Channel target;
 
+    /** What has arrived since the body is streamed and is not written yet. */
+    private ByteBuf pending;
+
+    private boolean passOnScheduled;
+    private boolean isLastWritten;
     private Runnable onWritten;
     private long blockedSinceUs;
 
     RequestBody(Runnable regulate, long length) {
         this.onFlowChange = regulate;
         this.length = length;
-        kept = length == 0
-                ? Unpooled.EMPTY_BUFFER
-                : Unpooled.buffer((int) (length < 0 ? INITIAL_BUFFER_BYTES : Math.min(length, MAX_KEPT_BYTES)));
+        kept = Unpooled.EMPTY_BUFFER;
     }
 
     /** Maximum number of bytes that are kept. */
@@ -44,29 +47,84 @@
 
     void append(ByteBuf part) {
         if (target != null) {
-            target.writeAndFlush(new DefaultHttpContent(part.retain()))
-                    .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+            pending = withRoom(pending, part.readableBytes()).writeBytes(part);
+            schedulePassOn();
         } else if (kept != null) {
-            kept.writeBytes(part);
+            kept = withRoom(kept, part.readableBytes()).writeBytes(part);
         }
         updateFlow();
     }
 
+    /** Memory is taken as bytes arrive, since a client may state a length and send nothing. */
+    private static ByteBuf withRoom(ByteBuf buffer, int bytes) {
+        int needed = buffer.writerIndex() + bytes;
+        if (needed <= buffer.capacity()) {
+            return buffer;
+        }
+        int capacity = Math.max(needed, Math.min(2 * buffer.capacity(), MAX_KEPT_BYTES));
+        return buffer == Unpooled.EMPTY_BUFFER ? Unpooled.buffer(capacity) : buffer.capacity(capacity);
+    }
+
     void finish() {
         complete = true;
         if (target != null) {
-            Runnable whenWritten = onWritten;
-            target.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener((io.netty.channel.ChannelFuture f) -> {
-                if (f.isSuccess()) {
-                    whenWritten.run();
-                } else {
-                    f.channel().close();
-                }
+            schedulePassOn();
+        }
+        updateFlow();
+    }
+
+    /** Passes on what one read has brought in one write, in however many pieces the client sent it. */
+    private void schedulePassOn() {
+        if (!passOnScheduled) {
+            passOnScheduled = true;
+            target.eventLoop().execute(() -> {
+                passOnScheduled = false;
+                passOn();
             });
         }
+    }
+
+    /** Writes as much of what is pending as the connection accepts. The rest stays on the heap, where it is accounted for. */
+    private void passOn() {
+        if (target == null || isLastWritten) {
+            return;
+        }
+        while (pending.isReadable() && target.isWritable()) {
+            ByteBuf piece = pending.readRetainedSlice(Math.min(pending.readableBytes(), MAX_WRITE_BYTES));
+            target.write(new DefaultHttpContent(piece)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        }
+        if (!pending.isReadable()) {
+            dropWritten();
+            if (complete) {
+                writeLast();
+            }
+        }
+        target.flush();
         updateFlow();
     }
 
+    /** Uses the buffer again unless a write still refers to it. */
+    private void dropWritten() {
+        if (pending.refCnt() == 1) {
+            pending.clear();
+        } else {
+            pending.release();
+            pending = Unpooled.EMPTY_BUFFER;
+        }
+    }
+
+    private void writeLast() {
+        isLastWritten = true;
+        Runnable whenWritten = onWritten;
+        target.write(LastHttpContent.EMPTY_LAST_CONTENT).addListener((ChannelFuture written) -> {
+            if (written.isSuccess()) {
+                whenWritten.run();
+            } else {
+                written.channel().close();
+            }
+        });
+    }
+
     /** Whether all of it has arrived. */
     boolean isComplete() {
         return complete;
@@ -94,9 +152,16 @@
     void streamTo(Channel upstream, Runnable whenWritten) {
         target = upstream;
         onWritten = whenWritten;
-        ByteBuf bytes = kept;
+        pending = kept;
         kept = null;
-        target.writeAndFlush(new DefaultHttpContent(bytes)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        passOn();
+    }
+
+    /** To be called when the connection that the body is streamed to accepts more, or no more, of it. */
+    void onWritabilityChanged() {
+        if (target != null && target.isWritable()) {
+            schedulePassOn();
+        }
         updateFlow();
     }
 
@@ -104,6 +169,7 @@
     void discard() {
         target = null;
         kept = null;
+        pending = null;
         updateFlow();
     }
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -26,10 +26,6 @@
     private static final int RESERVED_DESCRIPTORS = 32 + AdminServer.MAX_CONNECTIONS;
 
     private static final int MIN_SOCKETS_PER_SIDE = 16;
-    /** Buffered bodies and responses get 1/16 of the memory limit, since the JVM itself needs more than a third of it. */
-    private static final int BUFFER_BUDGET_SHIFT = 4;
-    /** Heads of all clients together. */
-    private static final long HEAD_BUDGET_BYTES = 3 << 20;
     /** A probe response that takes longer no longer reflects the current state of the server. */
     private static final long PROBE_TIMEOUT_US = 50_000;
 
@@ -48,6 +44,7 @@
     private final EventLoopGroup group;
     private final EventLoop loop;
     private final BalancerDispatcher decisions = new BalancerDispatcher();
+    private final ConnectionMemory memory;
     private final UpstreamPool upstreams;
     private final Invariants invariants = new Invariants();
     private final RequestGuard guard;
@@ -108,7 +105,7 @@
         this.inheritedListener = inheritedListener;
         this.balancerFactory = balancerFactory;
         Balancer.Settings settings = config.settings();
-        MemoryBudget budget = new MemoryBudget((long) config.memoryMb() << 20 >> BUFFER_BUDGET_SHIFT);
+        memory = ConnectionMemory.of(planMemory(config));
         // Idle connections come from clients, so their share is capped; upstreams may borrow what clients don't use.
         int availableSockets = Math.max(2 * MIN_SOCKETS_PER_SIDE, config.maxSockets() - RESERVED_DESCRIPTORS);
         int maxClientSockets = availableSockets - Math.max(MIN_SOCKETS_PER_SIDE, availableSockets / 4);
@@ -121,7 +118,7 @@
                 config.dialTimeoutUs(),
                 // One socket is always kept for the next client.
                 () -> availableSockets - Math.min(maxClientSockets, clients().openCount() + 1),
-                budget);
+                memory);
         guard = new RequestGuard(clock, settings.classes(), invariants);
         requests = new RequestCoordinator(
                 loop, time, decisions, upstreams, guard, settings.limits().maxAttempts());
@@ -163,7 +160,7 @@
                         clock,
                         () -> Math.min(maxClientSockets, availableSockets - upstreams.openConnections()),
                         () -> clients().openCount() < maxClientSockets && upstreams.closeOldestIdle()),
-                new ClientMemory(new MemoryBudget(HEAD_BUDGET_BYTES), budget),
+                memory,
                 loopDelay,
                 deadlines,
                 guard);
@@ -185,6 +182,11 @@
         }
         Log.configure(config.logOptions());
         TcpInfo.loadEagerly();
+        MemoryPlan plan = planMemory(config);
+        if (!plan.fitsLimit()) {
+            Log.warn("memory_mb allows this process " + (plan.limitBytes() >> 20) + " MB, but it may take "
+                    + plan.leastLimitMb() + " MB");
+        }
         Sidecar sidecar;
         try {
             ServerSocketChannel inheritedListener = config.inheritsListener() ? InheritedListener.open() : null;
@@ -211,6 +213,14 @@
         return 0;
     }
 
+    /** A process that inherits its listener may be the second of two, which share the limit. */
+    private static MemoryPlan planMemory(Config config) {
+        return MemoryPlan.of(
+                config.memoryMb(),
+                config.inheritsListener() ? 2 : 1,
+                Runtime.getRuntime().maxMemory());
+    }
+
     /** Ends a process whose event loop has died, so that its supervisor restarts it. */
     private static void haltAfterLoopExit() {
         try {
@@ -295,7 +305,7 @@
             requests.reportStats((summary, fields) -> Log.event(
                     Log.Level.INFO,
                     "in " + HEARTBEATS_PER_REPORT * HEARTBEAT_INTERVAL_MS / 1000 + " s " + summary + "; "
-                            + describeConnections() + describeInvariantViolations(),
+                            + describeConnections() + "; " + describeMemory() + describeInvariantViolations(),
                     fields));
             reportLag();
         }
@@ -423,6 +433,12 @@
                 + describe(clients.countByPhase()) + ", " + upstreams.openConnections() + " to upstreams";
     }
 
+    private String describeMemory() {
+        return "memory of heads " + memory.heads().describeUse() + ", of bodies "
+                + memory.bodies().describeUse() + ", " + memory.streams().count() + " streams; "
+                + MemoryUsage.describe();
+    }
+
     private static String describe(Map<ClientPhase, Integer> phases) {
         String text = phases.entrySet().stream()
                 .map(entry -> entry.getValue() + " " + entry.getKey().text())
--- a/src/main/java/rushproxy/sidecar/UpstreamCall.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamCall.java
@@ -141,7 +141,7 @@
 
     void writabilityChanged() {
         if (isBodyStreaming && !isEnded) {
-            body.updateFlow();
+            body.onWritabilityChanged();
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/UpstreamPool.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamPool.java
@@ -51,6 +51,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final StallAwareClock time;
+    private final StreamBuffers streams;
     private final SocketTimeouts timeouts;
     private final long idleTimeoutUs;
     private final long reuseDelayUs;
@@ -76,7 +77,7 @@
             long reuseDelayUs,
             long connectTimeoutUs,
             IntSupplier maxConnections,
-            MemoryBudget budget) {
+            ConnectionMemory memory) {
         this.loop = loop;
         this.time = time;
         timeouts = new SocketTimeouts(loop, time);
@@ -85,7 +86,9 @@
         this.connectTimeoutUs = connectTimeoutUs;
         this.maxConnections = maxConnections;
         idleTimeoutUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
-        bootstrap = OutboundConnector.streamingBootstrap(loop, () -> new UpstreamConnection(budget, clock));
+        bootstrap = OutboundConnector.streamingBootstrap(
+                loop, memory.streams(), () -> new UpstreamConnection(memory.bodies(), clock));
+        streams = memory.streams();
         sweep = PeriodicTask.scheduleEvery(loop, IDLE_SWEEP_MS, this::closeExpiredIdle);
     }
 
@@ -393,9 +396,11 @@
                 HttpUtil.setTransferEncodingChunked(head, true);
             }
             call.isBodyStreaming = true;
+            streams.begin(call.channel);
             call.channel.write(head).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
             call.body.streamTo(call.channel, () -> {
                 call.isWritten = true;
+                streams.end(call.channel);
                 markSent(call);
                 call.dispatched = call.sent;
                 call.listener.onSent(call);
--- a/src/main/java/rushproxy/sidecar/WarmUp.java
+++ b/src/main/java/rushproxy/sidecar/WarmUp.java
@@ -93,7 +93,10 @@
                 0,
                 MAX_DURATION_US,
                 () -> CONCURRENCY,
-                new MemoryBudget(CONCURRENCY * RequestBody.MAX_KEPT_BYTES));
+                new ConnectionMemory(
+                        new MemoryBudget(0),
+                        new MemoryBudget(CONCURRENCY * RequestBody.MAX_KEPT_BYTES),
+                        new StreamBuffers(CONCURRENCY * RequestBody.MAX_KEPT_BYTES)));
     }
 
     /** Reads the kernel's generator, since {@code SecureRandom} would load security providers that nothing else needs. */
--- a/src/test/java/rushproxy/sidecar/ClientConnectionLimiterTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientConnectionLimiterTest.java
@@ -178,7 +178,7 @@
                                 return slots.get();
                             },
                             () -> false),
-                    new ClientMemory(new MemoryBudget(1 << 20), new MemoryBudget(1 << 20)),
+                    ConnectionMemory.of(MemoryPlan.of(192, 1, 1L << 30)),
                     new EventLoopDelay(),
                     new ResponseDeadlines(List.of(), new EventLoopDelay()),
                     new RequestGuard(new Clock(), List.of(), new Invariants()));
--- a/src/test/java/rushproxy/sidecar/ClientCrowd.java
+++ b/src/test/java/rushproxy/sidecar/ClientCrowd.java
@@ -8,13 +8,16 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.IntFunction;
 
-/** Many clients that each send the same kind of bytes as fast as they are taken, and then wait for their connection to end. */
+/** Many clients that each send the same kind of bytes as fast as they are taken, and then wait for an answer or a close. */
 final class ClientCrowd implements AutoCloseable {
     private static final int READ_BYTES = 3_000;
     private static final long READ_INTERVAL_NANOS = 100_000_000;
     private static final int POLL_MS = 20;
+    /** Between the requests of slow readers, so that their upstreams take them all. */
+    private static final long CONNECT_INTERVAL_NANOS = 10_000_000;
 
     private static final class Member {
         final SocketChannel channel;
@@ -36,11 +39,14 @@
     private volatile int open;
     private volatile long longestMs;
 
-    /** {@code readsSlowly}: reads 30 kB a second. */
+    /** {@code readsSlowly}: reads 30 kB a second of its answer, to the end. */
     ClientCrowd(InetSocketAddress address, int count, boolean readsSlowly, IntFunction<byte[]> message)
             throws IOException {
         this.readsSlowly = readsSlowly;
         for (int i = 0; i < count; i++) {
+            if (readsSlowly) {
+                LockSupport.parkNanos(CONNECT_INTERVAL_NANOS);
+            }
             SocketChannel channel = SocketChannel.open(address);
             channel.configureBlocking(false);
             Member member = new Member(channel, message.apply(i));
@@ -52,12 +58,12 @@
         thread.start();
     }
 
-    /** How many are connected. */
+    /** How many have neither an answer nor a close. */
     int open() {
         return open;
     }
 
-    /** The longest time that a connection which has ended was open. */
+    /** The longest time until an answer or a close. */
     long longestMs() {
         return longestMs;
     }
@@ -109,7 +115,8 @@
     }
 
     private void read(Member member, int bytes) throws IOException {
-        if (member.channel.read(ByteBuffer.allocate(bytes)) < 0) {
+        int count = member.channel.read(ByteBuffer.allocate(bytes));
+        if (count < 0 || count > 0 && !readsSlowly) {
             end(member);
         }
     }
--- a/src/test/java/rushproxy/sidecar/MemoryLimitIT.java
+++ b/src/test/java/rushproxy/sidecar/MemoryLimitIT.java
@@ -82,4 +82,32 @@
         byte[] head = bytes("POST /api HTTP/1.1\r\nHost: a\r\n" + "a1:b\r\n".repeat(100_000));
         assertServesBeside(300, false, kernelAges, i -> head);
     }
+
+    private static byte[] upload(int number, int length, String body) {
+        return bytes("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: bad" + number
+                + "\r\nX-Lane: unsafe\r\nX-Remaining-Ms: 800\r\nContent-Length: " + length + "\r\n\r\n" + body);
+    }
+
+    /** Guards against bodies that are kept without being counted, and bad clients that are closed too late. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void clientsThatStopWithinLargeBodiesTakeNoMemoryFromOthers(boolean kernelAges) throws Exception {
+        String half = "x".repeat(300_000);
+        assertServesBeside(300, false, kernelAges, i -> upload(i, 600_000, half));
+    }
+
+    /** Guards against memory that is taken for the stated length of bodies that do not arrive. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void statedLengthsTakeNoMemory(boolean kernelAges) throws Exception {
+        assertServesBeside(600, false, kernelAges, i -> upload(i, 65_000, "x"));
+    }
+
+    /** Guards against answers that wait for clients that read slowly and are not counted. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void clientsThatReadSlowlyTakeNoMemoryFromOthers(boolean kernelAges) throws Exception {
+        assertServesBeside(
+                50, true, kernelAges, i -> bytes(SidecarProcess.getRequest("long" + i, "unsafe", REMAINING_MS)));
+    }
 }
--- a/src/test/java/rushproxy/sidecar/UpstreamPoolTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamPoolTest.java
@@ -51,7 +51,7 @@
                         reuseDelayUs,
                         connectTimeoutUs,
                         () -> maxConnections,
-                        new MemoryBudget(1 << 20)))
+                        ConnectionMemory.of(MemoryPlan.of(192, 1, 1L << 30))))
                 .get();
     }
 
