Responses: an end that this process makes is not taken for the end of a response

Cause: for a response that ends with its connection Netty's decoder emits the last part whenever the connection ends, also when this process has closed it for a stall. UpstreamConnection took that for the regular end and wrote the client's.

Fix: every close of this process marks the connection first, and the end of a connection counts only if the upstream has closed it. The client's SO_LINGER of 0, which makes any premature end a reset, is lifted only once the socket has taken the last byte.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -531,10 +531,16 @@
         public void endStream() {
             resumeUpstream = null;
             streams.end(channel);
+            ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
             if (!head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-                channel.options().set(StandardSocketOptions.SO_LINGER, LINGER_DISABLED);
+                // Only once the socket has taken all of it: until then any end must be a reset.
+                written.addListener(f -> {
+                    if (f.isSuccess()) {
+                        channel.options().set(StandardSocketOptions.SO_LINGER, LINGER_DISABLED);
+                    }
+                });
             }
-            awaitFlush(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), "streamed");
+            awaitFlush(written, "streamed");
         }
 
         @Override
--- a/src/main/java/rushproxy/sidecar/ConnectionHistory.java
+++ b/src/main/java/rushproxy/sidecar/ConnectionHistory.java
@@ -27,6 +27,11 @@
         peerClosed = true;
     }
 
+    /** Whether the peer has closed its side in an orderly way. */
+    boolean hasPeerClosed() {
+        return peerClosed;
+    }
+
     /** At least a part of a response was written. */
     void recordResponse() {
         answered = true;
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -82,7 +82,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            abort(ctx, CloseReason.NO_HTTP);
+            close(ctx, CloseReason.NO_HTTP);
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -90,26 +90,32 @@
             isInterim = status.codeClass() == HttpStatusClass.INFORMATIONAL;
             if (status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 // The upgrade was not requested, and what follows is not HTTP.
-                abort(ctx, CloseReason.NO_HTTP);
+                close(ctx, CloseReason.NO_HTTP);
             } else if (!isInterim) {
                 onResponseHead(ctx, response);
             }
         }
         if (message instanceof HttpContent content && !isInterim) {
             onContent(ctx, content.content());
-            if (content instanceof LastHttpContent && !isAborted) {
+            if (content instanceof LastHttpContent && !isAborted && isEndGenuine(ctx)) {
                 isComplete = true;
             }
         }
     }
 
+    /** Whether the end of a response comes from the upstream: the decoder takes any end of the connection for that of a response without a length. */
+    private static boolean isEndGenuine(ChannelHandlerContext ctx) {
+        return ctx.channel().isActive()
+                || ((TcpConnection) ctx.channel()).history().hasPeerClosed();
+    }
+
     private void onResponseHead(ChannelHandlerContext ctx, HttpResponse response) {
         Outcome result = outcome(response);
         if (call == null || head != null || result == Outcome.OK && !call.isWritten()) {
             // Unsolicited: no call, a second response, or success before the request was sent in full. What follows
             // can't be attributed
             // to a call.
-            abort(ctx, CloseReason.NOT_ASKED_FOR);
+            close(ctx, CloseReason.NOT_ASKED_FOR);
             return;
         }
         head = response;
@@ -150,12 +156,12 @@
         } else if (buffered == null) {
             discardedBytes += part.readableBytes();
             if (discardedBytes > MAX_DISCARDED_BYTES) {
-                abort(ctx, CloseReason.REMAINDER_TOO_LONG);
+                close(ctx, CloseReason.REMAINDER_TOO_LONG);
             }
         } else if (buffered.readableBytes() + part.readableBytes() <= RequestBody.MAX_KEPT_BYTES) {
             buffered.writeBytes(part);
         } else if (call.isReportInBody()) {
-            abort(ctx, CloseReason.REMAINDER_TOO_LONG);
+            close(ctx, CloseReason.REMAINDER_TOO_LONG);
         } else {
             streamFrom(ctx, part);
         }
@@ -180,12 +186,9 @@
         }
     }
 
-    private void abort(ChannelHandlerContext ctx, CloseReason reason) {
+    /** What the decoder makes of this end, as the regular one of a response without a length, is ignored. */
+    private void close(ChannelHandlerContext ctx, CloseReason reason) {
         isAborted = true;
-        close(ctx, reason);
-    }
-
-    private static void close(ChannelHandlerContext ctx, CloseReason reason) {
         RequestLog.recordClose(ctx.channel(), reason);
         ctx.close();
     }
@@ -200,7 +203,7 @@
             UpstreamCall current = call;
             call = null;
             reset();
-            abort(ctx, CloseReason.NOT_WANTED);
+            close(ctx, CloseReason.NOT_WANTED);
             current.end(Outcome.OK, null, Unpooled.EMPTY_BUFFER);
             return;
         }
