Responses: a long one of unknown length is not cut at its deadline

Cause: until 64 KiB have come a response of unknown length counts as short. Before it is passed on it is due whole at the deadline (TIMEOUT), and afterwards 0.1 s of silence past the deadline ended it, less than the gap between two lumps.

Fix: at the deadline a response of unknown length of which 4 KiB have come, the last less than 0.4 s ago, is passed on, since only the first bytes of a long one are due; and once passed on it may be silent for 0.4 s past the deadline, which shows its client an end by half a second after its time. One that is silent for longer gets 502 as before, or is seen to be cut.

--- a/src/main/java/rushproxy/sidecar/ResponseProgress.java
+++ b/src/main/java/rushproxy/sidecar/ResponseProgress.java
@@ -18,6 +18,11 @@
      * is to end.
      */
     static final long SHORT_STALL_US = 100_000;
+    /**
+     * The same of a response of unknown length that is likely to be long. Its client is shown the end by half a second after the
+     * deadline.
+     */
+    static final long UNKNOWN_LENGTH_STALL_US = 400_000;
     /** Silence after which a long response has stalled; up to 2 s are allowed. */
     static final long LONG_STALL_US = 5_000_000;
     /** After this time without reading a client counts as gone. */
@@ -59,6 +64,15 @@
         return bytes >= MIN_STREAMING_BYTES && now - lastProgressUs < MAX_STREAMING_GAP_US;
     }
 
+    /** Whether a response of unknown length may be passed on at its deadline, since more of it is likely to come. */
+    boolean mayContinue(long now) {
+        return isLikelyLong() && now - lastProgressUs < UNKNOWN_LENGTH_STALL_US;
+    }
+
+    private boolean isLikelyLong() {
+        return length < 0 && bytes >= MIN_STREAMING_BYTES;
+    }
+
     /**
      * Whether the response has stalled. {@code deadlineUs}: the deadline of the request; {@code processEndUs}: when the
      * process may be killed.
@@ -74,6 +88,6 @@
         if (isLong()) {
             return silentUs >= LONG_STALL_US;
         }
-        return now >= deadlineUs && silentUs >= SHORT_STALL_US;
+        return now >= deadlineUs && silentUs >= (isLikelyLong() ? UNKNOWN_LENGTH_STALL_US : SHORT_STALL_US);
     }
 }
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -216,6 +216,19 @@
         }
     }
 
+    /**
+     * At its deadline a response of unknown length is passed on if it is likely to be long: only its first bytes were due. Returns
+     * false if there is none.
+     */
+    boolean streamAtDeadline(ChannelHandlerContext ctx) {
+        boolean isPartial = call != null && progress != null && buffered != null && !isComplete && !isAborted;
+        if (!isPartial || call.isReportInBody() || !progress.mayContinue(clock.nowUs())) {
+            return false;
+        }
+        startStreaming(ctx);
+        return true;
+    }
+
     private void forward(ChannelHandlerContext ctx, ByteBuf part) {
         if (!call.passResponsePart(part)) {
             ctx.channel().config().setAutoRead(false);
--- a/src/main/java/rushproxy/sidecar/UpstreamPool.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamPool.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -262,6 +263,8 @@
         }
         if (call.awaitsReuseDelay) {
             call.cancelIfUnsent();
+        } else if (call.isWritten && streamAtDeadline(call.channel)) {
+            return;
         } else if (isTimeoutConclusive(call)) {
             call.abandon(call.isWritten ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         } else {
@@ -269,6 +272,11 @@
         }
     }
 
+    private static boolean streamAtDeadline(Channel channel) {
+        ChannelHandlerContext context = channel.pipeline().context(UpstreamConnection.class);
+        return context != null && ((UpstreamConnection) context.handler()).streamAtDeadline(context);
+    }
+
     /** Whether the upstream had most of the call's time, not counting delays of this process's event loop. */
     private boolean isTimeoutConclusive(UpstreamCall call) {
         boolean isConnectedUnused = !call.isWriteStarted && call.channel != null && call.channel.isActive();
