Body memory: a request that was sent on is not refused when its wait for memory ends

Cause: a body that comes in the same read as its head is passed on at once, while its reservation still waits behind others. The request is taken and an attempt made; then the timer of the wait finds the reservation open and answers 503 by itself, past the guard. The debug log shows it: 'rejected with status 503' 79 ms after 'attempt 0', and 'ended TIMEOUT' or 'streaming its response' behind it. The wait, not the flag of a completed write, was at fault.

Fix: the wait ends when the request is taken, and what is here is counted. reject gives an open request up and answers 502. ClientOverloadTest.aRequestThatWasSentOnIsNotRefusedForWantOfMemory fails before (503) and passes now.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -426,6 +426,7 @@
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
+        endMemoryWait();
         long requestDeadlineUs = deadlineUs(partSentUs);
         Request request = new Request(
                 requestHead.id(),
@@ -457,6 +458,21 @@
         coordinator.accept(exchange);
     }
 
+    /** A body that came with its head is here already, and its request is not refused any more for want of memory. */
+    private void endMemoryWait() {
+        if (cancelReservation != null) {
+            cancelReservation.run();
+            cancelReservation = null;
+            takeMemory((int) bodyBytes);
+            updateReading();
+        }
+    }
+
+    private void takeMemory(int bytes) {
+        memoryBudget.take(bytes);
+        reservedBytes = bytes;
+    }
+
     /** The deadline counts from the last byte of the request, so a slow sender has the same time as any other. */
     private long deadlineUs(long sentUs) {
         return Math.min(
@@ -574,8 +590,11 @@
     }
 
     private void reject(HttpResponseStatus status) {
-        RequestLog.logRejected(channel, status.code());
-        write(status, Unpooled.EMPTY_BUFFER, 0);
+        // A request that was taken may have run: no answer of this class may say that it has not.
+        HttpResponseStatus safe = exchange == null ? status : HttpResponseStatus.BAD_GATEWAY;
+        abandonExchange();
+        RequestLog.logRejected(channel, safe.code());
+        write(safe, Unpooled.EMPTY_BUFFER, 0);
     }
 
     private void write(HttpResponseStatus status, ByteBuf content, long retryAfterUs) {
--- a/src/test/java/rushproxy/sidecar/ClientOverloadTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientOverloadTest.java
@@ -161,7 +161,13 @@
 
     /** Memory that nobody takes back: 192 complete bodies, which use it up, are held by the module. */
     private static SidecarRig rigWithoutMemory(List<TestServer.Client> filling) throws Exception {
+        return rigWithoutMemory(filling, (message, connection) -> connection.answer("200 OK", "", "served"));
+    }
+
+    private static SidecarRig rigWithoutMemory(List<TestServer.Client> filling, TestServer.Handler upstream)
+            throws Exception {
         SidecarRig rig = new SidecarRig();
+        rig.addUpstream(upstream);
         rig.settings = SidecarRig.SETTINGS.replace("\"give_up_us\":800000", "\"give_up_us\":50000000");
         rig.onRequest = (now, request, actions) -> {
             if (!request.id().startsWith("f")) {
@@ -220,6 +226,22 @@
         }
     }
 
+    /** Guards against a refusal, for want of memory, of a request whose body came with its head and that was sent on. */
+    @Test
+    void aRequestThatWasSentOnIsNotRefusedForWantOfMemory() throws Exception {
+        List<TestServer.Client> filling = new ArrayList<>();
+        try (SidecarRig rig = rigWithoutMemory(filling, (message, connection) -> {});
+                TestServer.Client client = rig.client()) {
+            rig.onRequest = (now, request, actions) -> actions.send(request.id(), "u0", 0);
+            client.send("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: a1\r\nX-Lane: c\r\nX-Remaining-Ms: 400\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n4\r\nmove\r\n0\r\n\r\n");
+            assertEquals("a1", rig.upstreams.get(0).next().header("X-Txn"));
+            assertEquals(502, client.status());
+        } finally {
+            closeAll(filling);
+        }
+    }
+
     /** Guards against clients that stop within their bodies and keep the memory from others, which are refused. */
     @Test
     void clientsThatStopWithinTheirBodiesKeepNoMemoryFromOthers() throws Exception {
