Body memory: small bodies do not wait behind large ones

What callers saw: beside a crowd within large bodies a request of 4 bytes whose body comes in a segment of its own waits in the queue for memory, for up to a second, and is refused with 'attempts []'. Cause: one queue for reservations of 4 bytes and of 64 KiB. ClientOverloadTest.aSmallBodyDoesNotWaitForMemoryBehindLargeOnes fails before (no message at the upstream) and passes now.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -36,6 +36,8 @@
         implements ClientInput.Listener, RequestDecoder.Listener {
     /** After this time without accepting any of a body an upstream counts as stalled. */
     private static final long MAX_UPSTREAM_BLOCKED_US = 10_000_000;
+    /** Bodies up to this size do not wait for memory behind larger ones. */
+    private static final int SMALL_BODY_BYTES = 4 * 1024;
     /** Longest wait for body memory. The refusal that follows tells the client that nothing was sent upstream. */
     private static final long MAX_MEMORY_WAIT_US = 1_000_000;
     /** After this time without reading any of its response a client counts as gone. */
@@ -332,6 +334,10 @@
         }
         // Reading stops until memory is granted; a 100 Continue is sent only then.
         boolean expectsContinue = HttpUtil.is100ContinueExpected(message);
+        if (length > 0 && length <= SMALL_BODY_BYTES && !expectsContinue) {
+            takeMemory((int) length);
+            return;
+        }
         cancelReservation = memoryBudget.reserve(body.maxKeptBytes(), () -> {
             cancelReservation = null;
             reservedBytes = body.maxKeptBytes();
--- a/src/test/java/rushproxy/sidecar/ClientOverloadTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientOverloadTest.java
@@ -242,6 +242,23 @@
         }
     }
 
+    /** Guards against small requests that are refused because they wait for memory behind large ones. */
+    @Test
+    void aSmallBodyDoesNotWaitForMemoryBehindLargeOnes() throws Exception {
+        List<TestServer.Client> filling = new ArrayList<>();
+        try (SidecarRig rig = rigWithoutMemory(filling);
+                TestServer.Client client = rig.client()) {
+            rig.onRequest = (now, request, actions) -> actions.send(request.id(), "u0", 0);
+            filling.add(rig.client().send(upload("large", 20_000, 60_000)));
+            client.send(upload("small", 20_000, 4_000));
+            awaitBusy(rig, filling.size() + 1);
+            client.send("x".repeat(4_000));
+            assertEquals("small", rig.upstreams.get(0).next().header("X-Txn"));
+        } finally {
+            closeAll(filling);
+        }
+    }
+
     /** Guards against clients that stop within their bodies and keep the memory from others, which are refused. */
     @Test
     void clientsThatStopWithinTheirBodiesKeepNoMemoryFromOthers() throws Exception {
