Uploads: the time of a request runs also while its server does not read its body

Cause: a request's time began when its last byte was read, and a body is not read while its server takes no more, for up to 10 s. That is a server's patience, not a client's time.

Fix: while a body is not read, UnreadBodyEnd looks each 20 ms what lies in the socket. If that is all that is missing the client has written it, when the kernel last received something; if the receive buffer is full and at most 128 KiB more are missing it may have; of chunks, if neither the server has taken nor the client sent anything since. When the time is over the request fails and its attempt ends. A slow writer, whose bytes the socket does not hold, is given time. What is read after a pause has its age measured.

Open: chunks that a server reads slowly but without a stop, whose end can't be seen.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -46,6 +46,8 @@
     private static final int LINGER_DISABLED = -1;
     /** A client that has sent nothing, or not completed its request, for this long may give way to one that waits for its accept. */
     private static final long KEEPS_SLOT_US = 200_000;
+
+    private static final long UNREAD_BODY_CHECK_MS = 20;
     /** Longest wait for the client to read what was written of a response that has broken off. */
     private static final long MAX_ABORT_FLUSH_US = 1_000_000;
 
@@ -105,6 +107,8 @@
     private long firstByteUs;
 
     private final BodyProgress bodyProgress = new BodyProgress();
+    private UnreadBodyEnd unreadEnd = new UnreadBodyEnd();
+    private boolean watchingUnreadBody;
     private long bodyBytes;
     private int reservedBytes;
     /** Withdraws a pending memory reservation; null if none is pending. */
@@ -219,11 +223,40 @@
      * disconnect is noticed.
      */
     private void updateReading() {
+        if (!watchingUnreadBody && isBodyUnread()) {
+            watchingUnreadBody = true;
+            watchUnreadBody();
+        }
         input.setFlow(
                 busy && !receiving || body != null && body.isFull(),
                 cancelReservation != null || cancelHeadWait != null || body != null && body.isBlocked());
     }
 
+    /** Whether a body is being passed on that is not read because its server takes no more. */
+    private boolean isBodyUnread() {
+        return exchange != null && receiving && !responded && body != null && (body.isBlocked() || body.isFull());
+    }
+
+    /** The time of a request runs from when its client wrote the last byte, also while that can't be read. */
+    private void watchUnreadBody() {
+        if (!isBodyUnread() || !channel.isActive()) {
+            watchingUnreadBody = false;
+            return;
+        }
+        long now = clock.nowUs();
+        long missing = body.length < 0
+                ? UnreadBodyEnd.UNKNOWN_LENGTH
+                : body.length - bodyBytes - input.bufferedBytes() - decoder.heldBytes();
+        unreadEnd.observe(now, missing, channel.unreadBytes(), bodyBytes, channel.querySinceReceiveUs());
+        long writtenUs = unreadEnd.estimateUs();
+        if (writtenUs != UnreadBodyEnd.NOT_WRITTEN && now >= deadlineUs(writtenUs)) {
+            watchingUnreadBody = false;
+            coordinator.failStreaming(exchange);
+            return;
+        }
+        channel.eventLoop().schedule(this::watchUnreadBody, UNREAD_BODY_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         HttpObject part = (HttpObject) message;
@@ -280,6 +313,7 @@
                 || HttpUtil.getContentLength(message, 0L) > 0;
         body = null;
         bodyProgress.restart(clock.nowUs());
+        unreadEnd = new UnreadBodyEnd();
         firstByteUs = headStartUs;
         unreadSinceUs = 0;
         bodyBytes = 0;
@@ -420,7 +454,8 @@
         }
         if (exchange != null) {
             if (isLast) {
-                coordinator.onBodyComplete(exchange, partSentUs, deadlineUs(partSentUs));
+                long writtenUs = unreadEnd.writtenUs(partSentUs);
+                coordinator.onBodyComplete(exchange, writtenUs, deadlineUs(writtenUs));
             }
         } else if (isLast || body.isFull()) {
             accept(partSentUs);
@@ -871,8 +906,7 @@
             // Reading is suspended, so this time does not count against the client.
             bodyProgress.restart(now);
             if (blockedUs > 0 && now - blockedUs >= MAX_UPSTREAM_BLOCKED_US) {
-                abandonExchange();
-                reject(HttpResponseStatus.BAD_GATEWAY);
+                coordinator.failStreaming(exchange);
             }
             return;
         }
--- a/src/main/java/rushproxy/sidecar/ClientInput.java
+++ b/src/main/java/rushproxy/sidecar/ClientInput.java
@@ -243,6 +243,10 @@
      * socket. Buffered bytes are passed on once neither is set.
      */
     void setFlow(boolean hold, boolean pause) {
+        if (readPaused && !pause) {
+            // What is read next may have lain in the kernel for as long; its age is measured.
+            lastReadUs = 0;
+        }
         decoderHeld = hold;
         readPaused = pause;
         if (!passing) {
@@ -283,6 +287,11 @@
         return buffered.isEmpty();
     }
 
+    /** How many bytes are buffered. */
+    int bufferedBytes() {
+        return buffered.stream().mapToInt(read -> read.bytes.readableBytes()).sum();
+    }
+
     private void releaseMemory() {
         int bytes = reservedBytes;
         reservedBytes = 0;
--- a/src/main/java/rushproxy/sidecar/RequestCoordinator.java
+++ b/src/main/java/rushproxy/sidecar/RequestCoordinator.java
@@ -176,6 +176,13 @@
         }
     }
 
+    /** Fails a request whose time is over although its body is still arriving, and ends its attempt. */
+    void failStreaming(Exchange exchange) {
+        failOverdue(exchange);
+        exchange.body.discard();
+        List.copyOf(exchange.attempts).forEach(UpstreamCall::cancel);
+    }
+
     private void notifyExpired(Exchange exchange) {
         dispatcher.call(balancer -> balancer.onRequestExpired(clock.nowUs(), exchange.request.id()), () -> {});
     }
--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -138,6 +138,15 @@
         return isActive() && isRegistered() && config().isAutoRead() && !readPaused;
     }
 
+    /** How many bytes lie in the receive buffer; 0 if that can't be told. */
+    int unreadBytes() {
+        try {
+            return isActive() ? javaChannel().socket().getInputStream().available() : 0;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** Reads the available data without waiting for a readiness event. Does nothing while reading is paused. */
     void readNow() {
         if (isReading()) {
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/SlowUploadTest.java
@@ -0,0 +1,117 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.io.OutputStream;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The time of a request runs from when its client wrote the last byte, also where its server does not read it. */
+@Timeout(60)
+class SlowUploadTest {
+    private static final int BODY_BYTES = 400_000;
+    private static final int PIECE_BYTES = 20_000;
+    private static final int FIRST_BYTES = 8_000;
+    private static final long REMAINING_MS = 600;
+    /** A final response is due half a second after its time; limits on sockets have 50 ms more. */
+    private static final long DUE_MS = REMAINING_MS + 500 + 50;
+
+    private static String head(boolean chunked) {
+        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: a1\r\nX-Lane: c\r\nX-Remaining-Ms: " + REMAINING_MS + "\r\n"
+                + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + BODY_BYTES) + "\r\n\r\n";
+    }
+
+    private static String piece(boolean chunked) {
+        String bytes = "x".repeat(PIECE_BYTES);
+        return chunked ? Integer.toHexString(PIECE_BYTES) + "\r\n" + bytes + "\r\n" : bytes;
+    }
+
+    /** Writes the body with a pause before each piece. Returns when the last byte was written. */
+    private static long write(TestServer.Client client, boolean chunked, long pauseMs) throws Exception {
+        OutputStream out = client.socket.getOutputStream();
+        for (int i = 0; i < BODY_BYTES / PIECE_BYTES; i++) {
+            TimeUnit.MILLISECONDS.sleep(pauseMs);
+            out.write(piece(chunked).getBytes());
+        }
+        if (chunked) {
+            out.write("0\r\n\r\n".getBytes());
+        }
+        return System.nanoTime();
+    }
+
+    private static void pause(long ms) throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new InterruptedIOException();
+        }
+    }
+
+    /** Guards against final responses that come seconds late because the time of a body counts from when it is read. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aServerThatStopsReadingDoesNotDelayTheFinalResponse(boolean chunked) throws Exception {
+        try (SidecarRig rig = new SidecarRig()) {
+            rig.addUpstream((message, connection) -> {}).bodyReader = (message, in) -> {
+                in.readNBytes(FIRST_BYTES);
+                pause(20_000);
+            };
+            rig.start();
+            try (TestServer.Client client = rig.client()) {
+                client.send(head(chunked));
+                long writtenNanos = write(client, chunked, 0);
+                assertEquals(502, client.status());
+                long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenNanos);
+                assertTrue(tookMs <= DUE_MS, tookMs + " ms after the last byte");
+            }
+        }
+    }
+
+    /** Guards against the same where the server reads slowly. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false})
+    void aServerThatReadsSlowlyDoesNotDelayTheFinalResponse(boolean chunked) throws Exception {
+        try (SidecarRig rig = new SidecarRig()) {
+            rig.addUpstream((message, connection) -> {}).bodyReader = (message, in) -> {
+                while (in.readNBytes(FIRST_BYTES).length == FIRST_BYTES) {
+                    pause(100);
+                }
+            };
+            rig.start();
+            try (TestServer.Client client = rig.client()) {
+                client.send(head(chunked));
+                long writtenNanos = write(client, chunked, 0);
+                assertEquals(502, client.status());
+                long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenNanos);
+                assertTrue(tookMs <= DUE_MS, tookMs + " ms after the last byte");
+            }
+        }
+    }
+
+    /** Guards against a slow writer that is cut off because its server has not read for longer than the request's time. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aSlowWriterToASlowServerIsServed(boolean chunked) throws Exception {
+        try (SidecarRig rig = new SidecarRig()) {
+            rig.addUpstream((message, connection) -> connection.answer("200 OK", "", "served")).bodyReader =
+                    (message, in) -> {
+                        pause(1_800);
+                        in.readNBytes(
+                                chunked
+                                        ? BODY_BYTES / PIECE_BYTES * piece(true).length() + "0\r\n\r\n".length()
+                                        : BODY_BYTES);
+                    };
+            rig.start();
+            try (TestServer.Client client = rig.client()) {
+                client.send(head(chunked));
+                write(client, chunked, 100);
+                assertEquals(200, client.status());
+            }
+        }
+    }
+}
--- a/src/test/java/rushproxy/sidecar/TestServer.java
+++ b/src/test/java/rushproxy/sidecar/TestServer.java
@@ -59,6 +59,13 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
     volatile Handler handler;
+    /** Reads bodies slowly or not at all; null to read them at once. */
+    volatile BodyReader bodyReader;
+
+    /** Reads the body of a message. */
+    interface BodyReader {
+        void read(Message head, InputStream in) throws IOException;
+    }
 
     TestServer(Handler script) throws IOException {
         this.handler = script;
@@ -99,7 +106,7 @@
 
     private void serve(Socket socket) {
         try {
-            for (Message message; (message = read(socket.getInputStream())) != null; ) {
+            for (Message message; (message = readMessage(socket.getInputStream())) != null; ) {
                 messages.add(message);
                 handler.handle(message, new Connection(socket));
             }
@@ -108,8 +115,29 @@
         }
     }
 
+    private Message readMessage(InputStream in) throws IOException {
+        if (bodyReader == null) {
+            return read(in);
+        }
+        Message head = readHead(in);
+        if (head != null) {
+            bodyReader.read(head, in);
+        }
+        return head;
+    }
+
     /** Reads a message with a body of its stated length; null if the stream ends before one. */
     static Message read(InputStream in) throws IOException {
+        Message message = readHead(in);
+        if (message == null) {
+            return null;
+        }
+        String length = message.header("Content-Length");
+        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+        return new Message(message.head, new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    private static Message readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int c = in.read();
@@ -118,10 +146,7 @@
             }
             head.append((char) c);
         }
-        Message message = new Message(head.toString(), "");
-        String length = message.header("Content-Length");
-        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
-        return new Message(message.head, new String(body, StandardCharsets.ISO_8859_1));
+        return new Message(head.toString(), "");
     }
 
     @Override
