Fairness: requests of one client that are answered at once take one turn of the loop each

Cause: a request that is answered as soon as it is read ended its state within the decoder's loop, so that a read of 16 KB, some 150 requests, was answered in one turn, for each such client; thread prints stand in the writes of these answers.

Fix: the next request is decoded in the next iteration, after the sockets that are ready by then. What follows is kept as a slice.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -434,7 +434,8 @@
             updateReading();
         }
         if (isLast && responded) {
-            finishRequest();
+            // Not at once: many requests that are answered at once would be decoded in one turn of the loop.
+            SocketPolling.runInNextIteration(channel.eventLoop(), this::finishRequest);
         }
     }
 
@@ -702,7 +703,7 @@
         headMemory.setRequestBytes(0);
         if (decoder.heldBytes() > 0 || !input.isEmpty()) {
             // One request in a turn of the loop, so that others are not kept waiting by many of one client.
-            SocketPolling.runAfterIteration(channel.eventLoop(), this::resumeDecoding);
+            SocketPolling.runInNextIteration(channel.eventLoop(), this::resumeDecoding);
         } else {
             updateReading();
             closeIfRefusing();
--- a/src/main/java/rushproxy/sidecar/RequestDecoder.java
+++ b/src/main/java/rushproxy/sidecar/RequestDecoder.java
@@ -90,7 +90,9 @@
 
     /** Discards the bytes that are held. */
     void discard() {
-        held = null;
+        if (held != null) {
+            takeHeld().release();
+        }
     }
 
     private ByteBuf takeHeld() {
@@ -107,7 +109,9 @@
         }
         ByteBuf read = (ByteBuf) message;
         ByteBuf all = Unpooled.buffer(held.readableBytes() + read.readableBytes());
-        all.writeBytes(takeHeld()).writeBytes(read);
+        ByteBuf first = takeHeld();
+        all.writeBytes(first).writeBytes(read);
+        first.release();
         read.release();
         decodeAll(ctx, all);
     }
@@ -160,7 +164,9 @@
     private void hold(ByteBuf in, boolean incompleteHead) {
         int bytes = in.readableBytes();
         if (bytes > 0) {
-            held = Unpooled.buffer(bytes, bytes).writeBytes(in);
+            held = !in.isDirect() && 2 * bytes >= in.capacity()
+                    ? in.readRetainedSlice(bytes)
+                    : Unpooled.buffer(bytes, bytes).writeBytes(in);
             listener.onHeld(bytes, incompleteHead);
         }
     }
--- a/src/main/java/rushproxy/sidecar/SocketPolling.java
+++ b/src/main/java/rushproxy/sidecar/SocketPolling.java
@@ -25,9 +25,9 @@
         return RoundingUpIoHandler.wrap(NioIoHandler.newFactory());
     }
 
-    /** Runs {@code work} at the end of this iteration; what it submits in the same way runs after the next poll. */
-    static void runAfterIteration(EventLoop loop, Runnable work) {
-        ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(work);
+    /** Runs {@code work} in the next iteration, after the sockets that are ready by then. */
+    static void runInNextIteration(EventLoop loop, Runnable work) {
+        ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(work));
     }
 
     /** Runs {@code work} after the next poll. Costs two iterations of the loop, neither of which blocks. */
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -7,6 +7,8 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -51,6 +53,30 @@
         }
     }
 
+    /** Guards against other clients that wait while many unsound requests of one client are answered in one turn of the loop. */
+    @Test
+    void unsoundRequestsSentAtOnceAreAnsweredOneATurn() throws Exception {
+        try (SidecarRig rig = new SidecarRig()) {
+            rig.start();
+            Set<Integer> heldBytes = ConcurrentHashMap.newKeySet();
+            try (TestServer.Client client = rig.client()) {
+                recordHeldBytesEachTurn(rig, heldBytes);
+                client.send("GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n".repeat(30));
+                for (int i = 0; i < 30; i++) {
+                    assertEquals(404, client.status());
+                }
+            }
+            assertTrue(heldBytes.size() >= 25, "after each turn there were held " + heldBytes);
+        }
+    }
+
+    private static void recordHeldBytesEachTurn(SidecarRig rig, Set<Integer> heldBytes) {
+        SocketPolling.runInNextIteration(rig.sidecar.loop(), () -> {
+            rig.sidecar.clients().connections().forEach(connection -> heldBytes.add(connection.heldBytes()));
+            recordHeldBytesEachTurn(rig, heldBytes);
+        });
+    }
+
     /** Guards against requests that fail because they arrive before any upstream is known. */
     @Test
     void isReadyOnlyOnceThereIsAnUpstream() throws Exception {
--- a/src/test/java/rushproxy/sidecar/RequestDecoderTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestDecoderTest.java
@@ -85,7 +85,7 @@
     void aHeadIsNotDecodedBeforeItIsWhole() {
         Recorder recorder = new Recorder();
         EmbeddedChannel channel = new EmbeddedChannel(new RequestDecoder(recorder));
-        ByteBuf read = bytes("GET /a HTTP/1.1\r\na: b\r\na: b\r\n");
+        ByteBuf read = Unpooled.directBuffer(256).writeBytes(bytes("GET /a HTTP/1.1\r\na: b\r\na: b\r\n"));
         channel.writeInbound(read);
         assertNull(channel.readInbound());
         assertEquals(29, recorder.heldBytes);
@@ -109,6 +109,21 @@
         assertEquals("GET/anull.GET/bnull.", describe(channel));
     }
 
+    /** Guards against the copying of all that follows for each of many requests that were sent at once. */
+    @Test
+    void whatFollowsARequestIsCopiedOnce() throws Exception {
+        Recorder recorder = new Recorder();
+        RequestDecoder decoder = new RequestDecoder(recorder);
+        EmbeddedChannel channel = new EmbeddedChannel(decoder);
+        ByteBuf all = bytes("GET /a HTTP/1.1\r\n\r\n".repeat(10));
+        recorder.accepts = false;
+        channel.writeInbound(all);
+        assertEquals(190, decoder.heldBytes());
+        assertEquals(1, all.refCnt());
+        decoder.discard();
+        assertEquals(0, all.refCnt());
+    }
+
     /** Guards against heads that are costly by their length or their number of fields. */
     @Test
     void headsThatAreTooLongOrOfTooManyFieldsAreInvalid() {
