Responses: one that finds no memory to be written ends its connection

What callers see: where no memory is to be had for a response, or for a part of one, the client waits for 20 s, or gets a chunked response that lacks a part in its middle and ends as if it were whole.

Cause: a write that fails before the socket (Netty copies what is on the heap into a buffer outside it) only fails its promise, and nobody looked at that of a part; that of a whole response counted as flushed. The connection stayed open.

Fix: each write of a response is looked at, and one that failed closes the connection, so that the client can tell. Not done: an answer from bytes reserved beforehand, since the head of the failed one may be out already. MemoryErrorTest throws the error at reads, responses and parts: 2 of 3 fail before (SocketTimeout after 20 s), all pass now, and the next client is served.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.util.Locale;
@@ -576,12 +577,13 @@
             setConnectionHeader(response);
             resumeUpstream = resume;
             streams.begin(channel);
-            channel.writeAndFlush(response);
+            channel.writeAndFlush(response).addListener(ClientConnection.this::closeIfNotWritten);
         }
 
         @Override
         public boolean writePart(ByteBuf part) {
-            channel.writeAndFlush(new DefaultHttpContent(part.retainedSlice()));
+            channel.writeAndFlush(new DefaultHttpContent(part.retainedSlice()))
+                    .addListener(ClientConnection.this::closeIfNotWritten);
             return channel.isWritable();
         }
 
@@ -684,7 +686,9 @@
         activity.recordResponse();
         written.addListener(f -> {
             this.flushed = true;
-            if (closeAfterResponse) {
+            if (!f.isSuccess()) {
+                closeIfNotWritten(f);
+            } else if (closeAfterResponse) {
                 closeGracefully(CloseReason.LAST_ANSWER);
             } else if (!receiving) {
                 // On the loop, since a response may be written while the previous one is still being handled.
@@ -693,6 +697,15 @@
         });
     }
 
+    /** A part that is left out for want of memory must not be followed by the rest: the client has to see the response end. */
+    private void closeIfNotWritten(Future<?> written) {
+        if (!written.isSuccess() && channel.isActive()) {
+            channel.history().recordFailure(ConnectionHistory.SocketOperation.WRITE, written.cause());
+            RequestLog.recordClose(channel, CloseReason.WRITE_FAILED);
+            channel.close();
+        }
+    }
+
     /** Finishes the current request once both directions are complete, and goes on to the next. */
     private void finishRequest() {
         if (!busy || receiving || !responded || !flushed || closeAfterResponse) {
