--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -54,8 +54,8 @@
 
     /** A client that stops within its first body is closed within 3 s of connecting; the check is late by up to 0.1 s. */
     private static final long FIRST_BODY_TIMEOUT_US = 2_700_000;
-    /** Pause after which a client that is due to be closed counts as stopped. */
-    private static final long FIRST_BODY_PAUSE_US = 1_200_000;
+    /** Pause after which a client that is due to be closed counts as stopped; it may take up to 2 s to write a request. */
+    private static final long FIRST_BODY_PAUSE_US = 2_000_000;
     /** The same while others wait for memory, when bodies are read late. */
     private static final long CROWDED_BODY_PAUSE_US = 400_000;
 
