Streams: a kept connection does not collect a listener with each message

One listener, taken off when the message ends. StreamBuffersTest is new; it also holds the sum of what 732 messages may take to the plan's limit.

--- a/src/main/java/rushproxy/sidecar/StreamBuffers.java
+++ b/src/main/java/rushproxy/sidecar/StreamBuffers.java
@@ -1,7 +1,10 @@
 package rushproxy.sidecar;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import java.util.HashSet;
@@ -27,6 +30,8 @@
     /** The connections of receivers. */
     private final Set<Channel> receivers = new HashSet<>();
 
+    private final ChannelFutureListener endOnClose = closed -> end(closed.channel());
+
     private int readBytes = MAX_READ_BYTES;
     private int writeBytes = MAX_WRITE_BYTES;
 
@@ -47,7 +52,7 @@
     /** A message is passed to this connection from now on. */
     void begin(Channel receiver) {
         if (receivers.add(receiver)) {
-            receiver.closeFuture().addListener(closed -> end(receiver));
+            receiver.closeFuture().addListener(endOnClose);
             adapt();
             limit(receiver);
         }
@@ -56,6 +61,7 @@
     /** The message has ended. */
     void end(Channel receiver) {
         if (receivers.remove(receiver)) {
+            receiver.closeFuture().removeListener(endOnClose);
             adapt();
         }
     }
@@ -99,7 +105,7 @@
         }
 
         @Override
-        public io.netty.buffer.ByteBuf allocate(io.netty.buffer.ByteBufAllocator allocator) {
+        public ByteBuf allocate(ByteBufAllocator allocator) {
             return allocator.ioBuffer(guess());
         }
     }
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/StreamBuffersTest.java
@@ -0,0 +1,63 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class StreamBuffersTest {
+    private static final long LIMIT_BYTES = 6 << 20;
+    private static final int CLIENTS = 732;
+    private static final int READS = 20;
+
+    /** Guards against messages that together take more than their limit because each may take the same. */
+    @Test
+    void theMoreMessagesPassThroughTheLessEachMayTake() {
+        StreamBuffers streams = new StreamBuffers(LIMIT_BYTES);
+        List<EmbeddedChannel> receivers = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            EmbeddedChannel receiver = new EmbeddedChannel();
+            receivers.add(receiver);
+            streams.begin(receiver);
+            int read = largestRead(streams, receiver);
+            long total = receivers.stream()
+                    .mapToLong(each -> each.config().getWriteBufferHighWaterMark() + read)
+                    .sum();
+            assertTrue(total <= LIMIT_BYTES, total + " bytes for " + receivers.size());
+        }
+    }
+
+    /** The size of a read from a sender that has always filled the buffer. */
+    private static int largestRead(StreamBuffers streams, EmbeddedChannel channel) {
+        RecvByteBufAllocator.Handle handle = streams.readAllocator().newHandle();
+        for (int i = 0; i < READS; i++) {
+            handle.reset(channel.config());
+            handle.attemptedBytesRead(handle.guess());
+            handle.lastBytesRead(handle.guess());
+            handle.readComplete();
+        }
+        return handle.guess();
+    }
+
+    /** Guards against connections that collect something with each message that passes through them. */
+    @Test
+    void anEndedMessageLeavesNothingBehind() {
+        StreamBuffers streams = new StreamBuffers(LIMIT_BYTES);
+        EmbeddedChannel kept = new EmbeddedChannel();
+        int mark = 0;
+        for (int i = 0; i < 3; i++) {
+            streams.begin(kept);
+            mark = kept.config().getWriteBufferHighWaterMark();
+            streams.end(kept);
+        }
+        assertEquals(0, streams.count());
+        streams.begin(kept);
+        assertEquals(mark, kept.config().getWriteBufferHighWaterMark());
+        kept.close();
+        assertEquals(0, streams.count());
+    }
+}
