Checker: the SIGTERM of one process is no notice to the next one that is killed

Trace: SIGTERM to process 4811 at 4.2 s, which exited at 6.37 s; its successor 5257 was killed without a SIGTERM at 9.127 s; the request was written at 9.134 s and its connection ended by the kill at 9.163 s. Cause: SingleResponseChecker asked whether any SIGTERM of the node came 0.7 s before the request, with any kill behind it. Fix: both signals have to have gone to the same process. SingleResponseCheckerTest.onlyItsOwnSigtermIsNoticeToAProcess fails before and passes now; a process that had notice itself is judged as before.

--- a/src/main/java/rushproxy/lab/check/SingleResponseChecker.java
+++ b/src/main/java/rushproxy/lab/check/SingleResponseChecker.java
@@ -29,7 +29,8 @@
         /** From the command to kill a process to its exit: on a busy machine the signal is delayed, and requests arrive meanwhile. */
         private final List<TimeSpan> kills = new ArrayList<>();
 
-        private final List<Long> termTimesUs = new ArrayList<>();
+        private final List<ProcessSignal> termSignals = new ArrayList<>();
+        private final List<ProcessSignal> killSignals = new ArrayList<>();
         private final List<Long> startTimesUs = new ArrayList<>();
         /** Time of the kill command for each process id whose exit has not been observed yet. */
         private final Map<Double, Long> killCommandUsByPid = new HashMap<>();
@@ -42,8 +43,11 @@
 
         void record(Observation o) {
             switch (o.text()) {
-                case "kill" -> killCommandUsByPid.put(o.number(), o.us());
-                case "term" -> termTimesUs.add(o.us());
+                case "kill" -> {
+                    killCommandUsByPid.put(o.number(), o.us());
+                    killSignals.add(new ProcessSignal(o.us(), o.number()));
+                }
+                case "term" -> termSignals.add(new ProcessSignal(o.us(), o.number()));
                 case "stop" -> {
                     stopCommandUs = stopSentUs = o.us();
                     continueCommandUs = null;
@@ -112,11 +116,13 @@
             return kills.stream().anyMatch(k -> k.overlaps(askedUs, endUs)) && !hadTermNotice(askedUs, endUs);
         }
 
-        /** Returns whether SIGTERM came at least {@code TERM_NOTICE_US} before the request, with a kill between SIGTERM and the end. */
+        /** Returns whether a process got SIGTERM at least {@code TERM_NOTICE_US} before the request, and was itself killed by the end. */
         private boolean hadTermNotice(long askedUs, long endUs) {
-            return termTimesUs.stream()
-                    .anyMatch(t -> t <= askedUs - TERM_NOTICE_US
-                            && kills.stream().anyMatch(k -> k.sinceUs >= t && k.sinceUs <= endUs + 1_000));
+            return termSignals.stream()
+                    .anyMatch(term -> term.us <= askedUs - TERM_NOTICE_US
+                            && killSignals.stream()
+                                    .anyMatch(kill ->
+                                            kill.pid == term.pid && kill.us >= term.us && kill.us <= endUs + 1_000));
         }
 
         /**
@@ -152,6 +158,9 @@
         }
     }
 
+    /** The command to send a signal to a process. */
+    private record ProcessSignal(long us, double pid) {}
+
     private record TimeSpan(long sinceUs, long untilUs) {
         /** Returns whether the span overlaps the range, within 1 ms. */
         boolean overlaps(long fromUs, long toUs) {
--- a/src/test/java/rushproxy/lab/check/SingleResponseCheckerTest.java
+++ b/src/test/java/rushproxy/lab/check/SingleResponseCheckerTest.java
@@ -81,6 +81,27 @@
         assertEquals(1, builder.asked(3_200, "a").gaveUp(4_070, "a").violations(new SingleResponseChecker()));
     }
 
+    private static int lostAtKill(double killedPid, double terminatedPid) throws Exception {
+        List<Observation> all = new java.util.ArrayList<>(request(3_014_000, 3_059_000));
+        all.add(signal(1_000_000, "term", terminatedPid));
+        all.add(signal(3_000_000, "kill", killedPid));
+        all.add(signal(3_060_000, "exit 137", killedPid));
+        return new SingleResponseChecker()
+                .check(new RecordedRun(ScenarioReader.read("demo", java.util.Map.of()), all))
+                .size();
+    }
+
+    private static Observation signal(long us, String text, double pid) {
+        return new Observation(us, EventType.NODE, "n0", null, null, null, text, pid, 0);
+    }
+
+    /** Guards against taking the SIGTERM of an earlier process of the node for notice to the one that is killed without any. */
+    @Test
+    void onlyItsOwnSigtermIsNoticeToAProcess() throws Exception {
+        assertEquals(0, lostAtKill(2, 1));
+        assertEquals(1, lostAtKill(2, 2));
+    }
+
     private static RecordedRunBuilder stopped() {
         return new RecordedRunBuilder()
                 .processEvent(1_000, "stop")
