Repeats: an id does not run again after its client has left

Cause: an id is known while its request is open, and forgotten when the last attempt has ended, also where its client left and nobody was told that it ran. Safe ones run again as before.

Open: the other process of an upgrade does not know the id.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -346,10 +346,10 @@
         message.headers().clear();
     }
 
-    /** Parses the head. Returns false if it is invalid, names an unknown class or repeats the id of an open request. */
+    /** Parses the head. Returns false if it is invalid, names an unknown class or an id that must not be repeated. */
     private boolean parseHead(HttpRequest message) {
         RequestHead parsed = RequestHead.parse(message).orElse(null);
-        if (parsed == null || coordinator.isOpen(parsed.id()) || !classes.contains(parsed.requestClass())) {
+        if (parsed == null || coordinator.mustNotRepeat(parsed.id()) || !classes.contains(parsed.requestClass())) {
             return false;
         }
         requestHead = parsed;
--- a/src/main/java/rushproxy/sidecar/RequestCoordinator.java
+++ b/src/main/java/rushproxy/sidecar/RequestCoordinator.java
@@ -36,6 +36,7 @@
     private final RequestGuard guard;
     private final int maxAttempts;
     private final Map<String, Exchange> open = new HashMap<>();
+    private final AbandonedRequests abandoned = new AbandonedRequests();
     /** When the process may be killed, once it is stopping. */
     private long processEndUs = Long.MAX_VALUE;
     /** Counts since the last {@link #reportStats}. */
@@ -70,6 +71,11 @@
         return open.containsKey(id);
     }
 
+    /** Whether a request of this id must not run again: it is open, or may have run for a client that has left. */
+    boolean mustNotRepeat(String id) {
+        return isOpen(id) || abandoned.contains(id, clock.nowUs());
+    }
+
     /** The current deadline of a request; empty if it is not open. */
     OptionalLong deadlineUs(String id) {
         return open.containsKey(id) ? OptionalLong.of(open.get(id).deadlineUs) : OptionalLong.empty();
@@ -511,8 +517,8 @@
     }
 
     private void removeIfSettled(Exchange exchange) {
-        if (exchange.isSettled()) {
-            open.remove(exchange.request.id());
+        if (exchange.isSettled() && open.remove(exchange.request.id()) != null && guard.isRunUnanswered(exchange)) {
+            abandoned.add(exchange.request.id(), clock.nowUs());
         }
     }
 }
--- a/src/main/java/rushproxy/sidecar/RequestGuard.java
+++ b/src/main/java/rushproxy/sidecar/RequestGuard.java
@@ -94,6 +94,14 @@
         };
     }
 
+    /** Whether the request may have run for a client that has left, and its class does not allow that it runs again. */
+    boolean isRunUnanswered(Exchange exchange) {
+        RequestClass requestClass = classes.get(exchange.request.requestClass());
+        return exchange.state == RequestState.LEFT
+                && (requestClass == null || requestClass.semantics() != Semantics.SAFE)
+                && exchange.attempts.stream().anyMatch(UpstreamCall::mayHaveReachedUpstream);
+    }
+
     /** Whether the request may be refused. A refusal promises that nothing has run. */
     boolean canRefuse(Exchange exchange) {
         if (exchange.attempts.stream().noneMatch(UpstreamCall::mayHaveReachedUpstream)) {
