Tests: the loops of a test's clock reckon their timers by that clock

Cause: in FreezableClock.Loop the call nanoTime() meant the static method of Netty's executor, the time since Netty's own clock was first used, not the method of the test's clock. Where Netty's clock had started later (the first rig of a process) each timer was late by the difference; where it had started earlier (all others) the loop took every timer for due, and spun until it was.

Evidence: a trace of a tick of 20 ms that the loop was told to wait 178 ms for, by a constant 158 ms in one process. FreezableClockTest failed before in both tests: the clock was looked at 358,678 times within a timer of 200 ms, and a frozen clock's timer did not run within 30 s of its advance.

Fix: the call names the test's clock. While that is frozen the loop looks each millisecond whether it was advanced. Both tests pass.

--- a/src/test/java/rushproxy/sidecar/FreezableClock.java
+++ b/src/test/java/rushproxy/sidecar/FreezableClock.java
@@ -14,6 +14,9 @@
  * not depend on the speed of the machine.
  */
 final class FreezableClock extends Clock implements Ticker {
+    /** How long a loop waits while frozen before it looks whether the clock was advanced. */
+    private static final long FROZEN_POLL_NANOS = 1_000_000;
+
     private final long startNanos = System.nanoTime();
     private final long startUnixUs = System.currentTimeMillis() * 1_000;
     /** How far it lags behind the system's clock while running. */
@@ -28,6 +31,10 @@
         frozen = true;
     }
 
+    private synchronized boolean isFrozen() {
+        return frozen;
+    }
+
     /** Advances the frozen clock, which makes timers due by then run. */
     synchronized void advance(long ms) {
         frozenAtNanos += TimeUnit.MILLISECONDS.toNanos(ms);
@@ -82,7 +89,9 @@
         /** Netty's selector passes the system's time, which is replaced by this clock's. */
         @Override
         protected long delayNanos(long systemNanos) {
-            return super.delayNanos(startNanos + nanoTime());
+            // Qualified, since the executor has a static method of this name, of the system's time.
+            long delay = super.delayNanos(startNanos + FreezableClock.this.nanoTime());
+            return isFrozen() ? Math.min(delay, FROZEN_POLL_NANOS) : delay;
         }
     }
 }
