Tests: the test of a loop's sleep uses the handlers of the product

FreezableClockTest#aLoopSleepsUntilItsNextTimer failed once in a whole run (58 looks at the clock, 50 allowed): Netty rounds a remainder of up to half a millisecond down and spins for it, which RoundingUpIoHandler mends in the product and the test had left out.

--- a/src/test/java/rushproxy/sidecar/FreezableClockTest.java
+++ b/src/test/java/rushproxy/sidecar/FreezableClockTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Ticker;
@@ -30,7 +31,8 @@
     private final CountingClock polls = new CountingClock();
 
     private EventLoopGroup loop(FreezableClock clock) {
-        return clock.eventLoopGroup(TimedIoHandler.wrap(NioIoHandler.newFactory(), polls, new EventLoopDelay()));
+        IoHandlerFactory handlers = RoundingUpIoHandler.wrap(NioIoHandler.newFactory());
+        return clock.eventLoopGroup(TimedIoHandler.wrap(handlers, polls, new EventLoopDelay()));
     }
 
     /** Guards against a loop that spins until its next timer is due, since it reckons by a clock that started earlier. */
