Uploads: a receive buffer is full by the memory that it takes, not by its unread bytes

Cause: UnreadBodyEnd took a receive buffer for full from 200 KiB unread on, and a client's socket to hold 128 KiB. The kernel counts memory by packets and frees a packet's only once all of it is read: traces show the window shut with 7 to 34 KB unread (203,584 of 262,144 bytes taken, 14,272 waiting at the client), and with 103 to 257 KB. A client's socket holds 2.5 MB on a local connection.

Fix: TcpInfo tells whether the window is shut (SO_MEMINFO, by the kernel's rule). The client is taken to go on at the pace at which it filled the buffer, which spares slow writers.

Open: bytes behind a window shut with little unread where the kernel's figures are missing.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -108,7 +108,7 @@
     private long firstByteUs;
 
     private final BodyProgress bodyProgress = new BodyProgress();
-    private UnreadBodyEnd unreadEnd = new UnreadBodyEnd();
+    private UnreadBodyEnd unreadEnd = new UnreadBodyEnd(0);
     private boolean watchingUnreadBody;
     private long bodyBytes;
     private int reservedBytes;
@@ -248,7 +248,13 @@
         long missing = body.length < 0
                 ? UnreadBodyEnd.UNKNOWN_LENGTH
                 : body.length - bodyBytes - input.bufferedBytes() - decoder.heldBytes();
-        unreadEnd.observe(now, missing, channel.unreadBytes(), bodyBytes, channel.querySinceReceiveUs());
+        unreadEnd.observe(new UnreadBodyEnd.Observation(
+                now,
+                missing,
+                channel.unreadBytes(),
+                bodyBytes,
+                channel.querySinceReceiveUs(),
+                channel.queryReceiveWindow()));
         long writtenUs = unreadEnd.estimateUs();
         if (writtenUs != UnreadBodyEnd.NOT_WRITTEN && now >= deadlineUs(writtenUs)) {
             watchingUnreadBody = false;
@@ -314,7 +320,7 @@
                 || HttpUtil.getContentLength(message, 0L) > 0;
         body = null;
         bodyProgress.restart(clock.nowUs());
-        unreadEnd = new UnreadBodyEnd();
+        unreadEnd = new UnreadBodyEnd(sentUs);
         firstByteUs = headStartUs;
         unreadSinceUs = 0;
         bodyBytes = 0;
@@ -456,7 +462,7 @@
         }
         if (exchange != null) {
             if (isLast) {
-                long writtenUs = unreadEnd.writtenUs(partSentUs);
+                long writtenUs = unreadEnd.writtenUs(partSentUs, estimateUs -> clock.nowUs() >= deadlineUs(estimateUs));
                 coordinator.onBodyComplete(exchange, writtenUs, deadlineUs(writtenUs));
             }
         } else if (isLast || body.isFull()) {
--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -88,6 +88,11 @@
         return TcpInfo.sinceLastReceiveUs(javaChannel());
     }
 
+    /** Whether the peer may send more, as of now. */
+    TcpInfo.ReceiveWindow queryReceiveWindow() {
+        return TcpInfo.receiveWindow(javaChannel());
+    }
+
     /** How long ago a connection that has sent nothing was established; {@link TcpInfo#UNKNOWN} if not available. */
     long queryAgeUs() {
         return TcpInfo.sinceLastSendUs(javaChannel());
--- a/src/main/java/rushproxy/sidecar/TcpInfo.java
+++ b/src/main/java/rushproxy/sidecar/TcpInfo.java
@@ -6,6 +6,8 @@
 import java.lang.reflect.Constructor;
 import java.lang.reflect.Field;
 import java.lang.reflect.Method;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.channels.SocketChannel;
 import java.util.function.ToLongFunction;
 
@@ -35,16 +37,35 @@
     }
 
     private static final long US_PER_MS = 1_000;
+    private static final int SOL_SOCKET = 1;
+    private static final int SO_MEMINFO = 55;
+    /** Position of the memory that received data takes, in the kernel's list of a socket's memory use. */
+    private static final int RECEIVE_MEMORY = 0;
+    /** Position of the limit on it. */
+    private static final int RECEIVE_LIMIT = 1;
+
+    /** Whether a peer may send more data. */
+    enum ReceiveWindow {
+        OPEN,
+        /** The receive buffer has no room for a segment, so what else the peer has written lies in its own socket. */
+        SHUT,
+        UNKNOWN
+    }
 
     private final Field descriptorField;
     private final Constructor<?> socketConstructor;
     private final Method getTcpInfo;
+    private final Method getSocketOption;
+    private final ByteBuffer memoryInfo =
+            ByteBuffer.allocate((RECEIVE_LIMIT + 1) * Integer.BYTES).order(ByteOrder.nativeOrder());
     private final EpollTcpInfo info = new EpollTcpInfo();
 
-    private TcpInfo(Field descriptorField, Constructor<?> socketConstructor, Method getTcpInfo) {
+    private TcpInfo(
+            Field descriptorField, Constructor<?> socketConstructor, Method getTcpInfo, Method getSocketOption) {
         this.descriptorField = descriptorField;
         this.socketConstructor = socketConstructor;
         this.getTcpInfo = getTcpInfo;
+        this.getSocketOption = getSocketOption;
     }
 
     private static TcpInfo lookUp() throws ReflectiveOperationException {
@@ -53,10 +74,12 @@
         Field descriptorField = Class.forName("sun.nio.ch.SocketChannelImpl").getDeclaredField("fdVal");
         Constructor<?> socketConstructor = linuxSocket.getDeclaredConstructor(int.class);
         Method getTcpInfo = linuxSocket.getDeclaredMethod("getTcpInfo", EpollTcpInfo.class);
-        for (AccessibleObject part : new AccessibleObject[] {descriptorField, socketConstructor, getTcpInfo}) {
+        Method getSocketOption = linuxSocket.getMethod("getRawOpt", int.class, int.class, ByteBuffer.class);
+        for (AccessibleObject part :
+                new AccessibleObject[] {descriptorField, socketConstructor, getTcpInfo, getSocketOption}) {
             part.setAccessible(true);
         }
-        return new TcpInfo(descriptorField, socketConstructor, getTcpInfo);
+        return new TcpInfo(descriptorField, socketConstructor, getTcpInfo, getSocketOption);
     }
 
     private static Throwable rootCause(Throwable e) {
@@ -99,8 +122,41 @@
         }
     }
 
+    /**
+     * Whether the connection's peer may send more. Data takes memory by the packets that it came in, and a packet's memory is freed only
+     * once all of it has been read, so a receive buffer may be full with few bytes unread.
+     */
+    static synchronized ReceiveWindow receiveWindow(SocketChannel connection) {
+        if (INSTANCE == null || !connection.isOpen()) {
+            return ReceiveWindow.UNKNOWN;
+        }
+        try {
+            return INSTANCE.readWindow(connection);
+        } catch (ReflectiveOperationException | RuntimeException e) {
+            return ReceiveWindow.UNKNOWN;
+        }
+    }
+
+    private ReceiveWindow readWindow(SocketChannel connection) throws ReflectiveOperationException {
+        long segmentBytes = read(connection).rcvMss();
+        memoryInfo.clear();
+        getSocketOption.invoke(nativeSocket(connection), SOL_SOCKET, SO_MEMINFO, memoryInfo);
+        int limit = memoryInfo.getInt(RECEIVE_LIMIT * Integer.BYTES);
+        int free = limit - memoryInfo.getInt(RECEIVE_MEMORY * Integer.BYTES);
+        if (limit <= 0 || segmentBytes == 0) {
+            return ReceiveWindow.UNKNOWN;
+        }
+        // The kernel's rule, where a byte of data is taken to need up to two of memory.
+        boolean isShut = free < limit / 2 && free / 2 < Math.max(segmentBytes, limit / 16);
+        return isShut ? ReceiveWindow.SHUT : ReceiveWindow.OPEN;
+    }
+
     private EpollTcpInfo read(SocketChannel connection) throws ReflectiveOperationException {
-        getTcpInfo.invoke(socketConstructor.newInstance(descriptorField.getInt(connection)), info);
+        getTcpInfo.invoke(nativeSocket(connection), info);
         return info;
     }
+
+    private Object nativeSocket(SocketChannel connection) throws ReflectiveOperationException {
+        return socketConstructor.newInstance(descriptorField.getInt(connection));
+    }
 }
