--- a/src/main/java/rushproxy/sidecar/RequestCoordinator.java
+++ b/src/main/java/rushproxy/sidecar/RequestCoordinator.java
@@ -37,6 +37,7 @@
     private final int maxAttempts;
     private final Map<String, Exchange> open = new HashMap<>();
     private final AbandonedRequests abandoned = new AbandonedRequests();
+    private final SharedRequestTable sharedTable;
     /** When the process may be killed, once it is stopping. */
     private long processEndUs = Long.MAX_VALUE;
     /** Counts since the last {@link #reportStats}. */
@@ -57,8 +58,10 @@
             BalancerDispatcher dispatcher,
             UpstreamPool upstreams,
             RequestGuard guard,
-            int maxAttempts) {
+            int maxAttempts,
+            SharedRequestTable sharedTable) {
         this.guard = guard;
+        this.sharedTable = sharedTable;
         this.loop = loop;
         clock = time.clock();
         timeouts = new SocketTimeouts(loop, time);
@@ -71,9 +74,12 @@
         return open.containsKey(id);
     }
 
-    /** Whether a request of this id must not run again: it is open, or may have run for a client that has left. */
+    /**
+     * Whether a request of this id must not run again: it is open, or may have run for a client that has left, here or at the other
+     * process of an upgrade.
+     */
     boolean mustNotRepeat(String id) {
-        return isOpen(id) || abandoned.contains(id, clock.nowUs());
+        return isOpen(id) || abandoned.contains(id, clock.nowUs()) || sharedTable.contains(id);
     }
 
     /** The current deadline of a request; empty if it is not open. */
@@ -260,6 +266,9 @@
             call.end(Outcome.NOT_SENT, null, null);
         } else {
             RequestLog.logAttempt(id, number, upstream, callUntilUs - now);
+            if (!guard.mayRunAgain(exchange)) {
+                sharedTable.add(id);
+            }
             startCall(call);
         }
     }
@@ -517,8 +526,15 @@
     }
 
     private void removeIfSettled(Exchange exchange) {
-        if (exchange.isSettled() && open.remove(exchange.request.id()) != null && guard.isRunUnanswered(exchange)) {
-            abandoned.add(exchange.request.id(), clock.nowUs());
+        String id = exchange.request.id();
+        if (!exchange.isSettled() || open.remove(id) == null || guard.mayRunAgain(exchange)) {
+            return;
+        }
+        if (guard.isRunUnanswered(exchange)) {
+            abandoned.add(id, clock.nowUs());
+            sharedTable.add(id);
+        } else {
+            sharedTable.remove(id);
         }
     }
 }
--- a/src/main/java/rushproxy/sidecar/RequestGuard.java
+++ b/src/main/java/rushproxy/sidecar/RequestGuard.java
@@ -94,11 +94,16 @@
         };
     }
 
+    /** Whether the request's class allows that it runs again. */
+    boolean mayRunAgain(Exchange exchange) {
+        RequestClass requestClass = classes.get(exchange.request.requestClass());
+        return requestClass != null && requestClass.semantics() == Semantics.SAFE;
+    }
+
     /** Whether the request may have run for a client that has left, and its class does not allow that it runs again. */
     boolean isRunUnanswered(Exchange exchange) {
-        RequestClass requestClass = classes.get(exchange.request.requestClass());
         return exchange.state == RequestState.LEFT
-                && (requestClass == null || requestClass.semantics() != Semantics.SAFE)
+                && !mayRunAgain(exchange)
                 && exchange.attempts.stream().anyMatch(UpstreamCall::mayHaveReachedUpstream);
     }
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -121,7 +121,7 @@
                 memory);
         guard = new RequestGuard(clock, settings.classes(), invariants);
         requests = new RequestCoordinator(
-                loop, time, decisions, upstreams, guard, settings.limits().maxAttempts());
+                loop, time, decisions, upstreams, guard, settings.limits().maxAttempts(), sharedTable(config));
         startTimes = new StartTimes(clock, System::currentTimeMillis);
         knownUpstreams = startTimes.fromInitialList(config.knownUpstreams());
         discovery = new Discovery(
@@ -221,6 +221,13 @@
                 Runtime.getRuntime().maxMemory());
     }
 
+    /** Only a process that inherits its listener may serve beside another one of the same sidecar. */
+    private static SharedRequestTable sharedTable(Config config) {
+        return config.inheritsListener() && config.stateDirectory() != null
+                ? SharedRequestTable.openOrNone(config.stateDirectory())
+                : SharedRequestTable.none();
+    }
+
     /** Ends a process whose event loop has died, so that its supervisor restarts it. */
     private static void haltAfterLoopExit() {
         try {
--- a/src/main/java/rushproxy/sidecar/WarmUp.java
+++ b/src/main/java/rushproxy/sidecar/WarmUp.java
@@ -82,7 +82,8 @@
                 decisions,
                 upstreams,
                 new RequestGuard(clock, classes, new Invariants()),
-                settings.limits().maxAttempts());
+                settings.limits().maxAttempts(),
+                SharedRequestTable.none());
     }
 
     private UpstreamPool connectionPool(StallAwareClock time) {
