Clients: the watch over an unread body is a class of its own

ClientConnection had grown to over 1,000 lines; UnreadBodyWatch takes the timer and the estimate of a body that is not read. No behaviour changes; SlowUploadTest, MessageTransferTest, ClientOverloadTest and BadInputTest pass.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -48,7 +48,6 @@
     /** A client that has sent nothing, or not completed its request, for this long may give way to one that waits for its accept. */
     private static final long KEEPS_SLOT_US = 200_000;
 
-    private static final long UNREAD_BODY_CHECK_MS = 20;
     /** Longest wait for the client to read what was written of a response that has broken off. */
     private static final long MAX_ABORT_FLUSH_US = 1_000_000;
 
@@ -108,8 +107,7 @@
     private long firstByteUs;
 
     private final BodyProgress bodyProgress = new BodyProgress();
-    private UnreadBodyEnd unreadEnd = new UnreadBodyEnd(0);
-    private boolean watchingUnreadBody;
+    private final UnreadBodyWatch unreadBodyWatch;
     private long bodyBytes;
     private int reservedBytes;
     /** Withdraws a pending memory reservation; null if none is pending. */
@@ -145,6 +143,7 @@
         this.guard = guard;
         input = new ClientInput(clock, loopDelay, memoryBudget, this);
         activity = new ClientActivity(channel, clock);
+        unreadBodyWatch = new UnreadBodyWatch(channel, clock, new CurrentUpload());
     }
 
     TcpConnection channel() {
@@ -224,44 +223,39 @@
      * disconnect is noticed.
      */
     private void updateReading() {
-        if (!watchingUnreadBody && isBodyUnread()) {
-            watchingUnreadBody = true;
-            watchUnreadBody();
-        }
+        unreadBodyWatch.update();
         input.setFlow(
                 busy && !receiving || body != null && body.isFull(),
                 cancelReservation != null || cancelHeadWait != null || body != null && body.isBlocked());
     }
 
-    /** Whether a body is being passed on that is not read because its server takes no more. */
-    private boolean isBodyUnread() {
-        return exchange != null && receiving && !responded && body != null && (body.isBlocked() || body.isFull());
-    }
+    private final class CurrentUpload implements UnreadBodyWatch.Upload {
+        @Override
+        public boolean isUnread() {
+            return exchange != null && receiving && !responded && body != null && (body.isBlocked() || body.isFull());
+        }
 
-    /** The time of a request runs from when its client wrote the last byte, also while that can't be read. */
-    private void watchUnreadBody() {
-        if (!isBodyUnread() || !channel.isActive()) {
-            watchingUnreadBody = false;
-            return;
+        @Override
+        public long missingBytes() {
+            return body.length < 0
+                    ? UnreadBodyEnd.UNKNOWN_LENGTH
+                    : body.length - bodyBytes - input.bufferedBytes() - decoder.heldBytes();
         }
-        long now = clock.nowUs();
-        long missing = body.length < 0
-                ? UnreadBodyEnd.UNKNOWN_LENGTH
-                : body.length - bodyBytes - input.bufferedBytes() - decoder.heldBytes();
-        unreadEnd.observe(new UnreadBodyEnd.Observation(
-                now,
-                missing,
-                channel.unreadBytes(),
-                bodyBytes,
-                channel.querySinceReceiveUs(),
-                channel.queryReceiveWindow()));
-        long writtenUs = unreadEnd.estimateUs();
-        if (writtenUs != UnreadBodyEnd.NOT_WRITTEN && now >= deadlineUs(writtenUs)) {
-            watchingUnreadBody = false;
+
+        @Override
+        public long readBytes() {
+            return bodyBytes;
+        }
+
+        @Override
+        public long deadlineUs(long writtenUs) {
+            return ClientConnection.this.deadlineUs(writtenUs);
+        }
+
+        @Override
+        public void fail() {
             coordinator.failStreaming(exchange);
-            return;
         }
-        channel.eventLoop().schedule(this::watchUnreadBody, UNREAD_BODY_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -320,7 +314,7 @@
                 || HttpUtil.getContentLength(message, 0L) > 0;
         body = null;
         bodyProgress.restart(clock.nowUs());
-        unreadEnd = new UnreadBodyEnd(sentUs);
+        unreadBodyWatch.restart(sentUs);
         firstByteUs = headStartUs;
         unreadSinceUs = 0;
         bodyBytes = 0;
@@ -462,7 +456,7 @@
         }
         if (exchange != null) {
             if (isLast) {
-                long writtenUs = unreadEnd.writtenUs(partSentUs, estimateUs -> clock.nowUs() >= deadlineUs(estimateUs));
+                long writtenUs = unreadBodyWatch.writtenUs(partSentUs);
                 coordinator.onBodyComplete(exchange, writtenUs, deadlineUs(writtenUs));
             }
         } else if (isLast || body.isFull()) {
