--- a/src/main/java/rushproxy/sidecar/RoundingUpIoHandler.java
+++ b/src/main/java/rushproxy/sidecar/RoundingUpIoHandler.java
@@ -1,24 +1,20 @@
 package rushproxy.sidecar;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 
 /**
  * An I/O handler that waits at least until the next timer is due. The selector waits for whole milliseconds, and Netty
  * rounds to the nearest: after a wait that was rounded down its loop would spin until the timer is due.
  */
-final class RoundingUpIoHandler implements IoHandler {
+final class RoundingUpIoHandler extends ForwardingIoHandler {
     /** Netty rounds a remainder of up to half a millisecond down. */
     private static final long MAX_ROUNDED_DOWN_NANOS = 500_000;
 
-    private final IoHandler delegate;
-
     private RoundingUpIoHandler(IoHandler handler) {
-        this.delegate = handler;
+        super(handler);
     }
 
     static IoHandlerFactory wrap(IoHandlerFactory handlers) {
@@ -37,37 +33,7 @@
 
     @Override
     public int run(IoHandlerContext context) {
-        return delegate.run(new RoundedUp(context));
-    }
-
-    @Override
-    public void initialize() {
-        delegate.initialize();
-    }
-
-    @Override
-    public void prepareToDestroy() {
-        delegate.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-        delegate.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-        return delegate.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-        delegate.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> type) {
-        return delegate.isCompatible(type);
+        return super.run(new RoundedUp(context));
     }
 
     private record RoundedUp(IoHandlerContext context) implements IoHandlerContext {
--- a/src/main/java/rushproxy/sidecar/TimedIoHandler.java
+++ b/src/main/java/rushproxy/sidecar/TimedIoHandler.java
@@ -1,21 +1,18 @@
 package rushproxy.sidecar;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 
 /** An I/O handler that reports each poll of its event loop to an {@link EventLoopDelay}. */
-final class TimedIoHandler implements IoHandler {
+final class TimedIoHandler extends ForwardingIoHandler {
     private static final long NANOS_PER_US = 1_000;
 
-    private final IoHandler delegate;
     private final Clock clock;
     private final EventLoopDelay loopDelay;
 
     private TimedIoHandler(IoHandler delegate, Clock clock, EventLoopDelay loopDelay) {
-        this.delegate = delegate;
+        super(delegate);
         this.clock = clock;
         this.loopDelay = loopDelay;
     }
@@ -30,7 +27,7 @@
         long startUs = clock.nowUs();
         long blockableUs = context.canBlock() ? context.delayNanos(System.nanoTime()) / NANOS_PER_US : 0;
         try {
-            return delegate.run(context);
+            return super.run(context);
         } finally {
             loopDelay.recordPoll(startUs, startUs + blockableUs, clock.nowUs());
         }
@@ -39,31 +36,6 @@
     @Override
     public void initialize() {
         loopDelay.recordLoopStart(clock.nowUs());
-        delegate.initialize();
-    }
-
-    @Override
-    public void prepareToDestroy() {
-        delegate.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-        delegate.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-        return delegate.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-        delegate.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> type) {
-        return delegate.isCompatible(type);
+        super.initialize();
     }
 }
