Uploads: the time of a body that its server took quickly starts no earlier than that shows

What callers would see: a large body whose receive buffer was full early counted as written then, so that its request could be overdue soon after its last byte was read; read in the code, not seen with callers.

Cause: UnreadBodyEnd.writtenUs left out the server's pace, which estimateUs heeds. Fix: it starts from the same estimate. UnreadBodyEndTest#aLastByteIsNoOlderThanTheServersPaceTells failed before (by 0.1 s).

--- a/src/main/java/rushproxy/sidecar/UnreadBodyEnd.java
+++ b/src/main/java/rushproxy/sidecar/UnreadBodyEnd.java
@@ -143,7 +143,7 @@
         if (knownUs != NOT_WRITTEN) {
             return Math.min(knownUs, readUs);
         }
-        long estimateUs = likelyUs == NOT_WRITTEN ? possibleUs : likelyUs;
+        long estimateUs = estimateUs();
         boolean isUsable = estimateUs != NOT_WRITTEN
                 && estimateUs < readUs
                 && readUs - last.nowUs <= READ_ON_US
--- a/src/test/java/rushproxy/sidecar/UnreadBodyEndTest.java
+++ b/src/test/java/rushproxy/sidecar/UnreadBodyEndTest.java
@@ -108,4 +108,12 @@
         observe(2 * TICK_US, 860_000, FULL, 2 * TICK_US, ReceiveWindow.SHUT);
         assertEquals(START_US, end.writtenUs(readUs, estimateUs -> true));
     }
+
+    /** Guards against a large body that is overdue as soon as it is complete, though its server took it quickly. */
+    @Test
+    void aLastByteIsNoOlderThanTheServersPaceTells() {
+        observe(TICK_US, 100_000, FULL, TICK_US, ReceiveWindow.SHUT);
+        observe(5 * TICK_US, FULL + UnreadBodyEnd.UPSTREAM_SOCKETS_BYTES, FULL, 0, ReceiveWindow.SHUT);
+        assertEquals(START_US + 5 * TICK_US, end.writtenUs(START_US + 6 * TICK_US, estimateUs -> false));
+    }
 }
