Laboratory: a client waits half a second for the end of a response that has begun

Both servers sent the head and 20,000 bytes of a chunked answer after 5 ms and then nothing. The sidecar passes such an answer on and shows its client the end after 0.4 s of silence; the laboratory's client left 70 ms after its time.

Why the case is allowed: a request is lost half a second after its time, and an answer that was begun and can't be completed has failed, provided that its client can see it (SPOILED "half" in both traces, the connection broken off in the sidecar's log).

Fix: once a response has begun, the client waits 0.55 s past its time for the end, and one that has none by then is lost as before ("unended" in CheckersIT, found).

--- a/src/main/java/rushproxy/lab/world/Clients.java
+++ b/src/main/java/rushproxy/lab/world/Clients.java
@@ -55,6 +55,8 @@
     private static final long CONNECT_AFTER_SIGTERM_US = 200_000;
     /** How long past its deadline a response is still accepted: the sidecar's slack and the delay of the sockets. */
     private static final long RESPONSE_SLACK_US = 70_000;
+    /** The same for the end of a response that has begun, which may be broken off up to half a second after the deadline. */
+    private static final long RESPONSE_END_SLACK_US = 500_000 + 50_000;
     /** With less time left no further attempt is made. */
     private static final long MIN_ATTEMPT_US = 5_000;
 
@@ -247,6 +249,9 @@
 
         private long sentUs;
         private boolean resent;
+        /** The response has begun in time. */
+        private boolean awaitsResponseEnd;
+
         private boolean ended;
 
         Attempt(LogicalRequest request, String id, long scheduledUs, long waitUs) {
@@ -465,6 +470,12 @@
             if (ended) {
                 return;
             }
+            if (connection != null && connection.responseStarted && !awaitsResponseEnd) {
+                awaitsResponseEnd = true;
+                giveUpTimer =
+                        loop.schedule(this::giveUp, RESPONSE_END_SLACK_US - RESPONSE_SLACK_US, TimeUnit.MICROSECONDS);
+                return;
+            }
             if (connection != null) {
                 connection.attempt = null;
                 connection.channel.close();
--- a/src/test/java/rushproxy/lab/CheckersIT.java
+++ b/src/test/java/rushproxy/lab/CheckersIT.java
@@ -34,6 +34,7 @@
     @CsvSource({
         "lost,lost",
         "silent,lost",
+        "unended,lost",
         "twice,twice",
         "refuses,twice",
         "drains,drains",
--- a/src/test/java/rushproxy/lab/LabIT.java
+++ b/src/test/java/rushproxy/lab/LabIT.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,7 @@
 import rushproxy.lab.report.Report;
 import rushproxy.lab.report.Summary;
 import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.scenario.ScenarioReader;
 import rushproxy.lab.world.Observation;
 
 /** Fleets of the real sidecar with faults between them: the rules hold, and the laboratory cleans up after itself. */
@@ -104,6 +106,35 @@
         noProcessIsLeft();
     }
 
+    /** Guards against a checker that calls a response lost whose end its client is shown within half a second of its time. */
+    @Test
+    void responsesThatServersTruncateAreNotLost() throws Exception {
+        Scenario s = ScenarioReader.parse(
+                "test",
+                """
+                name = "truncated"
+                length_s = 6
+                seed = 7
+                [fleet]
+                nodes = 1
+                [[servers]]
+                count = 4
+                [[classes]]
+                name = "read"
+                work_ms = 4
+                deadline_ms = 300
+                [traffic]
+                rate_per_s = 30
+                [rules]
+                fall_s = 1
+                [lateness]
+                most = 1
+                """ + LabRig.fault(1, "spoil", "servers = \"all\"; how = \"half\"; part = 1; for_s = 4"),
+                Map.of());
+        Summary summary = LabRig.run(s, LabRig.sidecar(), folder);
+        assertEquals(List.of(), LabRig.rules(summary), summary.violations().toString());
+    }
+
     @Test
     void aReplacementTakesOverTheClientsSocketAndLosesNothing() throws Exception {
         Summary s = LabRig.run(
--- a/src/test/java/rushproxy/lab/WrongNode.java
+++ b/src/test/java/rushproxy/lab/WrongNode.java
@@ -205,6 +205,11 @@
             x.close();
         } else if (fault.equals("silent") && wrong) {
             return;
+        } else if (fault.equals("unended") && wrong) {
+            // Chunked, and the last chunk never comes.
+            x.sendResponseHeaders(200, 0);
+            x.getResponseBody().write(id.getBytes(StandardCharsets.US_ASCII));
+            x.getResponseBody().flush();
         } else if (fault.equals("made") && wrong) {
             answer(x, 200, "s0:" + id + ":0");
         } else {
