--- a/src/test/java/rushproxy/sidecar/SlowUploadTest.java
+++ b/src/test/java/rushproxy/sidecar/SlowUploadTest.java
@@ -8,7 +8,6 @@
 import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -93,16 +92,18 @@
     }
 
     /** Guards against the same where the server reads slowly. */
-    @Test
-    void aServerThatReadsSlowlyDoesNotDelayTheFinalResponse() throws Exception {
-        assertInTime(delayOfFailureMs((message, in) -> readSlowly(in), BODY_BYTES, false));
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aServerThatReadsSlowlyDoesNotDelayTheFinalResponse(boolean chunked) throws Exception {
+        assertInTime(delayOfFailureMs((message, in) -> readSlowly(in), BODY_BYTES, chunked));
     }
 
     /** Guards against the same where much of the body lies in the client's own socket. */
-    @Test
-    void aBodyThatTheClientsSocketHoldsDoesNotDelayTheFinalResponse() throws Exception {
-        assertInTime(delayOfFailureMs((message, in) -> readAndStop(in), LARGE_BODY_BYTES, false));
-        assertInTime(delayOfFailureMs((message, in) -> readSlowly(in), LARGE_BODY_BYTES, false));
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aBodyThatTheClientsSocketHoldsDoesNotDelayTheFinalResponse(boolean chunked) throws Exception {
+        assertInTime(delayOfFailureMs((message, in) -> readAndStop(in), LARGE_BODY_BYTES, chunked));
+        assertInTime(delayOfFailureMs((message, in) -> readSlowly(in), LARGE_BODY_BYTES, chunked));
     }
 
     /** Guards against a slow writer that is cut off because its server has not read for longer than the request's time. */
