Clients: the memory reserved for a body is a class of its own

BodyReservation takes the reserved bytes and the wait for them out of ClientConnection, where each use had to set two fields. No behaviour changes; the unit tests of the sidecar pass.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -109,9 +109,7 @@
     private final BodyProgress bodyProgress = new BodyProgress();
     private final UnreadBodyWatch unreadBodyWatch;
     private long bodyBytes;
-    private int reservedBytes;
-    /** Withdraws a pending memory reservation; null if none is pending. */
-    private Runnable cancelReservation;
+    private final BodyReservation reservation;
     /** Withdraws the wait for memory for an incomplete head; null if there is none. */
     private Runnable cancelHeadWait;
     /** Earliest time at which the client may have sent what is held behind the current request. */
@@ -137,6 +135,7 @@
         this.classes = classes;
         this.server = server;
         memoryBudget = memory.bodies();
+        reservation = new BodyReservation(memoryBudget);
         headMemory = new HeadMemory(memory.heads());
         streams = memory.streams();
         this.deadlines = deadlines;
@@ -173,7 +172,7 @@
      */
     @Override
     public void onDisconnectUndetectable() {
-        if (lingering || cancelReservation != null || exchange != null && !exchange.body.isReplayable()) {
+        if (lingering || reservation.isWaiting() || exchange != null && !exchange.body.isReplayable()) {
             // No attempt starts before memory is reserved, and a streamed body has started its only attempt.
             return;
         }
@@ -226,7 +225,7 @@
         unreadBodyWatch.update();
         input.setFlow(
                 busy && !receiving || body != null && body.isFull(),
-                cancelReservation != null || cancelHeadWait != null || body != null && body.isBlocked());
+                reservation.isWaiting() || cancelHeadWait != null || body != null && body.isBlocked());
     }
 
     private final class CurrentUpload implements UnreadBodyWatch.Upload {
@@ -370,12 +369,10 @@
         // Reading stops until memory is granted; a 100 Continue is sent only then.
         boolean expectsContinue = HttpUtil.is100ContinueExpected(message);
         if (length > 0 && length <= SMALL_BODY_BYTES && !expectsContinue) {
-            takeMemory((int) length);
+            reservation.take((int) length);
             return;
         }
-        cancelReservation = memoryBudget.reserve(body.maxKeptBytes(), () -> {
-            cancelReservation = null;
-            reservedBytes = body.maxKeptBytes();
+        reservation.request(body.maxKeptBytes(), () -> {
             if (!expectsContinue) {
                 // Its client could send while the body waited; the kernel has kept that.
                 bodyProgress.restart(unreadSinceUs == 0 ? clock.nowUs() : unreadSinceUs);
@@ -388,9 +385,7 @@
             }
             body.updateFlow();
         });
-        if (reservedBytes > 0) {
-            cancelReservation = null;
-        } else {
+        if (reservation.isWaiting()) {
             scheduleMemoryTimeout();
         }
         updateReading();
@@ -409,7 +404,7 @@
         channel.eventLoop()
                 .schedule(
                         () -> {
-                            if (cancelReservation != null && head == waiting) {
+                            if (reservation.isWaiting() && head == waiting) {
                                 reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                             }
                         },
@@ -503,19 +498,12 @@
 
     /** A body that came with its head is here already, and its request is not refused any more for want of memory. */
     private void endMemoryWait() {
-        if (cancelReservation != null) {
-            cancelReservation.run();
-            cancelReservation = null;
-            takeMemory((int) bodyBytes);
+        if (reservation.isWaiting()) {
+            reservation.take((int) bodyBytes);
             updateReading();
         }
     }
 
-    private void takeMemory(int bytes) {
-        memoryBudget.take(bytes);
-        reservedBytes = bytes;
-    }
-
     /** The deadline counts from the last byte of the request, so a slow sender has the same time as any other. */
     private long deadlineUs(long sentUs) {
         return Math.min(
@@ -562,7 +550,7 @@
 
         @Override
         public void beginStream(long length, Runnable resume) {
-            releaseMemory();
+            reservation.release();
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             if (length >= 0) {
                 response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
@@ -642,7 +630,7 @@
     }
 
     private void write(HttpResponseStatus status, ByteBuf content, long retryAfterUs) {
-        releaseMemory();
+        reservation.release();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         setConnectionHeader(response);
@@ -729,18 +717,6 @@
         }
     }
 
-    private void releaseMemory() {
-        if (cancelReservation != null) {
-            cancelReservation.run();
-            cancelReservation = null;
-        }
-        int bytes = reservedBytes;
-        reservedBytes = 0;
-        if (bytes > 0) {
-            memoryBudget.release(bytes);
-        }
-    }
-
     private void releaseHead() {
         decoder.discard();
         headMemory.release();
@@ -798,7 +774,7 @@
         if (!busy) {
             return activity.isWithinRequest();
         }
-        return receiving && !responded && body != null && cancelReservation == null && !body.isFull();
+        return receiving && !responded && body != null && !reservation.isWaiting() && !body.isFull();
     }
 
     /** Whether the client has stopped within a request. */
@@ -825,7 +801,7 @@
 
     /** The memory reserved for the body of the current request. */
     int reservedBytes() {
-        return reservedBytes;
+        return reservation.bytes();
     }
 
     ClientActivity activity() {
@@ -912,7 +888,7 @@
     }
 
     private void checkBodyProgress(long now) {
-        if (cancelReservation != null) {
+        if (reservation.isWaiting()) {
             return;
         }
         long blockedUs = body.blockedSinceUs(now);
@@ -951,7 +927,7 @@
         lingering = true;
         input.discard();
         releaseHead();
-        releaseMemory();
+        reservation.release();
         server.addLingering(this);
         LingeringClose.start(channel, Math.min(LingeringClose.MAX_LINGER_US, server.closeDeadlineUs() - clock.nowUs()));
     }
@@ -1002,7 +978,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         resumeUpstream = null;
         releaseHead();
-        releaseMemory();
+        reservation.release();
         abandonExchange();
     }
 
