Sockets: a renewed registration keeps reading on where a write blocked meanwhile

Callers saw a 502 at their deadline though the server had answered: the answer lay in the socket (44 bytes available, interest 0) and was never read. Cause: RegistrationRetry withdraws a channel's interest for 1 ms and restores reading and writing in one call. If a write blocked within that millisecond, writing was wanted again already, and Netty's addAndSubmit takes a set of interests for present if one of them is; reading was lost for good. Evidence: a trace of all changes of interest: "restore 5" and, from the next renewal on, "restore 4". Each interest is now restored by itself. It stands in every state since the renewal was built; a blocked write in that moment is what it takes.

--- a/src/main/java/rushproxy/sidecar/TcpConnection.java
+++ b/src/main/java/rushproxy/sidecar/TcpConnection.java
@@ -282,9 +282,18 @@
 
     @Override
     public void restoreInterest(int ops) {
-        int wanted = wantsRead() ? ops : ops & ~SelectionKey.OP_READ;
-        if (isOpen() && isRegistered() && wanted != 0) {
-            addAndSubmit(NioIoOps.valueOf(wanted));
+        if (!isOpen() || !isRegistered()) {
+            return;
+        }
+        // One at a time: Netty takes several for present if one of them has been added meanwhile.
+        if ((ops & SelectionKey.OP_READ) != 0 && wantsRead()) {
+            addAndSubmit(NioIoOps.READ);
+        }
+        if ((ops & SelectionKey.OP_WRITE) != 0) {
+            addAndSubmit(NioIoOps.WRITE);
+        }
+        if ((ops & SelectionKey.OP_CONNECT) != 0) {
+            addAndSubmit(NioIoOps.CONNECT);
         }
     }
 }
