Bodies: read ahead of a slow server, so that the client's last byte is seen in time

Cause: the body is not read while its server takes no more, and the time of its last byte was guessed: a server that read on renewed the client's time, a guess that made the request overdue was dropped, each read of a body in chunks moved the guess.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -65,6 +65,7 @@
 
     private final Set<String> classes;
     private final ClientServer server;
+    private final ConnectionMemory memory;
     private final MemoryBudget memoryBudget;
     private final ResponseDeadlines deadlines;
     private final RequestGuard guard;
@@ -134,6 +135,7 @@
         this.clock = clock;
         this.classes = classes;
         this.server = server;
+        this.memory = memory;
         memoryBudget = memory.bodies();
         reservation = new BodyReservation(memoryBudget);
         headMemory = new HeadMemory(memory.heads());
@@ -230,15 +232,23 @@
 
     private final class CurrentUpload implements UnreadBodyWatch.Upload {
         @Override
-        public boolean isUnread() {
-            return exchange != null && receiving && !responded && body != null && (body.isBlocked() || body.isFull());
+        public boolean isReceiving() {
+            return exchange != null && receiving && !responded && body != null;
+        }
+
+        @Override
+        public boolean isSuspended() {
+            return body.isReadSuspended();
+        }
+
+        @Override
+        public void readAhead() {
+            body.readAhead();
         }
 
         @Override
         public long missingBytes() {
-            return body.length < 0
-                    ? UnreadBodyEnd.UNKNOWN_LENGTH
-                    : body.length - bodyBytes - input.bufferedBytes() - decoder.heldBytes();
+            return body.length < 0 ? UnreadBodyEnd.UNKNOWN_LENGTH : body.length - bodyBytes;
         }
 
         @Override
@@ -246,6 +256,11 @@
             return bodyBytes;
         }
 
+        @Override
+        public int heldBytes() {
+            return input.bufferedBytes() + decoder.heldBytes();
+        }
+
         @Override
         public long deadlineUs(long writtenUs) {
             return ClientConnection.this.deadlineUs(writtenUs);
@@ -362,7 +377,7 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        body = new RequestBody(this::updateReading, length);
+        body = new RequestBody(this::updateReading, length, memory.readAhead());
         if (length == 0) {
             return;
         }
@@ -454,7 +469,7 @@
                 long writtenUs = unreadBodyWatch.writtenUs(partSentUs);
                 coordinator.onBodyComplete(exchange, writtenUs, deadlineUs(writtenUs));
             }
-        } else if (isLast || body.isFull()) {
+        } else if (isLast || body.isLong()) {
             accept(partSentUs);
         }
     }
@@ -892,12 +907,13 @@
             return;
         }
         long blockedUs = body.blockedSinceUs(now);
-        if (body.isFull() || blockedUs > 0) {
-            // Reading is suspended, so this time does not count against the client.
+        if (blockedUs > 0 && now - blockedUs >= MAX_UPSTREAM_BLOCKED_US) {
+            coordinator.failStreaming(exchange);
+            return;
+        }
+        if (body.isReadSuspended()) {
+            // This time does not count against the client.
             bodyProgress.restart(now);
-            if (blockedUs > 0 && now - blockedUs >= MAX_UPSTREAM_BLOCKED_US) {
-                coordinator.failStreaming(exchange);
-            }
             return;
         }
         if (bodyProgress.isTooSlow(now) || hasStoppedInFirstBody(now)) {
--- a/src/main/java/rushproxy/sidecar/RequestBody.java
+++ b/src/main/java/rushproxy/sidecar/RequestBody.java
@@ -10,7 +10,8 @@
 
 /**
  * The body of a request. Up to {@link #MAX_KEPT_BYTES} are kept so that another attempt can send them again. A longer
- * body is streamed to the connection of one attempt as fast as that accepts it, and can't be sent again.
+ * body is streamed to the connection of one attempt as fast as that accepts it, and can't be sent again. Where that takes
+ * long the rest is read ahead as far as there is memory for it, so that its end is seen when the client has written it.
  */
 final class RequestBody {
     static final int MAX_KEPT_BYTES = 64 * 1024;
@@ -29,14 +30,19 @@
     /** What has arrived since the body is streamed and is not written yet. */
     private ByteBuf pending;
 
+    /** What is read ahead, behind {@link #kept} or {@link #pending}. */
+    private final ReadAheadBuffer ahead;
+
+    private boolean readsAhead;
     private boolean passOnScheduled;
     private boolean isLastWritten;
     private Runnable onWritten;
     private long blockedSinceUs;
 
-    RequestBody(Runnable regulate, long length) {
+    RequestBody(Runnable regulate, long length, ReadAheadBudget readAheadBudget) {
         this.onFlowChange = regulate;
         this.length = length;
+        ahead = new ReadAheadBuffer(readAheadBudget);
         kept = Unpooled.EMPTY_BUFFER;
     }
 
@@ -46,15 +52,38 @@
     }
 
     void append(ByteBuf part) {
-        if (target != null) {
+        if (isAppendedAhead()) {
+            ahead.append(part);
+        } else if (target != null) {
             pending = withRoom(pending, part.readableBytes()).writeBytes(part);
-            schedulePassOn();
         } else if (kept != null) {
             kept = withRoom(kept, part.readableBytes()).writeBytes(part);
         }
+        if (target != null && target.isWritable()) {
+            schedulePassOn();
+        }
+        updateFlow();
+    }
+
+    private boolean isAppendedAhead() {
+        if (target == null) {
+            return readsAhead && isLong();
+        }
+        return !ahead.isEmpty() || readsAhead && !target.isWritable();
+    }
+
+    /** From now on reads what its upstream does not take yet, as far as there is memory for it. */
+    void readAhead() {
+        readsAhead = true;
         updateFlow();
     }
 
+    /** Gives back what was read ahead, since nothing will send it. */
+    void releaseReadAhead() {
+        readsAhead = false;
+        ahead.release();
+    }
+
     /** Memory is taken as bytes arrive, since a client may state a length and send nothing. */
     private static ByteBuf withRoom(ByteBuf buffer, int bytes) {
         int needed = buffer.writerIndex() + bytes;
@@ -89,20 +118,29 @@
         if (target == null || isLastWritten) {
             return;
         }
-        while (pending.isReadable() && target.isWritable()) {
-            ByteBuf piece = pending.readRetainedSlice(Math.min(pending.readableBytes(), MAX_WRITE_BYTES));
-            target.write(new DefaultHttpContent(piece)).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        while (hasUnwritten() && target.isWritable()) {
+            target.write(new DefaultHttpContent(nextPiece())).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         }
         if (!pending.isReadable()) {
             dropWritten();
-            if (complete) {
-                writeLast();
-            }
+        }
+        if (complete && !hasUnwritten()) {
+            writeLast();
         }
         target.flush();
         updateFlow();
     }
 
+    private boolean hasUnwritten() {
+        return pending.isReadable() || !ahead.isEmpty();
+    }
+
+    private ByteBuf nextPiece() {
+        return pending.isReadable()
+                ? pending.readRetainedSlice(Math.min(pending.readableBytes(), MAX_WRITE_BYTES))
+                : ahead.poll();
+    }
+
     /** Uses the buffer again unless a write still refers to it. */
     private void dropWritten() {
         if (pending.refCnt() == 1) {
@@ -115,6 +153,7 @@
 
     private void writeLast() {
         isLastWritten = true;
+        releaseReadAhead();
         Runnable whenWritten = onWritten;
         target.write(LastHttpContent.EMPTY_LAST_CONTENT).addListener((ChannelFuture written) -> {
             if (written.isSuccess()) {
@@ -130,9 +169,23 @@
         return complete;
     }
 
+    /** Whether as much has arrived as is kept, and no attempt streams it yet. */
+    boolean isLong() {
+        return kept != null && kept.readableBytes() >= MAX_KEPT_BYTES;
+    }
+
+    /** Whether it has to be streamed, since not all of it has arrived or it is longer than what is kept. */
+    boolean isStreamed() {
+        return !complete || !ahead.isEmpty();
+    }
+
     /** Whether reading stops until an attempt starts to stream it. */
     boolean isFull() {
-        return !complete && kept != null && kept.readableBytes() >= MAX_KEPT_BYTES;
+        return !complete && isLong() && !hasRoomAhead();
+    }
+
+    private boolean hasRoomAhead() {
+        return readsAhead && ahead.reserveRoom();
     }
 
     /** Whether it is still kept from its first byte on, so that another attempt can send it. */
@@ -170,6 +223,7 @@
         target = null;
         kept = null;
         pending = null;
+        releaseReadAhead();
         updateFlow();
     }
 
@@ -178,20 +232,30 @@
      * a disconnect.
      */
     void updateFlow() {
-        if (!isBlocked()) {
+        if (!isUpstreamBlocked()) {
             blockedSinceUs = 0;
         }
         onFlowChange.run();
     }
 
     /** Whether the upstream accepts no more of it for now. */
-    boolean isBlocked() {
+    private boolean isUpstreamBlocked() {
         return target != null && !complete && !target.isWritable();
     }
 
+    /** Whether the upstream accepts no more of it for now, and no more is read ahead. */
+    boolean isBlocked() {
+        return isUpstreamBlocked() && !hasRoomAhead();
+    }
+
+    /** Whether it is not read for now. */
+    boolean isReadSuspended() {
+        return isFull() || isBlocked();
+    }
+
     /** Since when the upstream has accepted nothing; 0 if it does. If it has just stopped this records {@code now}. */
     long blockedSinceUs(long now) {
-        if (blockedSinceUs == 0 && isBlocked()) {
+        if (blockedSinceUs == 0 && isUpstreamBlocked()) {
             blockedSinceUs = now;
         }
         return blockedSinceUs;
--- a/src/main/java/rushproxy/sidecar/RequestCoordinator.java
+++ b/src/main/java/rushproxy/sidecar/RequestCoordinator.java
@@ -527,7 +527,11 @@
 
     private void removeIfSettled(Exchange exchange) {
         String id = exchange.request.id();
-        if (!exchange.isSettled() || open.remove(id) == null || guard.mayRunAgain(exchange)) {
+        if (!exchange.isSettled()) {
+            return;
+        }
+        exchange.body.releaseReadAhead();
+        if (open.remove(id) == null || guard.mayRunAgain(exchange)) {
             return;
         }
         if (guard.isRunUnanswered(exchange)) {
--- a/src/main/java/rushproxy/sidecar/UnreadBodyWatch.java
+++ b/src/main/java/rushproxy/sidecar/UnreadBodyWatch.java
@@ -3,23 +3,33 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Watches a connection while the body of its current request is not read. The time of a request runs from when its client wrote the last
- * byte, also while that can't be read; when it is over the request fails.
+ * Watches a connection from when the body of its current request is first not read, because its server takes no more, until all of it
+ * has been read. The time of a request runs from when its client wrote the last byte, also while that can't be read; when it is over the
+ * request fails. What is still unread at the second look is read ahead, which shows the last byte instead of an estimate.
  */
 final class UnreadBodyWatch {
     private static final long CHECK_INTERVAL_MS = 20;
 
     /** The request whose body is watched. */
     interface Upload {
-        /** Whether its body is being passed on and not read, because its server takes no more. */
-        boolean isUnread();
+        /** Whether more of its body is awaited, and an upstream may have a part of it. */
+        boolean isReceiving();
 
-        /** Bytes of the body that have not been read; {@link UnreadBodyEnd#UNKNOWN_LENGTH} if its length is not known. */
+        /** Whether the body is not read, because its server takes no more. */
+        boolean isSuspended();
+
+        /** Reads what there is memory for. */
+        void readAhead();
+
+        /** Bytes of the body that have not been decoded; {@link UnreadBodyEnd#UNKNOWN_LENGTH} if its length is not known. */
         long missingBytes();
 
-        /** Bytes of the body that have been read. */
+        /** Bytes of the body that have been decoded. */
         long readBytes();
 
+        /** Bytes that have been read from the socket and not been decoded. */
+        int heldBytes();
+
         /** The deadline if the last byte was written at {@code writtenUs}. */
         long deadlineUs(long writtenUs);
 
@@ -32,6 +42,8 @@
     private final Upload upload;
     private UnreadBodyEnd end = new UnreadBodyEnd(0);
     private boolean watching;
+    /** Counts the requests, to tell a look at an earlier one apart. */
+    private int requests;
 
     UnreadBodyWatch(TcpConnection connection, Clock clock, Upload upload) {
         this.connection = connection;
@@ -42,43 +54,56 @@
     /** The next request has begun. */
     void restart(long sentUs) {
         end = new UnreadBodyEnd(sentUs);
+        watching = false;
+        requests++;
     }
 
     /** Begins to watch if the body is not read. */
     void update() {
-        if (!watching && upload.isUnread()) {
+        if (!watching && upload.isReceiving() && upload.isSuspended()) {
             watching = true;
             check();
         }
     }
 
     private void check() {
-        if (!upload.isUnread() || !connection.isActive()) {
-            watching = false;
-            return;
-        }
         end.observe(new UnreadBodyEnd.Observation(
                 clock.nowUs(),
+                upload.isSuspended(),
                 upload.missingBytes(),
-                connection.unreadBytes(),
+                connection.unreadBytes() + upload.heldBytes(),
                 upload.readBytes(),
                 connection.querySinceReceiveUs(),
                 connection.queryReceiveWindow()));
-        long writtenUs = end.estimateUs();
-        if (writtenUs != UnreadBodyEnd.NOT_WRITTEN && isOverdue(writtenUs)) {
+        if (isOverdue(end.estimateUs())) {
             watching = false;
             upload.fail();
             return;
         }
-        connection.eventLoop().schedule(this::check, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        int request = requests;
+        connection.eventLoop().schedule(() -> checkAgain(request), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkAgain(int request) {
+        if (request != requests) {
+            return;
+        }
+        if (!upload.isReceiving() || !connection.isActive()) {
+            watching = false;
+            return;
+        }
+        if (upload.isSuspended()) {
+            upload.readAhead();
+        }
+        check();
     }
 
     /** When the client wrote the last byte, which has been read now and was sent at {@code sentUs} as far as its reading tells. */
     long writtenUs(long sentUs) {
-        return end.writtenUs(sentUs, this::isOverdue);
+        return end.writtenUs(sentUs);
     }
 
     private boolean isOverdue(long writtenUs) {
-        return clock.nowUs() >= upload.deadlineUs(writtenUs);
+        return writtenUs != UnreadBodyEnd.NOT_WRITTEN && clock.nowUs() >= upload.deadlineUs(writtenUs);
     }
 }
--- a/src/main/java/rushproxy/sidecar/UpstreamPool.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamPool.java
@@ -397,7 +397,7 @@
         HttpRequest head = call.headFactory.apply(call.deadlineUs - clock.nowUs());
         head.headers().set(HttpHeaderNames.HOST, "api.internal");
         connection(call.channel).startCall(call, this::release);
-        if (call.body != null && !call.body.isComplete()) {
+        if (call.body != null && call.body.isStreamed()) {
             if (call.body.length >= 0) {
                 head.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
             } else {
--- a/src/main/java/rushproxy/sidecar/WarmUp.java
+++ b/src/main/java/rushproxy/sidecar/WarmUp.java
@@ -87,6 +87,8 @@
     }
 
     private UpstreamPool connectionPool(StallAwareClock time) {
+        long bytes = CONCURRENCY * RequestBody.MAX_KEPT_BYTES;
+        MemoryBudget bodies = new MemoryBudget(bytes);
         return new UpstreamPool(
                 loop,
                 time,
@@ -95,9 +97,7 @@
                 MAX_DURATION_US,
                 () -> CONCURRENCY,
                 new ConnectionMemory(
-                        new MemoryBudget(0),
-                        new MemoryBudget(CONCURRENCY * RequestBody.MAX_KEPT_BYTES),
-                        new StreamBuffers(CONCURRENCY * RequestBody.MAX_KEPT_BYTES)));
+                        new MemoryBudget(0), bodies, new ReadAheadBudget(bodies, bytes), new StreamBuffers(bytes)));
     }
 
     /** Reads the kernel's generator, since {@code SecureRandom} would load security providers that nothing else needs. */
--- a/src/test/java/rushproxy/sidecar/SlowUploadTest.java
+++ b/src/test/java/rushproxy/sidecar/SlowUploadTest.java
@@ -3,10 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InterruptedIOException;
 import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -19,6 +23,13 @@
     private static final int LARGE_BODY_BYTES = 1_000_000;
     private static final int PIECE_BYTES = 20_000;
     private static final int FIRST_BYTES = 8_000;
+    /** At 50 ms each a server reads half a megabyte a second, which is too slow for these bodies. */
+    private static final int STEADY_BYTES = 25_000;
+
+    private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
+    private static final int STEADY_BODY_BYTES = 1_500_000;
+    private static final int MANY_BODIES = 10;
+    private static final int MANY_BODY_BYTES = 2_000_000;
     private static final long REMAINING_MS = 600;
     /** A final response is due half a second after its time; limits on sockets have 50 ms more. */
     private static final long DUE_MS = REMAINING_MS + 500 + 50;
@@ -106,6 +117,82 @@
         assertInTime(delayOfFailureMs((message, in) -> readSlowly(in), LARGE_BODY_BYTES, chunked));
     }
 
+    private static void readSteadily(InputStream in) throws IOException {
+        while (in.readNBytes(STEADY_BYTES).length == STEADY_BYTES) {
+            pause(50);
+        }
+    }
+
+    /** Guards against a server that renews the time of a body by reading on, faster or slower (review, case 7). */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aServerThatReadsSteadilyDoesNotDelayTheFinalResponse(boolean chunked) throws Exception {
+        assertInTime(delayOfFailureMs((message, in) -> readSteadily(in), STEADY_BODY_BYTES, chunked));
+    }
+
+    /** Guards against the same where many bodies take the memory for reading ahead, and the last bytes are not seen. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void bodiesWithoutMemoryForReadingAheadAreAnsweredInTime(boolean chunked) throws Exception {
+        try (SidecarRig rig = new SidecarRig()) {
+            rig.addUpstream((message, connection) -> {}).bodyReader = (message, in) -> readSteadily(in);
+            rig.start();
+            List<FutureTask<Long>> delays = new ArrayList<>();
+            for (int i = 0; i < MANY_BODIES; i++) {
+                String id = "X-Txn: b" + i;
+                FutureTask<Long> delay = new FutureTask<>(() -> {
+                    try (TestServer.Client client = rig.client()) {
+                        client.send(head(MANY_BODY_BYTES, chunked).replace("X-Txn: a1", id));
+                        long writtenNanos = write(client, MANY_BODY_BYTES, chunked, 0);
+                        assertEquals(502, client.status());
+                        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - writtenNanos);
+                    }
+                });
+                delays.add(delay);
+                new Thread(delay).start();
+            }
+            for (FutureTask<Long> delay : delays) {
+                assertInTime(delay.get());
+            }
+        }
+    }
+
+    /** Guards against a client that still writes and is failed, because its socket might hold the rest while its server pauses. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aClientThatPausesBesideAServerThatPausesIsServed(boolean chunked) throws Exception {
+        try (SidecarRig rig = new SidecarRig()) {
+            rig.addUpstream((message, connection) -> connection.answer("200 OK", "", "served")).bodyReader =
+                    (message, in) -> {
+                        pause(1_100);
+                        readBody(in, 2 * LARGE_BODY_BYTES, chunked);
+                    };
+            rig.start();
+            try (TestServer.Client client = rig.client()) {
+                client.send(head(2 * LARGE_BODY_BYTES, chunked));
+                OutputStream out = client.socket.getOutputStream();
+                for (int i = 0; i < LARGE_BODY_BYTES / PIECE_BYTES; i++) {
+                    out.write(piece(chunked).getBytes());
+                }
+                pause(900);
+                write(client, LARGE_BODY_BYTES, chunked, 0);
+                assertEquals(200, client.status());
+            }
+        }
+    }
+
+    /** Reads to the end of the body, in whatever chunks it comes. */
+    private static void readBody(InputStream in, int bodyBytes, boolean chunked) throws IOException {
+        if (!chunked) {
+            in.readNBytes(bodyBytes);
+            return;
+        }
+        InputStream buffered = new BufferedInputStream(in);
+        for (int at = 0, next; at < LAST_CHUNK.length() && (next = buffered.read()) >= 0; ) {
+            at = next == LAST_CHUNK.charAt(at) ? at + 1 : next == LAST_CHUNK.charAt(0) ? 1 : 0;
+        }
+    }
+
     /** Guards against a slow writer that is cut off because its server has not read for longer than the request's time. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -114,10 +201,7 @@
             rig.addUpstream((message, connection) -> connection.answer("200 OK", "", "served")).bodyReader =
                     (message, in) -> {
                         pause(1_800);
-                        in.readNBytes(
-                                chunked
-                                        ? BODY_BYTES / PIECE_BYTES * piece(true).length() + "0\r\n\r\n".length()
-                                        : BODY_BYTES);
+                        readBody(in, BODY_BYTES, chunked);
                     };
             rig.start();
             try (TestServer.Client client = rig.client()) {
--- a/src/test/java/rushproxy/sidecar/UpstreamPoolTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamPoolTest.java
@@ -202,7 +202,7 @@
             loop.execute(() -> upstreams.update(
                     list(true, SidecarRig.entryJson("u", "127.0.0.1:" + listener.getLocalPort(), "Ready", 0))));
             for (int i = 0; i < 50; i++) {
-                RequestBody body = new RequestBody(() -> {}, -1);
+                RequestBody body = new RequestBody(() -> {}, -1, new ReadAheadBudget(new MemoryBudget(0), 0));
                 loop.execute(() -> {
                     body.append(io.netty.buffer.Unpooled.wrappedBuffer(new byte[100]));
                     upstreams.start(new UpstreamCall(
