Responses of unknown length: begun on evidence, and ended by their own pace

Cause: up to 64 KiB they counted as short and ended after 0.4 s of silence at their deadline; their first bytes had been passed on without evidence. Related paths: a short answer of stated length that is passed on (no memory to hold it) ends at that time too; every attempt knows the process's end, not only the one that streams.

--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -82,6 +82,11 @@
         this.timestamps = timestamps;
     }
 
+    /** When a short response must have ended; not valid while the body is arriving. */
+    long lateLimitUs() {
+        return ResponseDeadlines.lateLimitUs(sentUs, remainingUs);
+    }
+
     boolean isSettled() {
         return state.isDecided() && hasNoPendingAttempt();
     }
--- a/src/main/java/rushproxy/sidecar/RequestCoordinator.java
+++ b/src/main/java/rushproxy/sidecar/RequestCoordinator.java
@@ -113,6 +113,7 @@
             exchange.deadlineUs = deadlineUs;
             scheduleTimeout(exchange);
             for (UpstreamCall call : exchange.attempts) {
+                call.lateLimitUs = exchange.lateLimitUs();
                 upstreams.setDeadline(call, deadlineUs);
             }
         }
@@ -122,9 +123,7 @@
     void capDeadlines(long newDeadlineUs) {
         processEndUs = newDeadlineUs;
         for (Exchange exchange : open.values()) {
-            if (exchange.streamingCall != null) {
-                upstreams.setProcessEnd(exchange.streamingCall, newDeadlineUs);
-            }
+            exchange.attempts.forEach(call -> call.processEndUs = newDeadlineUs);
             shortenDeadline(exchange, newDeadlineUs);
         }
     }
@@ -258,6 +257,10 @@
                         }
                     }
                 });
+        call.processEndUs = processEndUs;
+        if (exchange.body.isComplete()) {
+            call.lateLimitUs = exchange.lateLimitUs();
+        }
         upstreams.markSent(call);
         exchange.attempts.add(call);
         exchange.timestamps.recordAttempt(now);
@@ -372,7 +375,6 @@
         served++;
         RequestLog.logState(exchange.request.id(), "streaming its response");
         exchange.streamingCall = call;
-        upstreams.setProcessEnd(call, processEndUs);
         exchange.response.beginStream(length, resume);
         long now = clock.nowUs();
         dispatcher.call(
--- a/src/main/java/rushproxy/sidecar/ResponseDeadlines.java
+++ b/src/main/java/rushproxy/sidecar/ResponseDeadlines.java
@@ -21,6 +21,9 @@
     /** The margin takes at most 1/4 of a request's time. */
     private static final int MARGIN_DIVISOR = 4;
 
+    /** Up to half a second after its time a response only earns nothing; the rest is for the way to the client. */
+    private static final long LATE_US = 470_000;
+
     private final EventLoopDelay loopDelay;
     private final Map<String, Long> reserves = new HashMap<>();
 
@@ -44,4 +47,9 @@
         long reserveUs = Math.max(MIN_MARGIN_US, reserves.getOrDefault(requestClass, 0L));
         return Math.min(reserveUs + loopDelay.recentDelayUs(), remainingUs / MARGIN_DIVISOR);
     }
+
+    /** When a short response must have ended, complete or broken off, whatever its client allows. */
+    static long lateLimitUs(long sentUs, long remainingUs) {
+        return sentUs + remainingUs + LATE_US;
+    }
 }
--- a/src/main/java/rushproxy/sidecar/UpstreamCall.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamCall.java
@@ -13,6 +13,8 @@
 final class UpstreamCall {
     final String upstreamId;
     long deadlineUs;
+    /** When a short response must have ended, complete or broken off. */
+    long lateLimitUs = Long.MAX_VALUE;
     /** When the process may be killed; a response that stalls beyond this is aborted. */
     long processEndUs = Long.MAX_VALUE;
     /** Makes the request head; its argument is the time left for the response, in microseconds. */
@@ -118,8 +120,8 @@
         return isEnded && !mayHaveRun;
     }
 
-    long processEndUs() {
-        return processEndUs;
+    ResponseProgress.Limits responseLimits() {
+        return new ResponseProgress.Limits(deadlineUs, lateLimitUs, processEndUs);
     }
 
     /** Starts forwarding the response; from now on the connection enforces the deadline. False if the response is not wanted. */
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -179,7 +179,7 @@
         if (call == null || head == null || isComplete || isStreaming || buffered == null) {
             return;
         }
-        if (progress.shouldStream(clock.nowUs())) {
+        if (progress.shouldStream(clock.nowUs(), call.responseLimits())) {
             startStreaming(ctx);
         } else {
             timer = ctx.executor().schedule(() -> checkStreaming(ctx), PROGRESS_CHECK_US, TimeUnit.MICROSECONDS);
@@ -222,7 +222,7 @@
      */
     boolean streamAtDeadline(ChannelHandlerContext ctx) {
         boolean isPartial = call != null && progress != null && buffered != null && !isComplete && !isAborted;
-        if (!isPartial || call.isReportInBody() || !progress.mayContinue(clock.nowUs())) {
+        if (!isPartial || call.isReportInBody() || !progress.mayContinue(clock.nowUs(), call.responseLimits())) {
             return false;
         }
         startStreaming(ctx);
@@ -267,7 +267,7 @@
     private boolean isStalled(ChannelHandlerContext ctx) {
         long now = clock.nowUs();
         progress.setHeldBack(!ctx.channel().config().isAutoRead(), now);
-        return progress.isStalled(now, call.deadlineUs(), call.processEndUs());
+        return progress.isStalled(now, call.responseLimits());
     }
 
     /**
--- a/src/main/java/rushproxy/sidecar/UpstreamPool.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamPool.java
@@ -225,11 +225,6 @@
         }
     }
 
-    /** Sets when the process may be killed; a response that stalls is not waited for beyond that. */
-    void setProcessEnd(UpstreamCall call, long processEndUs) {
-        call.processEndUs = processEndUs;
-    }
-
     /** Sets the time by which the response must start. A response that is being streamed may take longer, but must not stall. */
     void setDeadline(UpstreamCall call, long deadlineUs) {
         if (call.isEnded) {
--- a/src/test/java/rushproxy/sidecar/LongResponseTest.java
+++ b/src/test/java/rushproxy/sidecar/LongResponseTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Long responses that a server writes slowly pass on past the deadline; one that is cut can be told from a whole one. */
 @Timeout(60)
@@ -134,4 +136,45 @@
         }
         assertEquals(List.of(), wrong);
     }
+
+    /** Pieces that come as fast as a client may send a body, but for their size. */
+    private static void sendAtPace(TestServer.Connection connection, String framing, int pieceBytes, long everyMs)
+            throws Exception {
+        connection.raw("HTTP/1.1 200 OK\r\n" + framing + "\r\n");
+        String piece = "x".repeat(pieceBytes);
+        for (int sent = 0; sent < LUMPS * LUMP_BYTES; sent += pieceBytes) {
+            connection.raw(framing.equals(CHUNKED) ? Integer.toHexString(pieceBytes) + "\r\n" + piece + "\r\n" : piece);
+            TimeUnit.MILLISECONDS.sleep(everyMs);
+        }
+        end(connection, framing);
+    }
+
+    /** Guards against a response that is begun and then cut off between two of its pieces (review, case 8). */
+    @ParameterizedTest
+    @CsvSource({"40000, 600, 300", "40000, 600, 700", "4000, 60, 300"})
+    void aResponseThatComesAtAPaceIsPassedOnWhole(int pieceBytes, long everyMs, long remainingMs) throws Exception {
+        List<String> wrong = new ArrayList<>();
+        for (String framing : List.of(CHUNKED, CLOSE)) {
+            for (String version : VERSIONS) {
+                try (SidecarRig rig = new SidecarRig()) {
+                    rig.addUpstream((message, connection) -> {
+                        try {
+                            sendAtPace(connection, framing, pieceBytes, everyMs);
+                        } catch (Exception e) {
+                            throw new IOException(e);
+                        }
+                    });
+                    rig.start();
+                    try (TestServer.Client client = rig.client()) {
+                        client.send(SidecarRig.getRequest("a1", remainingMs).replace("HTTP/1.1", version));
+                        Seen seen = read(client);
+                        if (!seen.equals(new Seen(LUMPS * LUMP_BYTES, true))) {
+                            wrong.add(framing.trim() + ", " + version + ": " + seen);
+                        }
+                    }
+                }
+            }
+        }
+        assertEquals(List.of(), wrong);
+    }
 }
