Stops: a response is begun only if it can end before the kill, and waited for at its pace

Cause: the first byte was passed on whatever was known of the rest, and at the process's end 0.1 s of silence ended any answer. Now an answer that begins after SIGTERM is held until all of it is there or its pace lets the rest come before the kill, else it is a 502 in time; what comes at its pace is not ended before the kill. Related: unknown length in a stop, HTTP/1.0 and closes (the same path), answers taken before SIGTERM.

--- a/src/main/java/rushproxy/sidecar/ReadAheadBuffer.java
+++ b/src/main/java/rushproxy/sidecar/ReadAheadBuffer.java
@@ -4,7 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.util.ArrayDeque;
 
-/** The part of one body that is read before its upstream takes it, in segments whose memory is reserved before they are read. */
+/** The part of one message that is read before its receiver takes it, in segments whose memory is reserved before they are read. */
 final class ReadAheadBuffer {
     /** As much as one read may bring. */
     static final int SEGMENT_BYTES = 16 * 1024;
@@ -46,6 +46,11 @@
         segments.add(Unpooled.buffer(SEGMENT_BYTES, SEGMENT_BYTES));
     }
 
+    /** How many segments are in use. */
+    int size() {
+        return segments.size();
+    }
+
     boolean isEmpty() {
         return segments.isEmpty();
     }
--- a/src/main/java/rushproxy/sidecar/ResponseProgress.java
+++ b/src/main/java/rushproxy/sidecar/ResponseProgress.java
@@ -36,6 +36,11 @@
     static final long LONG_STALL_US = 5_000_000;
     /** After this time without reading a client counts as gone. */
     static final long CLIENT_STALL_US = 20_000_000;
+    /** What is taken to be missing of a response of unknown length. */
+    static final int UNKNOWN_REST_BYTES = 1024 * 1024;
+    /** An upstream that keeps this much waiting gives its response faster than it is taken. */
+    static final int FULL_SOCKET_BYTES = UnreadBodyEnd.FULL_SOCKET_BYTES;
+
     /**
      * By when a response is due.
      *
@@ -58,6 +63,11 @@
     private long pieceSinceUs;
 
     private boolean heldBack;
+    /** What had arrived when {@link #canEndBy} was first asked, and when that was; 0 before. */
+    private long paceBytes;
+
+    private long paceSinceUs;
+
     /** {@code length} is -1 if unknown. */
     ResponseProgress(long length, long now) {
         this.length = length;
@@ -123,14 +133,33 @@
         return hasPace ? longestGapUs : pieceBytes * 1_000_000 / SLOWEST_BYTES_PER_S;
     }
 
+    /**
+     * Whether the rest can be expected by {@code endUs}, at the pace since this was first asked: what came until then may have been
+     * there all at once. {@code unread}: bytes that have arrived and were not read.
+     */
+    boolean canEndBy(long endUs, long now, int unread) {
+        long arrived = bytes + unread;
+        long left = length < 0 ? UNKNOWN_REST_BYTES : length - arrived;
+        if (left <= 0 || unread >= FULL_SOCKET_BYTES) {
+            return true;
+        }
+        if (paceSinceUs == 0) {
+            paceSinceUs = now;
+            paceBytes = arrived;
+        }
+        return left * (double) (now - paceSinceUs) < (arrived - paceBytes) * (double) (endUs - now);
+    }
+
     /** Whether the response that is passed on has stalled. */
     boolean isStalled(long now, Limits limits) {
         long silentUs = now - lastProgressUs;
-        if (now >= limits.processEndUs) {
-            return silentUs >= SHORT_STALL_US;
-        }
+        boolean isProcessEnd = now >= limits.processEndUs;
         if (heldBack) {
-            return silentUs >= CLIENT_STALL_US;
+            return silentUs >= (isProcessEnd ? LONG_STALL_US : CLIENT_STALL_US);
+        }
+        if (isProcessEnd) {
+            // What still comes may end before the kill, which may be late.
+            return !isAtPace(silentUs);
         }
         if (isLong()) {
             return silentUs >= LONG_STALL_US;
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -31,10 +31,15 @@
     private static final long PROGRESS_CHECK_US = 50_000;
     /** Bytes of a discarded response body that are read to keep the connection; beyond that it is closed. */
     private static final int MAX_DISCARDED_BYTES = 1 << 20;
+    /** What is held of one response, beside the part that is buffered. */
+    private static final int MAX_HELD_SEGMENTS = 12;
+    /** Interval of the looks at a response that is held because the process stops. */
+    private static final long HELD_CHECK_US = 25_000;
     /** Initial buffer size for a response of unknown length. */
     private static final int INITIAL_BUFFER_BYTES = 512;
 
     private final MemoryBudget budget;
+    private final ReadAheadBudget heldBudget;
     private final Clock clock;
     long idleSinceUs;
     private UpstreamCall call;
@@ -48,6 +53,9 @@
     /** Bytes taken from the budget for the buffer. */
     private int reservedBytes;
 
+    /** What has come behind the buffered part while it is not certain that the rest comes before the process ends; null if none. */
+    private ReadAheadBuffer held;
+
     private long discardedBytes;
     private boolean isStreaming;
     /** The response is too long for the buffer or the budget is used up: it is streamed from its first body bytes on. */
@@ -65,8 +73,9 @@
     /** Progress of the current response; null between responses. */
     private ResponseProgress progress;
 
-    UpstreamConnection(MemoryBudget budget, Clock clock) {
-        this.budget = budget;
+    UpstreamConnection(ConnectionMemory memory, Clock clock) {
+        budget = memory.bodies();
+        heldBudget = memory.readAhead();
         this.clock = clock;
     }
 
@@ -98,7 +107,10 @@
         if (message instanceof HttpContent content && !isInterim) {
             onContent(ctx, content.content());
             if (content instanceof LastHttpContent && !isAborted && isEndGenuine(ctx)) {
-                isComplete = true;
+                if (held != null) {
+                    startStreaming(ctx);
+                }
+                isComplete = !isAborted;
             }
         }
     }
@@ -151,6 +163,8 @@
         }
         if (isStreaming) {
             forward(ctx, part);
+        } else if (held != null) {
+            hold(ctx, part);
         } else if (isUnbuffered) {
             streamFrom(ctx, part);
         } else if (buffered == null) {
@@ -168,18 +182,49 @@
     }
 
     private void streamFrom(ChannelHandlerContext ctx, ByteBuf part) {
+        if (!canEndBeforeProcess(ctx)) {
+            stopTimer();
+            held = new ReadAheadBuffer(heldBudget);
+            hold(ctx, part);
+            checkHeld(ctx);
+            return;
+        }
         startStreaming(ctx);
         if (isStreaming) {
             forward(ctx, part);
         }
     }
 
+    /** Whether the rest of the response can be expected before the process is killed. Otherwise its first byte must not be passed on. */
+    private boolean canEndBeforeProcess(ChannelHandlerContext ctx) {
+        long endUs = call.responseLimits().processEndUs();
+        return endUs == Long.MAX_VALUE
+                || progress.canEndBy(endUs, clock.nowUs(), ((TcpConnection) ctx.channel()).unreadBytes());
+    }
+
+    /** Keeps a part, and reads on as long as there is memory. At its deadline the request fails, unless it has been answered. */
+    private void hold(ChannelHandlerContext ctx, ByteBuf part) {
+        held.append(part);
+        ctx.channel().config().setAutoRead(held.size() < MAX_HELD_SEGMENTS && held.reserveRoom());
+    }
+
+    private void checkHeld(ChannelHandlerContext ctx) {
+        if (held == null || call == null || isComplete || isAborted) {
+            return;
+        }
+        if (canEndBeforeProcess(ctx)) {
+            startStreaming(ctx);
+        } else {
+            timer = ctx.executor().schedule(() -> checkHeld(ctx), HELD_CHECK_US, TimeUnit.MICROSECONDS);
+        }
+    }
+
     /** Streams a response of unknown length while it makes progress; one that stalls stays buffered, so another attempt can answer. */
     private void checkStreaming(ChannelHandlerContext ctx) {
         if (call == null || head == null || isComplete || isStreaming || buffered == null) {
             return;
         }
-        if (progress.shouldStream(clock.nowUs(), call.responseLimits())) {
+        if (progress.shouldStream(clock.nowUs(), call.responseLimits()) && canEndBeforeProcess(ctx)) {
             startStreaming(ctx);
         } else {
             timer = ctx.executor().schedule(() -> checkStreaming(ctx), PROGRESS_CHECK_US, TimeUnit.MICROSECONDS);
@@ -214,6 +259,27 @@
         if (prefix != null && prefix.isReadable()) {
             forward(ctx, prefix);
         }
+        forwardHeld(ctx);
+    }
+
+    private void forwardHeld(ChannelHandlerContext ctx) {
+        if (held == null) {
+            return;
+        }
+        ctx.channel().config().setAutoRead(true);
+        while (!held.isEmpty()) {
+            ByteBuf segment = held.poll();
+            forward(ctx, segment);
+            segment.release();
+        }
+        releaseHeld();
+    }
+
+    private void releaseHeld() {
+        if (held != null) {
+            held.release();
+            held = null;
+        }
     }
 
     /**
@@ -222,7 +288,10 @@
      */
     boolean streamAtDeadline(ChannelHandlerContext ctx) {
         boolean isPartial = call != null && progress != null && buffered != null && !isComplete && !isAborted;
-        if (!isPartial || call.isReportInBody() || !progress.mayContinue(clock.nowUs(), call.responseLimits())) {
+        if (!isPartial || call.isReportInBody() || held != null) {
+            return false;
+        }
+        if (!progress.mayContinue(clock.nowUs(), call.responseLimits()) || !canEndBeforeProcess(ctx)) {
             return false;
         }
         startStreaming(ctx);
@@ -310,6 +379,7 @@
     private void reset() {
         head = null;
         buffered = null;
+        releaseHeld();
         isStreaming = isComplete = isUnbuffered = false;
         progress = null;
         discardedBytes = 0;
--- a/src/main/java/rushproxy/sidecar/UpstreamPool.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamPool.java
@@ -88,7 +88,7 @@
         this.maxConnections = maxConnections;
         idleTimeoutUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
         bootstrap = OutboundConnector.streamingBootstrap(
-                loop, memory.streams(), () -> new UpstreamConnection(memory.bodies(), clock));
+                loop, memory.streams(), () -> new UpstreamConnection(memory, clock));
         streams = memory.streams();
         sweep = PeriodicTask.scheduleEvery(loop, IDLE_SWEEP_MS, this::closeExpiredIdle);
     }
--- a/src/test/java/rushproxy/sidecar/ResponseProgressTest.java
+++ b/src/test/java/rushproxy/sidecar/ResponseProgressTest.java
@@ -151,4 +151,49 @@
         }
         assertTrue(progress.isStalled(endUs, LIMITS));
     }
+
+    /** Guards against a response that is begun in a stop because its first piece came fast (review, case 9). */
+    @Test
+    void theFirstPieceIsNoPace() {
+        ResponseProgress progress = new ResponseProgress(320_000, 0);
+        progress.recordBytes(32_000, 15_000);
+        for (long now = 15_000; now < 480_000; now += 25_000) {
+            assertFalse(progress.canEndBy(2_000_000, now, 0));
+        }
+        progress.recordBytes(32_000, 495_000);
+        // 256 kB are left, at 32 kB each 0.48 s: 3.84 s.
+        assertFalse(progress.canEndBy(4_300_000, 495_000, 0));
+        assertTrue(progress.canEndBy(4_400_000, 495_000, 0));
+    }
+
+    /** Guards against responses that are failed in a stop though all of them is there, or comes faster than it is taken. */
+    @Test
+    void aResponseThatIsThereCanEnd() {
+        assertTrue(new ResponseProgress(100_000, 0).canEndBy(1_000_000, 0, 100_000));
+        assertTrue(new ResponseProgress(4_000_000, 0).canEndBy(1_000_000, 0, ResponseProgress.FULL_SOCKET_BYTES));
+        assertFalse(new ResponseProgress(4_000_000, 0).canEndBy(1_000_000, 0, ResponseProgress.FULL_SOCKET_BYTES - 1));
+    }
+
+    /** Guards against a response in chunks that is begun in a stop with more to come than its pace allows. */
+    @Test
+    void anUnknownRestIsTakenToBeLong() {
+        ResponseProgress progress = new ResponseProgress(UNKNOWN_LENGTH, 0);
+        assertFalse(progress.canEndBy(2_000_000, 0, 0));
+        progress.recordBytes(66_000, 1_000_000);
+        assertFalse(progress.canEndBy(2_000_000, 1_000_000, 0));
+        progress.recordBytes(934_000, 1_000_000);
+        assertTrue(progress.canEndBy(2_100_000, 1_000_000, 0));
+    }
+
+    /** Guards against a process that ends what still comes at its pace before the kill, or waits for what has stopped. */
+    @Test
+    void aResponseAtItsPaceIsWaitedForAtTheEndOfTheProcess() {
+        Limits limits = new Limits(DEADLINE_US, LATE_LIMIT_US, 1_500_000);
+        ResponseProgress progress = new ResponseProgress(320_000, 0);
+        for (long now = 0; now <= 1_440_000; now += 480_000) {
+            progress.recordBytes(32_000, now);
+        }
+        assertFalse(progress.isStalled(1_440_000 + 700_000, limits));
+        assertTrue(progress.isStalled(1_440_000 + 720_000, limits));
+    }
 }
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -7,10 +7,16 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A graceful shutdown loses no request. */
 @Timeout(60)
 class ShutdownTest {
+    private static final int PIECES = 10;
+    private static final int PIECE_BYTES = 32_000;
+
     /** Uses a longer deadline, and so a later forced end, to leave room for a slow machine. */
     private static SidecarRig rig() throws Exception {
         SidecarRig rig = new SidecarRig();
@@ -136,6 +142,80 @@
         }
     }
 
+    /** Writes a response of 320 kB in ten pieces. */
+    private static void sendPieces(TestServer.Connection connection, boolean chunked, long everyMs)
+            throws java.io.IOException {
+        String piece = "x".repeat(PIECE_BYTES);
+        connection.raw("HTTP/1.1 200 OK\r\n"
+                + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + PIECES * PIECE_BYTES) + "\r\n\r\n");
+        try {
+            for (int i = 0; i < PIECES; i++) {
+                connection.raw(chunked ? Integer.toHexString(PIECE_BYTES) + "\r\n" + piece + "\r\n" : piece);
+                TimeUnit.MILLISECONDS.sleep(everyMs);
+            }
+        } catch (InterruptedException e) {
+            throw new java.io.InterruptedIOException();
+        }
+        connection.raw(chunked ? "0\r\n\r\n" : "");
+    }
+
+    /** Guards against a response that is begun after the stop and cut off by the end of the process (review, case 9). */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aResponseThatCanNotEndBeforeTheKillIsNotBegun(boolean chunked) throws Exception {
+        try (SidecarRig rig = rig()) {
+            rig.addUpstream((m, line) -> sendPieces(line, chunked, 480));
+            rig.start();
+            rig.sidecar.stop(() -> {});
+            try (TestServer.Client late = rig.client()) {
+                long sentNanos = System.nanoTime();
+                late.send(SidecarRig.getRequest("late", 300));
+                assertEquals(502, late.status());
+                long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+                assertTrue(tookMs <= 300 + 500 + 50, tookMs + " ms");
+            }
+        }
+    }
+
+    /** Guards against long responses that are turned away in a stop though they end well before the kill. */
+    @ParameterizedTest
+    @CsvSource({"false, 0", "true, 0", "false, 60", "true, 60"})
+    void aLongResponseThatEndsBeforeTheKillIsServed(boolean chunked, long everyMs) throws Exception {
+        try (SidecarRig rig = rig()) {
+            rig.addUpstream((m, line) -> sendPieces(line, chunked, everyMs));
+            rig.start();
+            rig.sidecar.stop(() -> {});
+            try (TestServer.Client late = rig.client()) {
+                late.send(SidecarRig.getRequest("late", 700));
+                String text = late.rest();
+                assertTrue(text.startsWith("HTTP/1.1 200 "), text.substring(0, Math.min(100, text.length())));
+                assertEquals(
+                        PIECES * PIECE_BYTES, text.chars().filter(c -> c == 'x').count());
+            }
+        }
+    }
+
+    /** Guards against a process that cuts off, before any kill, what was taken before the stop and still comes. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aResponseThatStillComesAtTheEndIsWaitedFor(boolean chunked) throws Exception {
+        try (SidecarRig rig = new SidecarRig()) {
+            rig.addUpstream((m, line) -> sendPieces(line, chunked, 300));
+            rig.start();
+            CountDownLatch stopped = new CountDownLatch(1);
+            try (TestServer.Client reads = rig.client()) {
+                reads.send(SidecarRig.getRequest("long", 700));
+                rig.awaitEvent("begins long");
+                // The kill is due 1.5 s later, and the response takes twice as long.
+                rig.sidecar.stop(stopped::countDown);
+                assertEquals(
+                        PIECES * PIECE_BYTES,
+                        reads.rest().chars().filter(c -> c == 'x').count());
+            }
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        }
+    }
+
     /** Guards against a stalled response that the client can't tell from a complete one when the process is killed. */
     @Test
     void aStalledResponseIsAbortedBeforeTheKill() throws Exception {
