Bodies: a look that reads ahead checks again whether the body is still awaited

Need: by reading: reading ahead may bring the end of a body, or bytes that end its request; the look went on with a request that was gone, and at an overdue moment would have failed none (an error in the look, which nobody sees). Change: after reading ahead the look asks again. Result: the tests of slow uploads pass as before; the case itself was not seen and has no test, since its only effect is an error in a task.

--- a/src/main/java/rushproxy/sidecar/RequestBody.java
+++ b/src/main/java/rushproxy/sidecar/RequestBody.java
@@ -39,8 +39,8 @@
     private Runnable onWritten;
     private long blockedSinceUs;
 
-    RequestBody(Runnable regulate, long length, ReadAheadBudget readAheadBudget) {
-        this.onFlowChange = regulate;
+    RequestBody(Runnable onFlowChange, long length, ReadAheadBudget readAheadBudget) {
+        this.onFlowChange = onFlowChange;
         this.length = length;
         ahead = new ReadAheadBuffer(readAheadBudget);
         kept = Unpooled.EMPTY_BUFFER;
--- a/src/main/java/rushproxy/sidecar/UnreadBodyWatch.java
+++ b/src/main/java/rushproxy/sidecar/UnreadBodyWatch.java
@@ -85,17 +85,19 @@
     }
 
     private void checkAgain(int request) {
-        if (request != requests) {
-            return;
+        if (isWatched(request) && upload.isSuspended()) {
+            // This may bring the end of the body, or of the request.
+            upload.readAhead();
         }
-        if (!upload.isReceiving() || !connection.isActive()) {
+        if (isWatched(request)) {
+            check();
+        } else if (request == requests) {
             watching = false;
-            return;
         }
-        if (upload.isSuspended()) {
-            upload.readAhead();
-        }
-        check();
+    }
+
+    private boolean isWatched(int request) {
+        return request == requests && upload.isReceiving() && connection.isActive();
     }
 
     /** When the client wrote the last byte, which has been read now and was sent at {@code sentUs} as far as its reading tells. */
