Tests: a pause of the client begins once its server has the head

Traced: in a cold process short of a processor the server's pause of 1.1 s began 0.55 s late, and it read after the request's time was over; the 502 came 0.58 s after the last byte, as it has to. Change: the client waits until the server has the head, and the server pauses for 0.7 s, which is still more than the request's time. The request's time and the answer asked for are the same.

--- a/src/test/java/rushproxy/sidecar/SlowUploadTest.java
+++ b/src/test/java/rushproxy/sidecar/SlowUploadTest.java
@@ -10,6 +10,7 @@
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
@@ -161,10 +162,12 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void aClientThatPausesBesideAServerThatPausesIsServed(boolean chunked) throws Exception {
+        CountDownLatch reached = new CountDownLatch(1);
         try (SidecarRig rig = new SidecarRig()) {
             rig.addUpstream((message, connection) -> connection.answer("200 OK", "", "served")).bodyReader =
                     (message, in) -> {
-                        pause(1_100);
+                        reached.countDown();
+                        pause(700);
                         readBody(in, 2 * LARGE_BODY_BYTES, chunked);
                     };
             rig.start();
@@ -174,6 +177,7 @@
                 for (int i = 0; i < LARGE_BODY_BYTES / PIECE_BYTES; i++) {
                     out.write(piece(chunked).getBytes());
                 }
+                assertTrue(reached.await(20, TimeUnit.SECONDS));
                 pause(900);
                 write(client, LARGE_BODY_BYTES, chunked, 0);
                 assertEquals(200, client.status());
